--- /dev/null
+++ b/bellrack/__init__.py
@@ -0,0 +1,1 @@
+"""bellrack: decides where long-lived connections go."""
--- /dev/null
+++ b/bellrack/choice.py
@@ -0,0 +1,342 @@
+"""All decisions of bellrack, and all its settings.
+
+A host makes one Balancer(settings, seed, door) for each instance and tells it what happens through the methods
+named in bellrack/model.py, where the interface and the types are; the balancer acts through the Door it was given.
+A call runs down the chain Answer, Effect, Listed, Cold, Zone, Draw; what becomes of its leg runs back up.
+"""
+from __future__ import annotations
+
+from bellrack.model import (
+    CANCELLED,
+    COMPLETED,
+    MOOT,
+    NEVER_RAN,
+    ONCE_ONLY,
+    READY,
+    REFERENCED,
+    REPEATABLE,
+    Call,
+    Door,
+    Leg,
+    Result,
+    Server,
+    Settings,
+)
+
+SPILLOVER_RATIO = 0.5  # least healthy share of our zone that keeps new connections in it
+FAILURES = 3  # in a row mark a server unhealthy
+HOLD = 5.0  # seconds that the mark holds
+FLOOR = 0.05  # least weight that failures leave
+REGAIN = 0.1  # weight that a connection that stands adds back
+SOON = 2.0  # a connection dropped within this many seconds of standing was a failed set-up
+ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
+WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
+WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
+KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
+KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
+
+
+class Chance:
+    """A linear congruential generator; its high bits are used."""
+
+    def __init__(self, seed: int):
+        self.state = seed & 0xFFFFFFFFFFFFFFFF
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return (self.state >> 33) / 2147483648.0
+
+
+class Stand:
+    """What this balancer has seen of one server."""
+
+    def __init__(self) -> None:
+        self.weight = 1.0
+        self.fails = 0
+        self.bad_until = 0.0
+        self.open = 0  # own connections and legs out
+        self.since = 0.0
+
+
+class Stage:
+    """One link of the chain: passes a call on, keeps it or ends it; results come back through it."""
+
+    before: Stage
+    after: Stage
+
+    def __init__(self, rack: Balancer):
+        self.rack, self.settings, self.door = rack, rack.settings, rack.door
+
+    def take(self, call: Call) -> None:
+        self.after.take(call)
+
+    def stands(self, leg: Leg) -> None:
+        self.before.stands(leg)
+
+    def back(self, leg: Leg, result: Result) -> None:
+        self.before.back(leg, result)
+
+
+class Answer(Stage):
+    """Rule 1: each call gets one final answer by its guard time, and nothing after it."""
+
+    def take(self, call: Call) -> None:
+        if not call.legs:
+            self.door.wake(self.last_moment(call), call)
+        if call.done:
+            return
+        if len(call.legs) >= self.settings.max_legs or self.door.now >= self.last_moment(call):
+            self.give_up(call)
+        else:
+            self.after.take(call)
+
+    def last_moment(self, call: Call) -> float:
+        return call.guard - self.settings.answer_slack - 2 * self.settings.tick
+
+    def due(self, call: Call) -> None:
+        """The guard time is near: answer whatever is still owed."""
+        if not call.done and not any(leg.standing for leg in call.legs):
+            self.give_up(call)
+
+    def give_up(self, call: Call) -> None:
+        if self.rack.effect.harmless(call):
+            self.door.reject(call)
+        else:
+            self.door.release(call)
+
+    def stands(self, leg: Leg) -> None:
+        pass
+
+    def back(self, leg: Leg, result: Result) -> None:
+        if not leg.call.done:
+            self.take(leg.call)
+
+
+class Effect(Stage):
+    """Rule 2: no effect twice."""
+
+    def take(self, call: Call) -> None:
+        if any(leg.result is None for leg in call.legs):
+            return
+        call.places = list(self.rack.fleet)
+        risky = self.risky(call)
+        if risky and call.type.effect == ONCE_ONLY:
+            self.rack.answer.give_up(call)
+            return
+        if risky and call.type.effect == REFERENCED:
+            first = risky[0]
+            if self.door.now >= first.sent + call.type.key_ttl - self.settings.tick:
+                self.rack.answer.give_up(call)
+                return
+            call.places = [server for server in call.places if self.same_group(call, server, first.server)]
+        self.after.take(call)
+
+    def risky(self, call: Call) -> list[Leg]:
+        """Legs that are not known never to have run."""
+        return [leg for leg in call.legs if leg.result is None or leg.result.kind not in NEVER_RAN]
+
+    def same_group(self, call: Call, one: Server, other: Server) -> bool:
+        if call.type.group == "all":
+            return True
+        return one.zone == other.zone if call.type.group == "zone" else one.cell == other.cell
+
+    def harmless(self, call: Call) -> bool:
+        """May the client be told that trying again does no harm?"""
+        effect = call.type.effect
+        return (effect == REPEATABLE or not self.risky(call)
+                or effect == REFERENCED and call.type.group == "all")
+
+
+class Listed(Stage):
+    """Rule 3: nothing new to a draining or gone server, from the moment we hear of it."""
+
+    def take(self, call: Call) -> None:
+        call.places = [server for server in call.places if server.state == READY]
+        if call.places:
+            self.after.take(call)
+        else:
+            self.rack.keep(call)
+
+
+class Cold(Stage):
+    """Rule 4: this instance's part of what a cold server may bear."""
+
+    def take(self, call: Call) -> None:
+        usual = self.usual()
+        call.places = [server for server in call.places if self.room(server, usual)]
+        if call.places:
+            self.after.take(call)
+        else:
+            self.rack.keep(call)
+
+    def warm(self, server: Server) -> float:
+        """The share of its capacity that a server surely has by now."""
+        age = self.door.now - server.since
+        if not server.since or age >= self.settings.ramp_time:
+            return 1.0
+        cold = self.settings.cold_share
+        return cold + (1 - cold) * max(0.0, age) / self.settings.ramp_time
+
+    def usual(self) -> float:
+        """Own open connections by size on warm servers: what a server is known to bear."""
+        warm = [server for server in self.rack.fleet if server.state == READY and self.warm(server) >= 1.0]
+        size = sum(server.size for server in warm)
+        now = sum(server.stand.open for server in warm) / size if size else 0.0
+        self.rack.borne = max(self.rack.borne, now)
+        return self.rack.borne
+
+    def room(self, server: Server, usual: float) -> bool:
+        warm = self.warm(server)
+        return warm >= 1.0 or server.stand.open < 1 + usual * warm * server.size
+
+
+class Zone(Stage):
+    """The spillover ratio: stay among our zone's healthy servers, or spread over those of all zones."""
+
+    def take(self, call: Call) -> None:
+        healthy = [server for server in call.places if self.rack.draw.healthy(server)]
+        home = [server for server in healthy if server.zone == self.settings.zone]
+        if self.share() >= SPILLOVER_RATIO and home:
+            call.places = home
+        elif healthy:
+            call.places = healthy
+        else:
+            call.places = [s for s in call.places if s.zone == self.settings.zone] or call.places
+        self.after.take(call)
+
+    def share(self) -> float:
+        """Healthy matched over all matched; a cold server counts as far as it is warm."""
+        matched = [s for s in self.rack.fleet if s.state == READY and s.zone == self.settings.zone]
+        if not matched:
+            return 0.0
+        return sum(self.rack.cold.warm(s) for s in matched if self.rack.draw.healthy(s)) / len(matched)
+
+
+class Draw(Stage):
+    """The pick within the set, by failure-driven weight, and the sending."""
+
+    def healthy(self, server: Server) -> bool:
+        return server.stand.bad_until <= self.door.now
+
+    def take(self, call: Call) -> None:
+        tried = [leg.server for leg in call.legs]
+        places = [s for s in call.places if s not in tried] or call.places
+        mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
+        low = [s for s in places
+               if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
+        weights = [s.stand.weight * s.size * self.rack.cold.warm(s) for s in low]
+        point = self.rack.chance.draw() * sum(weights)
+        for server, weight in zip(low, weights):
+            point -= weight
+            if point < 0:
+                break
+        self.send(call, server)
+
+    def send(self, call: Call, server: Server) -> None:
+        until = self.rack.answer.last_moment(call)
+        server.stand.open += 1
+        self.door.send(call, server, until)
+
+    def stands(self, leg: Leg) -> None:
+        stand = leg.server.stand
+        stand.fails = 0
+        stand.weight = min(1.0, stand.weight + REGAIN)
+        self.before.stands(leg)
+
+    def back(self, leg: Leg, result: Result) -> None:
+        leg.server.stand.open -= 1
+        soon = not leg.standing or self.door.now - leg.sent < SOON
+        if result.kind not in (COMPLETED, CANCELLED, MOOT) and soon:
+            self.failed(leg.server)
+        self.before.back(leg, result)
+
+    def failed(self, server: Server) -> None:
+        stand = server.stand
+        stand.weight = max(FLOOR, stand.weight / 2)
+        stand.fails += 1
+        if stand.fails >= FAILURES and self.healthy(server):
+            self.door.log(f"server unhealthy for {HOLD:g} s after {stand.fails} failures in a row")
+        if stand.fails >= FAILURES:
+            stand.bad_until = self.door.now + HOLD
+
+
+class Balancer:
+    """One instance."""
+
+    def __init__(self, settings: Settings, seed: int, door: Door):
+        self.settings, self.door = settings, door
+        self.chance = Chance(seed)
+        self.fleet: list[Server] = []
+        self.kept: list[Call] = []
+        self.borne = 0.0
+        self.watching = False
+        self.watch_wait = WATCH_RETRY
+        self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
+        self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
+        chain = [self.answer, self.effect, self.listing, self.cold, self.zone, self.draw]
+        for one, other in zip(chain, chain[1:]):
+            one.after, other.before = other, one
+        if settings.asks:
+            door.wake(door.now + WATCH_SPREAD * self.chance.draw(), "watch")
+
+    def arrived(self, call: Call) -> None:
+        self.answer.take(call)
+
+    def resumed(self, leg: Leg) -> None:
+        leg.server.stand.open += 1
+
+    def stands(self, leg: Leg) -> None:
+        self.draw.stands(leg)
+
+    def back(self, leg: Leg, result: Result) -> None:
+        self.draw.back(leg, result)
+
+    def left(self, call: Call) -> None:
+        pass
+
+    def loaded(self, leg: Leg, load: float) -> None:
+        pass
+
+    def delayed(self, leg: Leg, delay: float) -> None:
+        pass
+
+    def probed(self, server: Server, result: Result) -> None:
+        pass
+
+    def heard(self, peer: int, data: bytes) -> None:
+        pass
+
+    def woke(self, what: object) -> None:
+        if isinstance(what, Call):
+            self.answer.due(what)
+        elif what == "kept":
+            waiting, self.kept = self.kept, []
+            for call in waiting:
+                self.answer.take(call)
+        elif what == "watch":
+            self.door.watch()
+
+    def keep(self, call: Call) -> None:
+        """No server may take the call yet: hold it while it is worth something, then answer at once."""
+        if self.door.now >= call.arrived + KEEP_SHARE * call.type.setup_target:
+            self.answer.give_up(call)
+            return
+        if not self.kept:
+            self.door.wake(self.door.now + KEEP_STEP, "kept")
+        self.kept.append(call)
+
+    def listed(self, servers: list[Server]) -> None:
+        self.watch_wait = WATCH_RETRY
+        for server in servers:
+            if server.stand is None:
+                server.stand = Stand()
+                self.fleet.append(server)
+            if server.since != server.stand.since:  # restarted under the same id
+                server.stand.since, server.stand.fails, server.stand.bad_until = server.since, 0, 0.0
+                server.stand.weight = 1.0
+
+    def unlisted(self) -> None:
+        """The list service failed: ask again later, each time later, never in step with the others."""
+        if self.settings.asks:
+            self.door.wake(self.door.now + self.watch_wait * (0.5 + self.chance.draw()), "watch")
+            self.watch_wait = min(8.0, 2 * self.watch_wait)
--- /dev/null
+++ b/bellrack/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire."""
--- /dev/null
+++ b/bellrack/drill/__main__.py
@@ -0,0 +1,23 @@
+"""`python -m bellrack.drill`: the decisions on standard input and output."""
+import sys
+
+from bellrack.drill.adapter import Adapter
+from bellrack.drill.wire import WireError, read_batch
+
+
+def main() -> int:
+    """Answer each batch with one reply until the input ends."""
+    adapter = Adapter()
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    try:
+        while (batch := read_batch(source)) is not None:
+            sink.write(adapter.answer(batch).encode())
+            sink.flush()
+    except WireError as error:
+        print(f"bellrack: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bellrack/drill/adapter.py
@@ -0,0 +1,289 @@
+"""Hosts instances on the simulator's wire: turns ids into objects and back, and keeps the books of calls."""
+from __future__ import annotations
+
+import json
+import traceback
+from typing import Any
+
+from bellrack import model
+from bellrack.choice import Balancer
+from bellrack.drill import wire
+from bellrack.drill.wire import WireError
+from bellrack.model import Call, Leg, Result, Server, Settings, TrafficType
+
+STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
+EFFECTS = {"retryable": model.REPEATABLE, "dedup": model.REFERENCED, "fragile": model.ONCE_ONLY}
+RESULTS = {10: model.COMPLETED, 20: model.ERROR, 30: model.FULL, 40: model.TIMEOUT, 50: model.NO_CONN,
+           60: model.RESET, 70: model.CANCELLED, 80: model.MOOT}
+DELTA, FULL_LIST, CACHED, FAILED = 0, 1, 2, 3
+
+
+def parse_settings(data: bytes) -> Settings:
+    """The settings that decisions read; unknown keys are skipped, optional ones may be absent."""
+    try:
+        raw = json.loads(data)
+        special, caps, rules, prices = raw["specifics"], raw["caps"], raw["obligations"], raw["prices"]
+        aims = special.get("messageAimUs") or [row["setupTargetUs"] for row in raw["trafficTypes"]]
+        types = [
+            TrafficType(EFFECTS[row["effect"]], row.get("group", "all"), row.get("keyTtlUs", 0) / 1e6,
+                        row["setupTargetUs"] / 1e6, aim / 1e6)
+            for row, aim in zip(raw["trafficTypes"], aims, strict=True)
+        ]
+        return Settings(
+            types=types, zone=raw["az"], peers=raw["peersTotal"], asks=raw["discovery"] == "ask",
+            groups=bool(special.get("groups")), max_legs=caps["maxLegs"],
+            parallel_legs=bool(caps.get("parallelTries")),
+            max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
+            tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
+            cold_share=rules["coldShare"], ramp_time=rules["rampTimeUs"] / 1e6,
+            overload_factor=rules["overloadFactor"], fall_time=rules["fallUs"] / 1e6,
+            price_cross=prices.get("crossZone", 0.0), price_move=prices.get("moves", 0.0))
+    except KeyError as error:
+        raise WireError(f"Launch.setup: no usable value at {error}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise WireError(f"Launch.setup: {error}") from error
+
+
+class _Open:
+    """A call at the door: its number and its legs in the order of sending."""
+
+    __slots__ = ("call", "legs", "xid")
+
+    def __init__(self, xid: int, call: Call):
+        self.xid, self.call = xid, call
+        self.legs: list[Leg] = []
+
+
+class Instance:
+    """One balancer and its Door."""
+
+    def __init__(self, who: int, seed: int, settings: Settings, clock: int, reply: wire.Reply):
+        self.who, self.settings, self.reply = who, settings, reply
+        self.now = clock / 1e6
+        self._servers: dict[int, Server] = {}
+        self._open: dict[int, _Open] = {}
+        self._numbers: dict[int, int] = {}  # id(call) -> its number on the wire, for calls in _open
+        self._wakes: dict[int, Any] = {}
+        self._nonce = 0
+        self.balancer = Balancer(settings, seed, self)
+
+    # What the balancer may do.
+
+    def send(self, call: Call, server: Server, until: float) -> Leg:
+        entry = self._entry(call)
+        leg = Leg(call, server, self.now)
+        entry.legs.append(leg)
+        call.legs.append(leg)
+        self.reply.add(self.who, "Forward", entry.xid, server.mark, _micros(until))
+        return leg
+
+    def cancel(self, leg: Leg) -> None:
+        entry = self._entry(leg.call)
+        self.reply.add(self.who, "Cancel", entry.xid, entry.legs.index(leg))
+
+    def reject(self, call: Call, wait: float = 0.0) -> None:
+        self._end(call, "Deny", _micros(wait))
+
+    def release(self, call: Call) -> None:
+        self._end(call, "ReportFailure")
+
+    def move(self, call: Call) -> None:
+        self.reply.add(self.who, "Shift", self._entry(call).xid)
+
+    def watch(self, on: bool = True) -> None:
+        self.reply.add(self.who, "KeepInformed", int(on))
+
+    def fetch(self) -> None:
+        self.reply.add(self.who, "Fetch")
+
+    def probe(self, server: Server) -> None:
+        self.reply.add(self.who, "HealthCheck", server.mark)
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        self.reply.add_data(self.who, "Notify", data, wire.EVERY_PEER if peer is None else peer)
+
+    def wake(self, when: float, what: Any) -> None:
+        self._nonce += 1
+        self._wakes[self._nonce] = what
+        self.reply.add(self.who, "SetAlarm", _micros(when), self._nonce)
+
+    def log(self, text: str) -> None:
+        self.reply.add_data(self.who, "JournalLine", text.encode())
+
+    def _entry(self, call: Call) -> _Open:
+        return self._open[self._numbers[id(call)]]
+
+    def _end(self, call: Call, action: str, *values: int) -> None:
+        entry = self._entry(call)
+        call.done = True
+        self.reply.add(self.who, action, entry.xid, *values)
+        self._forget(entry)
+
+    def _forget(self, entry: _Open) -> None:
+        """Let go of a call that is done and has no leg out."""
+        if entry.call.done and all(leg.result for leg in entry.legs):
+            del self._open[entry.xid]
+            del self._numbers[id(entry.call)]
+
+    # What happens to it, by the wire's names.
+
+    def take(self, name: str, values: tuple, pools: dict[int, list[tuple]]) -> None:
+        if name == "Members":
+            self._members(*values, pools)
+        else:
+            getattr(self, "_on_" + name.lower())(*values)
+
+    def _on_inbound(self, xid, affinity, remaining, group, cost, customer, bits, priority):
+        call = self._book(xid, affinity, remaining, group, customer, bits, priority)
+        self.balancer.arrived(call)
+
+    def _on_preexisting(self, xid, affinity, customer, server, group, remaining, cost, priority, bits):
+        call = self._book(xid, affinity, remaining, group, customer, bits, priority)
+        leg = Leg(call, self._server(server), self.now, standing=True)
+        call.legs.append(leg)
+        self._open[xid].legs.append(leg)
+        self.balancer.resumed(leg)
+
+    def _on_flowing(self, xid, server, took, number):
+        leg = self._leg("Flowing", xid, number)
+        leg.standing = True
+        self.balancer.stands(leg)
+
+    def _on_notice(self, xid, server, x, number, sort):
+        leg = self._leg("Notice", xid, number)
+        if sort == 1:
+            self.balancer.loaded(leg, x)
+            leg.load = x
+        elif sort == 2:
+            self.balancer.delayed(leg, x / 1e3)
+
+    def _on_returned(self, xid, number, server, result, took, complete, *report):
+        leg = self._leg("Returned", xid, number)
+        if leg.result:
+            raise WireError(f"Returned.sendNo: leg {number} of call {xid} has ended already")
+        leg.result = self._result("Returned", result, took, report)
+        entry = self._open[xid]
+        leg.call.done = leg.call.done or bool(complete)
+        self.balancer.back(leg, leg.result)
+        if xid in self._open:
+            self._forget(entry)
+
+    def _on_dropped(self, xid):
+        if entry := self._open.get(xid):  # it may name a call that we ended a moment ago
+            entry.call.done = True
+            self.balancer.left(entry.call)
+            self._forget(entry)
+
+    def _on_tickdue(self, nonce):
+        if nonce not in self._wakes:
+            raise WireError(f"TickDue.nonce: {nonce} was never asked for")
+        self.balancer.woke(self._wakes.pop(nonce))
+
+    def _on_pong(self, server, result, took, *report):
+        self.balancer.probed(self._server(server), self._result("Pong", result, took, report))
+
+    def _on_heard(self, by, data):
+        self.balancer.heard(by, data)
+
+    def _members(self, kind, roster, revision, pools):
+        if kind == FAILED:
+            self.balancer.unlisted()
+            return
+        if kind not in (DELTA, FULL_LIST, CACHED):
+            raise WireError(f"Members.kind: unknown kind {kind}")
+        if roster not in pools:
+            raise WireError(f"Members.rosterId: no list {roster}")
+        changed = []
+        for status, pack, area, hint, since, _, number in pools[roster]:
+            if status not in STATES:
+                raise WireError(f"Pool.membersList: unknown status {status}")
+            server = self._servers.setdefault(number, Server(number))
+            server.state, server.cell, server.zone = STATES[status], pack, area
+            server.size, server.since = hint or 1.0, since / 1e6
+            changed.append(server)
+        if kind != DELTA:  # whoever is missing from a complete list has been removed
+            named = {row[-1] for row in pools[roster]}
+            for number, server in self._servers.items():
+                if number not in named and server.state != model.GONE:
+                    server.state = model.GONE
+                    changed.append(server)
+        self.balancer.listed(changed)
+
+    def _book(self, xid, affinity, remaining, group, customer, bits, priority) -> Call:
+        if xid in self._open:
+            raise WireError(f"Inbound.xid: call {xid} is here already")
+        if priority >= len(self.settings.types):
+            raise WireError(f"Inbound.priority: no traffic type {priority}")
+        call = Call(self.settings.types[priority], self.now + remaining / 1e6, self.now, affinity, group,
+                    customer, bool(bits & 2), bool(bits & 8), bool(bits & 16))
+        self._open[xid] = _Open(xid, call)
+        self._numbers[id(call)] = xid
+        return call
+
+    def _server(self, number: int) -> Server:
+        """A server by its number; one that no list has named counts as gone."""
+        if number not in self._servers:
+            server = self._servers[number] = Server(number, state=model.GONE)
+            self.balancer.listed([server])
+        return self._servers[number]
+
+    def _leg(self, event: str, xid: int, number: int) -> Leg:
+        entry = self._open.get(xid)
+        if entry is None:
+            raise WireError(f"{event}.xid: call {xid} is not here")
+        if number >= len(entry.legs):
+            raise WireError(f"{event}.sendNo: call {xid} has no leg {number}")
+        return entry.legs[number]
+
+    def _result(self, event: str, code: int, took: int, report: tuple) -> Result:
+        if code not in RESULTS:
+            raise WireError(f"{event}.result: unknown outcome {code}")
+        return Result(RESULTS[code], took / 1e6, tuple(report[1:1 + report[0]]))
+
+
+class Adapter:
+    """All instances of this process."""
+
+    def __init__(self) -> None:
+        self._instances: dict[int, Instance] = {}
+        self._pools: dict[int, list[tuple]] = {}
+        self._last: tuple[int, int] | None = None
+
+    def answer(self, batch: wire.Batch) -> wire.Reply:
+        """Hand each event to its instance; what they do goes into the reply."""
+        if self._last and (batch.number <= self._last[0] or batch.clock < self._last[1]):
+            raise WireError(f"batch {batch.number}: out of order after batch {self._last[0]}")
+        self._last = batch.number, batch.clock
+        reply, who = wire.Reply(batch.number), None
+        for index, (name, values) in enumerate(batch):
+            if name == "On":
+                who = values[0]
+            elif name == "Pool":
+                self._pools[values[0]] = wire.entries(values[1])
+            elif who is None:
+                raise WireError(f"batch {batch.number}, record {index}: {name} before any On")
+            elif name == "Exit":
+                self._instances.pop(who, None)
+            else:
+                try:
+                    self._event(who, name, values, batch.clock, reply)
+                except WireError as error:
+                    raise WireError(f"batch {batch.number}, record {index}: {error}") from error
+                except Exception:  # a fault in a decision ends the day, with its cause
+                    reply.add_data(who, "Bug", traceback.format_exc(limit=-4).encode())
+                    return reply
+        return reply
+
+    def _event(self, who: int, name: str, values: tuple, clock: int, reply: wire.Reply) -> None:
+        if name == "Launch":
+            self._instances[who] = Instance(who, values[0], parse_settings(values[1]), clock, reply)
+            return
+        instance = self._instances.get(who)
+        if instance is None:
+            raise WireError(f"{name} for instance {who}, which has not been launched")
+        instance.now, instance.reply = clock / 1e6, reply
+        instance.take(name, values, self._pools)
+
+
+def _micros(seconds: float) -> int:
+    return max(0, round(seconds * 1e6))
--- /dev/null
+++ b/bellrack/model.py
@@ -0,0 +1,132 @@
+"""What passes between the decisions (choice.py) and whoever carries them out.
+
+A host makes one `choice.Balancer(settings, seed, door)` for each instance and tells it what happens:
+
+    listed(servers)      these servers are new to the list or their entries changed
+    unlisted()           the list service failed us; what was listed stays
+    arrived(call)        a call to decide; it is owed one final answer
+    resumed(leg)         a connection that stood before the instance started
+    stands(leg)          the leg's connection is up
+    loaded(leg, load)    the connection's load is now this (microseconds of work a second)
+    delayed(leg, delay)  a message at the leg's server takes this long now (seconds)
+    back(leg, result)    the leg ended
+    left(call)           the client is gone; nothing is owed any more
+    probed(server, result), heard(peer, data), woke(what)
+
+The balancer acts through its `Door`. Times are seconds on the host's clock; the host keeps the books of a
+call (`legs`, `done`, `leg.result`) before it tells the balancer.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+READY, DRAINING, GONE = "ready", "draining", "gone"
+REPEATABLE, REFERENCED, ONCE_ONLY = "repeatable", "referenced", "once-only"
+
+COMPLETED, ERROR, FULL, TIMEOUT = "completed", "error", "full", "timeout"
+NO_CONN, RESET, CANCELLED, MOOT = "no connection", "reset", "cancelled", "moot"
+NEVER_RAN = (FULL, NO_CONN, MOOT)  # results that prove the leg had no effect
+
+
+@dataclass(eq=False)
+class TrafficType:
+    """A row of the traffic-type table."""
+
+    effect: str
+    group: str  # who drops repeats of a referenced call: all, zone or cell
+    key_ttl: float  # for how long they do, from the first leg that may have run
+    setup_target: float
+    message_aim: float
+
+
+@dataclass(eq=False)
+class Settings:
+    """What an instance is told at its start."""
+
+    types: list[TrafficType]
+    zone: int
+    peers: int
+    asks: bool  # the list must be asked for
+    groups: bool  # connections of a group share a cost on each server
+    max_legs: int
+    parallel_legs: bool
+    max_open_wait: float  # the longest wait that a client honours; 0 where clients get none
+    tick: float
+    answer_slack: float
+    cold_share: float
+    ramp_time: float
+    overload_factor: float
+    fall_time: float
+    price_cross: float
+    price_move: float
+
+
+@dataclass(eq=False)
+class Server:
+    """A listed server; `stand` is the balancer's own record of it."""
+
+    mark: int  # the same number at every balancer
+    zone: int = 0
+    cell: int = 0
+    state: str = READY
+    size: float = 1.0  # listed capacity, for comparison
+    since: float = 0.0  # its last start; 0 for long ago
+    stand: Any = None
+
+
+@dataclass(eq=False)
+class Call:
+    """A client's wish for a connection."""
+
+    type: TrafficType
+    guard: float  # when the client gives up
+    arrived: float = 0.0
+    key: int = 0
+    group: int = 0
+    tenant: int = 0
+    repeat: bool = False  # the client's repeat
+    midflow: bool = False  # an open connection's packets now arrive here
+    returned: bool = False  # the client came back after a break or a move
+    legs: list[Leg] = field(default_factory=list)
+    done: bool = False  # answered for good, or nothing is owed any more
+    places: list[Server] = field(default_factory=list)  # where the chain may still put it
+
+
+@dataclass(eq=False)
+class Leg:
+    """One try to place a call on a server."""
+
+    call: Call
+    server: Server
+    sent: float
+    standing: bool = False
+    load: float = 0.0  # as last told; 0 before
+    result: Result | None = None
+
+
+@dataclass(eq=False)
+class Result:
+    """How a leg or a probe ended."""
+
+    kind: str
+    took: float = 0.0
+    report: tuple[float, ...] = ()
+
+
+class Door(Protocol):
+    """What an instance may do."""
+
+    now: float
+
+    def send(self, call: Call, server: Server, until: float) -> Leg: ...
+    def cancel(self, leg: Leg) -> None: ...
+    def reject(self, call: Call, wait: float = 0.0) -> None: ...
+    def release(self, call: Call) -> None: ...
+    def move(self, call: Call) -> None: ...
+    def watch(self, on: bool = True) -> None: ...
+    def fetch(self) -> None: ...
+    def probe(self, server: Server) -> None: ...
+    def tell(self, peer: int | None, data: bytes) -> None: ...
+    def wake(self, when: float, what: Any) -> None: ...
+    def log(self, text: str) -> None: ...
