Draw a group's connections by the same lots at every balancer

Cause: each server holding any of a group pays for it, and a random draw spreads every group over every server. Weighted rendezvous by group key keeps the draw by weight and gathers groups.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -1,11 +1,14 @@
 """All decisions of bellrack, and all its settings.
 
-A host makes one Balancer(settings, seed, door) for each instance and tells it what happens through the methods
-named in bellrack/model.py, where the interface and the types are; the balancer acts through the Door it was given.
-A call runs down the chain Answer, Effect, Listed, Cold, Zone, Draw; what becomes of its leg runs back up.
+A host makes one Balancer(settings, seed, door) for each instance and tells it what happens through the
+methods named in bellrack/model.py, where the interface and the types are; the balancer acts through the Door
+it was given. A call runs down the chain Answer, Effect, Listed, Cold, Zone, Draw; what becomes of its leg
+runs back up.
 """
 from __future__ import annotations
 
+import math
+
 from bellrack.model import (
     CANCELLED,
     COMPLETED,
@@ -224,13 +227,15 @@
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
-        weights = [s.stand.weight * s.size * self.rack.cold.warm(s) for s in low]
-        point = self.rack.chance.draw() * sum(weights)
-        for server, weight in zip(low, weights):
-            point -= weight
-            if point < 0:
-                break
-        self.send(call, server)
+        self.send(call, min(low, key=lambda s: self.lot(call, s)))
+
+    def lot(self, call: Call, server: Server) -> float:
+        """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
+        same at every draw and balancer, so its connections gather and share what they cost a server."""
+        weight = server.stand.weight * server.size * self.rack.cold.warm(server)
+        even = Chance(call.group ^ server.mark * 0x9E3779B97F4A7C15) if call.group else self.rack.chance
+        even.draw()
+        return -math.log(even.draw() + 1e-12) / weight
 
     def send(self, call: Call, server: Server) -> None:
         until = self.rack.answer.last_moment(call)
