Close a server whose messages are late, give it a ceiling, move some off, spill the rest

Cause: a zone whose servers stand but drown never spills, and heavy connections stay where they are. Delay notices tell the one server concerned; they close it to new connections, set a ceiling on own open connections, and move a tenth a notice while the delay does not fall.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -32,6 +32,12 @@
 FLOOR = 0.05  # least weight that failures leave
 REGAIN = 0.1  # weight that a connection that stands adds back
 SOON = 2.0  # a connection dropped within this many seconds of standing was a failed set-up
+SWAMPED = 0.5  # a message delay of this share of the shortest message aim closes a server to new connections
+SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
+CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
+CEILING_GROWTH = 0.03  # a second after the last notice
+MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
+FALLING = 0.8  # no moves while the delay falls below this share of the last one
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
@@ -59,6 +65,10 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = 0.0
+        self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
+        self.delay = 0.0  # as last told, as a share of the shortest message aim
+        self.told = -math.inf
+        self.ceiling = math.inf
 
 
 class Stage:
@@ -201,6 +211,9 @@
         home = [server for server in healthy if server.zone == self.settings.zone]
         if self.share() >= SPILLOVER_RATIO and home:
             call.places = home
+            if not any(self.rack.draw.room(server) for server in home):
+                # Guards against a zone whose servers stand but drown: what finds no room at home leaves.
+                call.places = [server for server in healthy if self.rack.draw.room(server)] or home
         elif healthy:
             call.places = healthy
         else:
@@ -221,12 +234,36 @@
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
 
+    def room(self, server: Server) -> bool:
+        """Not swamped, and under the ceiling found when it last was."""
+        stand, ago = server.stand, self.door.now - server.stand.told
+        return ((stand.delay < SWAMPED or ago > SWAMPED_FOR)
+                and stand.open < stand.ceiling * (1 + CEILING_GROWTH * ago))
+
+    def delayed(self, server: Server, delay: float) -> None:
+        """Messages at a server take this share of the shortest message aim."""
+        stand, before = server.stand, server.stand.delay
+        if delay >= SWAMPED:
+            stand.ceiling = CEILING * min(stand.ceiling, stand.open)
+        if delay >= 1 and delay > FALLING * before:
+            # Guards against connections that stay where their messages are late: the paper's rule is for new
+            # ones, so a few are asked to come again, those first whose group has fewest here.
+            crowd: dict[int, int] = {}
+            for leg in stand.legs:
+                crowd[leg.call.group] = crowd.get(leg.call.group, 0) + 1
+            rest = sorted(stand.legs, key=lambda leg: crowd[leg.call.group])
+            for leg in rest[:math.ceil(MOVE_SHARE * len(rest))]:
+                self.door.move(leg.call)
+                del stand.legs[leg]
+        stand.delay, stand.told = delay, self.door.now
+
     def take(self, call: Call) -> None:
         tried = [leg.server for leg in call.legs]
         places = [s for s in call.places if s not in tried] or call.places
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
-        low = [s for s in places
-               if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
+        open_to = [s for s in places if self.room(s)] or places
+        low = [s for s in open_to
+               if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or open_to
         self.send(call, min(low, key=lambda s: self.lot(call, s)))
 
     def lot(self, call: Call, server: Server) -> float:
@@ -245,11 +282,13 @@
     def stands(self, leg: Leg) -> None:
         stand = leg.server.stand
         stand.fails = 0
+        stand.legs[leg] = None
         stand.weight = min(1.0, stand.weight + REGAIN)
         self.before.stands(leg)
 
     def back(self, leg: Leg, result: Result) -> None:
         leg.server.stand.open -= 1
+        leg.server.stand.legs.pop(leg, None)
         soon = not leg.standing or self.door.now - leg.sent < SOON
         if result.kind not in (COMPLETED, CANCELLED, MOOT) and soon:
             self.failed(leg.server)
@@ -272,6 +311,7 @@
         self.settings, self.door = settings, door
         self.chance = Chance(seed)
         self.fleet: list[Server] = []
+        self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
         self.borne = 0.0
         self.watching = False
@@ -289,6 +329,7 @@
 
     def resumed(self, leg: Leg) -> None:
         leg.server.stand.open += 1
+        leg.server.stand.legs[leg] = None
 
     def stands(self, leg: Leg) -> None:
         self.draw.stands(leg)
@@ -303,7 +344,7 @@
         pass
 
     def delayed(self, leg: Leg, delay: float) -> None:
-        pass
+        self.draw.delayed(leg.server, delay / self.quickest)
 
     def probed(self, server: Server, result: Result) -> None:
         pass
