Keep a call while no server has room, then reject it with a wait; close swamped cold servers

Cause: with every server swamped, calls were placed all the same, shed, and came again: a storm of resets that held servers down, and cold servers pushed over.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -9,22 +9,8 @@
 
 import math
 
-from bellrack.model import (
-    CANCELLED,
-    COMPLETED,
-    MOOT,
-    NEVER_RAN,
-    ONCE_ONLY,
-    READY,
-    REFERENCED,
-    REPEATABLE,
-    Call,
-    Door,
-    Leg,
-    Result,
-    Server,
-    Settings,
-)
+from bellrack import model
+from bellrack.model import Call, Door, Leg, Result, Server, Settings
 
 SPILLOVER_RATIO = 0.5  # least healthy share of our zone that keeps new connections in it
 FAILURES = 3  # in a row mark a server unhealthy
@@ -36,6 +22,7 @@
 SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
 CEILING_GROWTH = 0.03  # a second after the last notice
+CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
@@ -69,6 +56,7 @@
         self.delay = 0.0  # as last told, as a share of the shortest message aim
         self.told = -math.inf
         self.ceiling = math.inf
+        self.cut = -math.inf
 
 
 class Stage:
@@ -113,7 +101,7 @@
 
     def give_up(self, call: Call) -> None:
         if self.rack.effect.harmless(call):
-            self.door.reject(call)
+            self.door.reject(call, self.settings.max_open_wait)
         else:
             self.door.release(call)
 
@@ -133,10 +121,10 @@
             return
         call.places = list(self.rack.fleet)
         risky = self.risky(call)
-        if risky and call.type.effect == ONCE_ONLY:
+        if risky and call.type.effect == model.ONCE_ONLY:
             self.rack.answer.give_up(call)
             return
-        if risky and call.type.effect == REFERENCED:
+        if risky and call.type.effect == model.REFERENCED:
             first = risky[0]
             if self.door.now >= first.sent + call.type.key_ttl - self.settings.tick:
                 self.rack.answer.give_up(call)
@@ -146,7 +134,7 @@
 
     def risky(self, call: Call) -> list[Leg]:
         """Legs that are not known never to have run."""
-        return [leg for leg in call.legs if leg.result is None or leg.result.kind not in NEVER_RAN]
+        return [leg for leg in call.legs if leg.result is None or leg.result.kind not in model.NEVER_RAN]
 
     def same_group(self, call: Call, one: Server, other: Server) -> bool:
         if call.type.group == "all":
@@ -156,15 +144,15 @@
     def harmless(self, call: Call) -> bool:
         """May the client be told that trying again does no harm?"""
         effect = call.type.effect
-        return (effect == REPEATABLE or not self.risky(call)
-                or effect == REFERENCED and call.type.group == "all")
+        return (effect == model.REPEATABLE or not self.risky(call)
+                or effect == model.REFERENCED and call.type.group == "all")
 
 
 class Listed(Stage):
     """Rule 3: nothing new to a draining or gone server, from the moment we hear of it."""
 
     def take(self, call: Call) -> None:
-        call.places = [server for server in call.places if server.state == READY]
+        call.places = [server for server in call.places if server.state == model.READY]
         if call.places:
             self.after.take(call)
         else:
@@ -192,15 +180,16 @@
 
     def usual(self) -> float:
         """Own open connections by size on warm servers: what a server is known to bear."""
-        warm = [server for server in self.rack.fleet if server.state == READY and self.warm(server) >= 1.0]
-        size = sum(server.size for server in warm)
-        now = sum(server.stand.open for server in warm) / size if size else 0.0
+        warm = [s for s in self.rack.fleet if s.state == model.READY and self.warm(s) >= 1.0]
+        size = sum(s.size for s in warm)
+        now = sum(s.stand.open for s in warm) / size if size else 0.0
         self.rack.borne = max(self.rack.borne, now)
         return self.rack.borne
 
     def room(self, server: Server, usual: float) -> bool:
         warm = self.warm(server)
-        return warm >= 1.0 or server.stand.open < 1 + usual * warm * server.size
+        under = server.stand.open < 1 + usual * warm * server.size
+        return warm >= 1.0 or under and self.rack.draw.room(server)
 
 
 class Zone(Stage):
@@ -213,7 +202,10 @@
             call.places = home
             if not any(self.rack.draw.room(server) for server in home):
                 # Guards against a zone whose servers stand but drown: what finds no room at home leaves.
-                call.places = [server for server in healthy if self.rack.draw.room(server)] or home
+                call.places = [server for server in healthy if self.rack.draw.room(server)]
+                if not call.places:
+                    self.rack.keep(call)
+                    return
         elif healthy:
             call.places = healthy
         else:
@@ -222,7 +214,7 @@
 
     def share(self) -> float:
         """Healthy matched over all matched; a cold server counts as far as it is warm."""
-        matched = [s for s in self.rack.fleet if s.state == READY and s.zone == self.settings.zone]
+        matched = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
         if not matched:
             return 0.0
         return sum(self.rack.cold.warm(s) for s in matched if self.rack.draw.healthy(s)) / len(matched)
@@ -236,15 +228,15 @@
 
     def room(self, server: Server) -> bool:
         """Not swamped, and under the ceiling found when it last was."""
-        stand, ago = server.stand, self.door.now - server.stand.told
-        return ((stand.delay < SWAMPED or ago > SWAMPED_FOR)
-                and stand.open < stand.ceiling * (1 + CEILING_GROWTH * ago))
+        stand = server.stand
+        return ((stand.delay < SWAMPED or self.door.now - stand.told > SWAMPED_FOR)
+                and stand.open < stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
         stand, before = server.stand, server.stand.delay
         if delay >= SWAMPED:
-            stand.ceiling = CEILING * min(stand.ceiling, stand.open)
+            self.cut(server)
         if delay >= 1 and delay > FALLING * before:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
@@ -257,6 +249,13 @@
                 del stand.legs[leg]
         stand.delay, stand.told = delay, self.door.now
 
+    def cut(self, server: Server) -> None:
+        """Lower the server's ceiling, at most once in the time that a notice holds."""
+        stand = server.stand
+        if self.door.now - stand.cut > CUT_EVERY:
+            stand.ceiling = max(1.0, CEILING * min(stand.ceiling, stand.open))
+            stand.cut = self.door.now
+
     def take(self, call: Call) -> None:
         tried = [leg.server for leg in call.legs]
         places = [s for s in call.places if s not in tried] or call.places
@@ -287,10 +286,12 @@
         self.before.stands(leg)
 
     def back(self, leg: Leg, result: Result) -> None:
+        if leg.standing and result.kind == model.RESET:
+            self.cut(leg.server)  # guards against a server that sheds what it cannot carry
         leg.server.stand.open -= 1
         leg.server.stand.legs.pop(leg, None)
         soon = not leg.standing or self.door.now - leg.sent < SOON
-        if result.kind not in (COMPLETED, CANCELLED, MOOT) and soon:
+        if result.kind not in (model.COMPLETED, model.CANCELLED, model.MOOT) and soon:
             self.failed(leg.server)
         self.before.back(leg, result)
 
