--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -28,6 +28,7 @@
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
+FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
@@ -184,12 +185,15 @@
         size = sum(s.size for s in warm)
         now = sum(s.stand.open for s in warm) / size if size else 0.0
         self.rack.borne = max(self.rack.borne, now)
-        return self.rack.borne
+        return max(self.rack.borne, FIRST_FILL)
 
     def room(self, server: Server, usual: float) -> bool:
-        warm = self.warm(server)
-        under = server.stand.open < 1 + usual * warm * server.size
-        return warm >= 1.0 or under and self.rack.draw.room(server)
+        if self.warm(server) >= 1.0:
+            return True
+        # Filled evenly over its warm-up; whole connections by chance, lest all balancers start with one each.
+        fill = (self.door.now - server.since) / self.settings.ramp_time
+        under = server.stand.open + self.rack.chance.draw() < usual * server.size * fill
+        return under and self.rack.draw.room(server)
 
 
 class Zone(Stage):
