--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -21,7 +21,7 @@
 SWAMPED = 0.5  # a message delay of this share of the shortest message aim closes a server to new connections
 SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
-CEILING_GROWTH = 0.1  # a second after the last notice
+CEILING_GROWTH = 0.03  # a second after the last notice
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
@@ -55,7 +55,6 @@
         self.since = 0.0
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
-        self.raw = 0.0  # the same before pauses are left out
         self.told = -math.inf
         self.ceiling = math.inf
         self.cut = -math.inf
@@ -240,9 +239,6 @@
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
         stand, before = server.stand, server.stand.delay
-        # Guards against a passing pause of a server: late twice in a row, or it does not count.
-        last = stand.raw if self.door.now - stand.told < SWAMPED_FOR else 0.0
-        stand.raw, delay = delay, min(delay, last)
         if delay >= SWAMPED:
             self.cut(server)
         if delay >= 1 and delay > FALLING * before:
