--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -58,7 +58,6 @@
         self.told = -math.inf
         self.ceiling = math.inf
         self.cut = -math.inf
-        self.spike: tuple[float, float] | None = None  # ceiling and cut before a first late notice
 
 
 class Stage:
@@ -242,10 +241,6 @@
         stand, before = server.stand, server.stand.delay
         if delay >= SWAMPED:
             self.cut(server)
-        elif before >= SWAMPED and stand.spike:
-            stand.ceiling, stand.cut = stand.spike  # guards against a passing pause taken for a swamp
-        if delay < SWAMPED or before >= SWAMPED:
-            stand.spike = None
         if delay >= 1 and delay > FALLING * before:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
@@ -262,7 +257,6 @@
         """Lower the server's ceiling, at most once in the time that a notice holds."""
         stand = server.stand
         if self.door.now - stand.cut > CUT_EVERY:
-            stand.spike = stand.ceiling, stand.cut
             stand.ceiling = max(1.0, CEILING * min(stand.ceiling, stand.open))
             stand.cut = self.door.now
 
