Move connections that cross zones home, a few a second, while every home server is calm

Cause: connections that stood at the start, or were spilled, cross zones for life and pay for each second.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -25,6 +25,9 @@
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
+TIDY_EVERY = 1.0  # seconds between looks at connections that cross zones
+TIDY_SHARE = 0.05  # of them asked to come again at each look, while our zone is calm
+CALM = 5.0  # seconds since the last late message make a server calm
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
@@ -216,6 +219,15 @@
             call.places = [s for s in call.places if s.zone == self.settings.zone] or call.places
         self.after.take(call)
 
+    def tidy(self) -> None:
+        """Guards against connections that cross zones for life: a few come again while our zone is calm."""
+        home = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
+        calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
+                and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
+        if home and len(calm) == len(home):
+            away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
+            self.rack.draw.move(away[:math.ceil(TIDY_SHARE * len(away))])
+
     def share(self) -> float:
         """Healthy matched over all matched; a cold server counts as far as it is warm."""
         matched = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
@@ -248,11 +260,14 @@
             for leg in stand.legs:
                 crowd[leg.call.group] = crowd.get(leg.call.group, 0) + 1
             rest = sorted(stand.legs, key=lambda leg: crowd[leg.call.group])
-            for leg in rest[:math.ceil(MOVE_SHARE * len(rest))]:
-                self.door.move(leg.call)
-                del stand.legs[leg]
+            self.move(rest[:math.ceil(MOVE_SHARE * len(rest))])
         stand.delay, stand.told = delay, self.door.now
 
+    def move(self, legs: list[Leg]) -> None:
+        for leg in legs:
+            self.door.move(leg.call)
+            del leg.server.stand.legs[leg]
+
     def cut(self, server: Server) -> None:
         """Lower the server's ceiling, at most once in the time that a notice holds."""
         stand = server.stand
@@ -326,6 +341,7 @@
         chain = [self.answer, self.effect, self.listing, self.cold, self.zone, self.draw]
         for one, other in zip(chain, chain[1:]):
             one.after, other.before = other, one
+        door.wake(door.now + TIDY_EVERY * (1 + self.chance.draw()), "tidy")
         if settings.asks:
             door.wake(door.now + WATCH_SPREAD * self.chance.draw(), "watch")
 
@@ -364,6 +380,9 @@
             waiting, self.kept = self.kept, []
             for call in waiting:
                 self.answer.take(call)
+        elif what == "tidy":
+            self.zone.tidy()
+            self.door.wake(self.door.now + TIDY_EVERY, "tidy")
         elif what == "watch":
             self.door.watch()
 
