--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -323,11 +323,10 @@
 
     def guess(self, call: Call | None) -> float:
         """The load to expect of a call: the mean of its type, else of all types, else 1 as none is told."""
-        own = call and self.loads[call.type]
-        if own and own.total:
-            return own.mean()
         known = [loads for loads in self.loads.values() if loads.total]
-        return sum(loads.mean() for loads in known) / len(known) if known else 1.0
+        usual = sum(loads.mean() for loads in known) / len(known) if known else 1.0
+        own = call and self.loads[call.type]
+        return (own.mean() if own and own.total else usual) + usual
 
     def weigh(self, leg: Leg, load: float) -> None:
         leg.server.stand.load += load - leg.load
@@ -336,12 +335,12 @@
     def loaded(self, leg: Leg, load: float) -> None:
         loads = self.loads[leg.call.type]
         loads.add(load)
-        self.weigh(leg, load)
+        self.weigh(leg, load + self.guess(None) / 2)
         if loads.total == 1:  # the type's first: what was guessed before had another unit
             for server in self.rack.fleet:
                 for other in server.stand.legs:
                     if other is not leg and other.call.type is leg.call.type:
-                        self.weigh(other, loads.mean())
+                        self.weigh(other, self.guess(other.call))
 
     def stands(self, leg: Leg) -> None:
         stand = leg.server.stand
