--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -32,7 +32,6 @@
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
 FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
-HALVE_AT = 512  # a histogram that holds this much is halved
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
@@ -48,24 +47,6 @@
         return (self.state >> 33) / 2147483648.0
 
 
-class Histogram:
-    """Coarse bins, each twice as wide as the last, halved from time to time."""
-
-    def __init__(self) -> None:
-        self.bins = [0.0] * 32
-        self.total = 0.0
-
-    def add(self, value: float) -> None:
-        self.bins[min(31, int(value).bit_length())] += 1
-        self.total += 1
-        if self.total >= HALVE_AT:
-            self.bins = [count / 2 for count in self.bins]
-            self.total /= 2
-
-    def mean(self) -> float:
-        return sum(count * 0.75 * 2 ** k for k, count in enumerate(self.bins)) / self.total
-
-
 class Stand:
     """What this balancer has seen of one server."""
 
@@ -73,7 +54,7 @@
         self.weight = 1.0
         self.fails = 0
         self.bad_until = 0.0
-        self.load = 0.0  # of own connections and legs out
+        self.open = 0  # own connections and legs out
         self.since = 0.0
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
@@ -187,7 +168,7 @@
 
     def take(self, call: Call) -> None:
         usual = self.usual()
-        call.places = [server for server in call.places if self.room(call, server, usual)]
+        call.places = [server for server in call.places if self.room(server, usual)]
         if call.places:
             self.after.take(call)
         else:
@@ -205,17 +186,16 @@
         """Own open connections by size on warm servers: what a server is known to bear."""
         warm = [s for s in self.rack.fleet if s.state == model.READY and self.warm(s) >= 1.0]
         size = sum(s.size for s in warm)
-        now = sum(min(s.stand.load, s.stand.ceiling) for s in warm) / size if size else 0.0
+        now = sum(s.stand.open for s in warm) / size if size else 0.0
         self.rack.borne = max(self.rack.borne, now)
-        return self.rack.borne or FIRST_FILL * self.rack.draw.guess(None)
+        return max(self.rack.borne, FIRST_FILL)
 
-    def room(self, call: Call, server: Server, usual: float) -> bool:
+    def room(self, server: Server, usual: float) -> bool:
         if self.warm(server) >= 1.0:
             return True
         # Filled evenly over its warm-up; whole connections by chance, lest all balancers start with one each.
         fill = (self.door.now - server.since) / self.settings.ramp_time
-        part = self.rack.chance.draw() * self.rack.draw.guess(call)
-        under = server.stand.load + part < usual * server.size * fill
+        under = server.stand.open + self.rack.chance.draw() < usual * server.size * fill
         return under and self.rack.draw.room(server)
 
 
@@ -259,10 +239,6 @@
 class Draw(Stage):
     """The pick within the set, by failure-driven weight, and the sending."""
 
-    def __init__(self, rack: Balancer):
-        super().__init__(rack)
-        self.loads = {kind: Histogram() for kind in self.settings.types}  # microseconds of work a second
-
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
 
@@ -270,7 +246,7 @@
         """Not swamped, and under the ceiling found when it last was."""
         stand = server.stand
         return ((stand.delay < SWAMPED or self.door.now - stand.told > SWAMPED_FOR)
-                and stand.load < stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
+                and stand.open < stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
@@ -296,17 +272,16 @@
         """Lower the server's ceiling, at most once in the time that a notice holds."""
         stand = server.stand
         if self.door.now - stand.cut > CUT_EVERY:
-            stand.ceiling = max(self.guess(None), CEILING * min(stand.ceiling, stand.load))
+            stand.ceiling = max(1.0, CEILING * min(stand.ceiling, stand.open))
             stand.cut = self.door.now
 
     def take(self, call: Call) -> None:
         tried = [leg.server for leg in call.legs]
         places = [s for s in call.places if s not in tried] or call.places
-        one = self.guess(call)
-        mean = sum(s.stand.load for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
+        mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         open_to = [s for s in places if self.room(s)] or places
         low = [s for s in open_to
-               if s.stand.load < one + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or open_to
+               if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or open_to
         self.send(call, min(low, key=lambda s: self.lot(call, s)))
 
     def lot(self, call: Call, server: Server) -> float:
@@ -319,28 +294,8 @@
 
     def send(self, call: Call, server: Server) -> None:
         until = self.rack.answer.last_moment(call)
-        self.weigh(self.door.send(call, server, until), self.guess(call))
-
-    def guess(self, call: Call | None) -> float:
-        """The load to expect of a call: the mean of its type, else of all types, else 1 as none is told."""
-        known = [loads for loads in self.loads.values() if loads.total]
-        usual = sum(loads.mean() for loads in known) / len(known) if known else 1.0
-        own = call and self.loads[call.type]
-        return (own.mean() if own and own.total else usual) + usual
-
-    def weigh(self, leg: Leg, load: float) -> None:
-        leg.server.stand.load += load - leg.load
-        leg.load = load
-
-    def loaded(self, leg: Leg, load: float) -> None:
-        loads = self.loads[leg.call.type]
-        loads.add(load)
-        self.weigh(leg, load + self.guess(None) / 2)
-        if loads.total == 1:  # the type's first: what was guessed before had another unit
-            for server in self.rack.fleet:
-                for other in server.stand.legs:
-                    if other is not leg and other.call.type is leg.call.type:
-                        self.weigh(other, self.guess(other.call))
+        server.stand.open += 1
+        self.door.send(call, server, until)
 
     def stands(self, leg: Leg) -> None:
         stand = leg.server.stand
@@ -352,7 +307,7 @@
     def back(self, leg: Leg, result: Result) -> None:
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
-        self.weigh(leg, 0.0)
+        leg.server.stand.open -= 1
         leg.server.stand.legs.pop(leg, None)
         soon = not leg.standing or self.door.now - leg.sent < SOON
         if result.kind not in (model.COMPLETED, model.CANCELLED, model.MOOT) and soon:
@@ -394,7 +349,7 @@
         self.answer.take(call)
 
     def resumed(self, leg: Leg) -> None:
-        self.draw.weigh(leg, self.draw.guess(leg.call))
+        leg.server.stand.open += 1
         leg.server.stand.legs[leg] = None
 
     def stands(self, leg: Leg) -> None:
@@ -407,7 +362,7 @@
         pass
 
     def loaded(self, leg: Leg, load: float) -> None:
-        self.draw.loaded(leg, load)
+        pass
 
     def delayed(self, leg: Leg, delay: float) -> None:
         self.draw.delayed(leg.server, delay / self.quickest)
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -153,6 +153,7 @@
         leg = self._leg("Notice", xid, number)
         if sort == 1:
             self.balancer.loaded(leg, x)
+            leg.load = x
         elif sort == 2:
             self.balancer.delayed(leg, x / 1e3)
 
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -101,7 +101,7 @@
     server: Server
     sent: float
     standing: bool = False
-    load: float = 0.0  # the balancer's view of it
+    load: float = 0.0  # as last told; 0 before
     result: Result | None = None
 
 
