Fill a cold server from when we were told of its start

Cause: the list told of a start 12 s late; filling by the server's age then came as one push by eleven balancers, near or over the budget.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -55,7 +55,7 @@
         self.fails = 0
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
-        self.since = 0.0
+        self.since = self.told_start = 0.0
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
         self.told = -math.inf
@@ -194,7 +194,8 @@
         if self.warm(server) >= 1.0:
             return True
         # Filled evenly over its warm-up; whole connections by chance, lest all balancers start with one each.
-        fill = (self.door.now - server.since) / self.settings.ramp_time
+        # From when we were told: the list is seconds late, and a late start would come as one push.
+        fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
         under = server.stand.open + self.rack.chance.draw() < usual * server.size * fill
         return under and self.rack.draw.room(server)
 
@@ -402,8 +403,8 @@
                 server.stand = Stand()
                 self.fleet.append(server)
             if server.since != server.stand.since:  # restarted under the same id
-                server.stand.since, server.stand.fails, server.stand.bad_until = server.since, 0, 0.0
-                server.stand.weight = 1.0
+                server.stand.since, server.stand.told_start = server.since, self.door.now
+                server.stand.fails, server.stand.bad_until, server.stand.weight = 0, 0.0, 1.0
 
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
