--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,117 @@
+"""A slow, plain model of the four rules beside the module, on generated events."""
+from helpers import Bench, settings
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from bellrack import model
+from bellrack.model import Server, TrafficType
+
+ENDS = [model.COMPLETED, model.ERROR, model.FULL, model.TIMEOUT, model.NO_CONN, model.RESET]
+RAN = [model.ERROR, model.TIMEOUT, model.RESET, model.CANCELLED]
+KINDS = [TrafficType(effect, group, 1.0, 0.3, 0.1) for effect, group in [
+    (model.REPEATABLE, "all"), (model.REFERENCED, "all"), (model.REFERENCED, "zone"),
+    (model.REFERENCED, "cell"), (model.ONCE_ONLY, "all")]]
+STATES = [model.READY, model.READY, model.DRAINING, model.GONE]
+steps = st.lists(st.one_of(
+    st.tuples(st.just("call"), st.integers(0, 4), st.integers(0, 3)),
+    st.tuples(st.just("end"), st.integers(0, 99), st.sampled_from(ENDS)),
+    st.tuples(st.just("stand"), st.integers(0, 99), st.none()),
+    st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(STATES)),
+    st.tuples(st.just("left"), st.integers(0, 99), st.none()),
+    st.tuples(st.just("restart"), st.integers(0, 5), st.none()),
+    st.tuples(st.just("delay"), st.integers(0, 99), st.sampled_from([0.01, 0.06, 0.4])),
+    st.tuples(st.just("wait"), st.sampled_from([0.0, 0.01, 0.3, 1.1, 4.0]), st.none())), max_size=60)
+
+
+def may_go(leg) -> bool:
+    """Rules 1 to 3 for one leg, from the call's whole story."""
+    call, earlier = leg.call, leg.call.legs[:leg.call.legs.index(leg)]
+    risky = [old for old in earlier if old.result is None or old.result.kind in RAN]
+    if call.done or any(old.result is None for old in earlier) or leg.server.state != model.READY:
+        return False
+    if call.type.effect == model.ONCE_ONLY:
+        return not risky
+    if call.type.effect == model.REFERENCED and risky:
+        first = risky[0]
+        alike = {"all": True, "zone": first.server.zone == leg.server.zone,
+                 "cell": first.server.cell == leg.server.cell}
+        return leg.sent <= first.sent + call.type.key_ttl and alike[call.type.group]
+    return True
+
+
+def may_reject(call) -> bool:
+    risky = [leg for leg in call.legs if leg.result is None or leg.result.kind in RAN]
+    return not risky or call.type.effect == model.REPEATABLE or (
+        call.type.effect == model.REFERENCED and call.type.group == "all")
+
+
+class Watched(Bench):
+    """Asks the plain model at each act, before the books can change."""
+
+    def send(self, call, server, until):
+        leg = super().send(call, server, until)
+        assert may_go(leg), "a leg that the rules forbid"
+        assert len(call.legs) <= self.rules.max_legs and until <= call.guard
+        return leg
+
+    def reject(self, call, wait=0.0):
+        assert may_reject(call), "a reject that the rules forbid"
+        super().reject(call, wait)
+
+
+@hypothesis_settings(derandomize=True, max_examples=150, deadline=None)
+@given(steps)
+def test_module_keeps_the_rules(story):
+    bench = Watched(settings(types=KINDS))
+    fleet = [Server(mark * 31 + 1, mark % 2, mark // 2) for mark in range(6)]
+    bench.rack.listed(fleet)
+    calls = []
+    for what, which, how in story:
+        out = [leg for leg, _ in bench.sent if leg.result is None]
+        if what == "call":
+            calls.append(bench.call(group=how, kind=which))
+        elif what == "wait":
+            bench.run(bench.now + which)
+        elif what == "list":
+            fleet[which].state = how
+            bench.rack.listed([fleet[which]])
+        elif what == "left":
+            for call in [call for call in calls if not call.done][which:which + 1]:
+                call.done = True
+                bench.rack.left(call)
+        elif what == "restart":
+            fleet[which].since = bench.now
+            bench.rack.listed([fleet[which]])
+        elif out and what == "end":
+            bench.back(out[which % len(out)], how)
+        elif out and what == "delay" and (up := [leg for leg in out if leg.standing]):
+            bench.rack.delayed(up[which % len(up)], how)
+        elif out and what == "stand" and not out[which % len(out)].standing:
+            bench.stand(out[which % len(out)])
+    for leg in [leg for leg, _ in bench.sent if leg.result is None and not leg.standing]:
+        bench.back(leg, model.TIMEOUT)
+    bench.run(bench.now + 60)
+    for call in calls:  # rule 1: answered by the guard time, or standing
+        assert call.done or any(leg.standing for leg in call.legs)
+    assert all(when <= call.guard + bench.rules.answer_slack for call, _, when in bench.done)
+
+
+def test_cold_server_fills_evenly():
+    """Rule 4: one balancer's part stays under an even fill over the warm-up, however the calls come."""
+    bench = Bench(settings())
+    cold, *warm = bench.fleet(0, 0, 0)
+    for _ in range(40):
+        bench.call()
+        bench.stand(bench.sent[-1][0])
+    for leg in [leg for leg, _ in bench.sent if leg.server is cold]:
+        bench.back(leg, model.RESET)
+    cold.since = start = bench.now
+    bench.rack.listed([cold])
+    for step in range(100):
+        bench.run(start + max(0, step - 50) * 0.2)  # half of them at once
+        bench.call()
+        bench.stand(bench.sent[-1][0])
+        usual = sum(server.stand.open for server in warm) / 2
+        assert cold.stand.open <= 1 + usual * (bench.now - start) / bench.rules.ramp_time
+    assert cold.stand.open > 3
