--- /dev/null
+++ b/tests/test_choices.py
@@ -0,0 +1,99 @@
+"""The ordinary path, and a test for each failure found."""
+from helpers import Bench, settings
+
+from bellrack import model
+
+
+def place(bench, count, **call):
+    """Place calls that stand at once; where they went."""
+    before = len(bench.sent)
+    for _ in range(count):
+        bench.call(**call)
+        if bench.sent and bench.sent[-1][0].result is None and not bench.sent[-1][0].standing:
+            bench.stand(bench.sent[-1][0])
+    return [leg.server for leg, _ in bench.sent[before:]]
+
+
+def late(bench, server, delay=0.2):
+    leg = next(leg for leg, _ in bench.sent if leg.server is server and not leg.call.done)
+    bench.rack.delayed(leg, delay)
+
+
+def test_stays_in_zone_until_the_ratio_is_missed():
+    bench = Bench(settings())
+    home = bench.fleet(0, 0, 1, 1)[:2]
+    assert {server.zone for server in place(bench, 40)} == {0}
+    for server in home:
+        for _ in range(3):
+            bench.rack.draw.failed(server)
+    assert {server.zone for server in place(bench, 40)} == {1}
+    bench.run(bench.now + 5.1)
+    assert {server.zone for server in place(bench, 40)} == {0}
+    assert sum("unhealthy" in line for line in bench.logs) == 2
+
+
+def test_groups_gather_and_heavy_groups_spread():
+    bench = Bench(settings())
+    bench.fleet(0, 0, 0, 0)
+    spread = [len(set(place(bench, 3, group=group * 7919))) for group in range(1, 21)]
+    assert sum(spread) < 32  # 60 calls: three servers each if drawn at random, one each if gathered
+    assert len(set(place(bench, 200, group=5))) == 4
+
+
+def test_swamped_server_is_spared_and_relieved():
+    bench = Bench(settings())
+    one, other = bench.fleet(0, 0)
+    place(bench, 40)
+    late(bench, one)
+    assert set(place(bench, 20)) == {other}
+    assert bench.moved and all(call.legs[-1].server is one for call in bench.moved)
+    assert len(bench.moved) < 5
+
+
+def test_swamped_zone_spills_and_swamped_fleet_rejects():
+    bench = Bench(settings())
+    fleet = bench.fleet(0, 0, 1)
+    place(bench, 40)
+    for server in fleet[:2]:
+        late(bench, server)
+    assert set(place(bench, 10)) == {fleet[2]}
+    late(bench, fleet[2])
+    assert place(bench, 1) == []
+    bench.run(bench.now + 0.35)
+    assert [how for _, how, _ in bench.done] == ["rejected"]
+
+
+def test_kept_call_is_placed_when_it_may_be_and_not_once_its_client_left():
+    bench = Bench(settings())
+    stays, leaves = bench.call(), bench.call()
+    leaves.done = True
+    bench.rack.left(leaves)
+    bench.fleet(0)
+    bench.run(bench.now + 0.1)
+    assert [leg.call for leg, _ in bench.sent] == [stays]
+
+
+def test_strays_come_home_only_while_home_is_calm():
+    bench = Bench(settings())
+    home, away = bench.fleet(0, 1)
+    home.state = model.DRAINING
+    place(bench, 40)
+    home.state = model.READY
+    place(bench, 1)
+    late(bench, home, 0.06)
+    bench.run(bench.now + 4)
+    assert not bench.moved
+    bench.run(bench.now + 4)
+    assert bench.moved and all(call.legs[-1].server is away for call in bench.moved)
+
+
+def test_asks_for_the_list_soon_and_again_later_after_failures():
+    bench = Bench(settings())
+    bench.run(bench.now + 1)
+    assert bench.watched == 1
+    waits = []
+    for _ in range(4):
+        bench.rack.unlisted()
+        waits.append(min(when for when, what in bench.wakes if what == "watch") - bench.now)
+        bench.run(bench.now + waits[-1])
+    assert bench.watched == 5 and waits[-1] > 2 * waits[0] > 0
