--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -207,18 +207,17 @@
         healthy = [server for server in call.places if self.rack.draw.healthy(server)]
         home = [server for server in healthy if server.zone == self.settings.zone]
         if self.share() >= SPILLOVER_RATIO and home:
-            call.places = home
-            if not any(self.rack.draw.room(server) for server in home):
-                # Guards against a zone whose servers stand but drown: what finds no room at home leaves.
-                call.places = [server for server in healthy if self.rack.draw.room(server)]
-                if not call.places:
-                    self.rack.keep(call)
-                    return
-        elif healthy:
-            call.places = healthy
+            chosen = home
         else:
-            call.places = [s for s in call.places if s.zone == self.settings.zone] or call.places
-        self.after.take(call)
+            chosen = healthy or [s for s in call.places if s.zone == self.settings.zone] or call.places
+        # Guards against a zone whose servers stand but drown: what finds no room in it leaves, and against a
+        # fleet that drowns: what finds no room anywhere is kept, lest it be shed and come again.
+        call.places = ([s for s in chosen if self.rack.draw.room(s)]
+                       or [s for s in healthy if self.rack.draw.room(s)])
+        if call.places:
+            self.after.take(call)
+        else:
+            self.rack.keep(call)
 
     def tidy(self) -> None:
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
@@ -280,9 +279,8 @@
         tried = [leg.server for leg in call.legs]
         places = [s for s in call.places if s not in tried] or call.places
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
-        open_to = [s for s in places if self.room(s)] or places
-        low = [s for s in open_to
-               if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or open_to
+        low = [s for s in places
+               if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
         self.send(call, min(low, key=lambda s: self.lot(call, s)))
 
     def lot(self, call: Call, server: Server) -> float:
