--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -22,7 +22,6 @@
 SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
 CEILING_GROWTH = 0.03  # a second after the last notice
-LEAST_CEILING = 0.5  # least ceiling, as a share of what the server held when the spell began
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
@@ -62,7 +61,6 @@
         self.told = -math.inf
         self.ceiling = math.inf
         self.cut = -math.inf
-        self.least = 0.0  # the ceiling's floor in this spell of swamp
 
 
 class Stage:
@@ -274,10 +272,7 @@
         """Lower the server's ceiling, at most once in the time that a notice holds."""
         stand = server.stand
         if self.door.now - stand.cut > CUT_EVERY:
-            if self.door.now - stand.cut > CALM:
-                stand.least = LEAST_CEILING * stand.open
-            # Guards against a ceiling that follows a server down while it works off what is piled up.
-            stand.ceiling = max(1.0, stand.least, CEILING * min(stand.ceiling, stand.open))
+            stand.ceiling = max(1.0, CEILING * min(stand.ceiling, stand.open))
             stand.cut = self.door.now
 
     def take(self, call: Call) -> None:
