--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -22,7 +22,6 @@
 SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
 CEILING_GROWTH = 0.03  # a second after the last notice
-CEILING_DOUBLES = 6.0  # seconds after which it has grown by as much again
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
@@ -245,11 +244,9 @@
 
     def room(self, server: Server) -> bool:
         """Not swamped, and under the ceiling found when it last was."""
-        stand, ago = server.stand, self.door.now - server.stand.cut
-        # Slow at first, then faster: guards against a ceiling found in a spell that has long passed.
-        grown = 1 + CEILING_GROWTH * ago + (ago / CEILING_DOUBLES) ** 2
+        stand = server.stand
         return ((stand.delay < SWAMPED or self.door.now - stand.told > SWAMPED_FOR)
-                and stand.open < stand.ceiling * grown)
+                and stand.open < stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
