--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -246,7 +246,8 @@
         """Not swamped, and under the ceiling found when it last was."""
         stand = server.stand
         return ((stand.delay < SWAMPED or self.door.now - stand.told > SWAMPED_FOR)
-                and stand.open < stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
+                and stand.open < self.rack.cold.warm(server) * stand.ceiling
+                * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
@@ -272,7 +273,9 @@
         """Lower the server's ceiling, at most once in the time that a notice holds."""
         stand = server.stand
         if self.door.now - stand.cut > CUT_EVERY:
-            stand.ceiling = max(1.0, CEILING * min(stand.ceiling, stand.open))
+            # As if warm: guards against a ceiling found while cold that would outlast the warm-up.
+            held = stand.open / self.rack.cold.warm(server)
+            stand.ceiling = max(1.0, CEILING * min(stand.ceiling, held))
             stand.cut = self.door.now
 
     def take(self, call: Call) -> None:
