Draw first among servers that hold the call's group and have room

Cause: when its first server is full or closed, a group's overflow opened ever new servers, each at the price of the group.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -56,6 +56,7 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = self.told_start = 0.0
+        self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
         self.told = -math.inf
@@ -257,10 +258,7 @@
         if delay >= 1 and delay > FALLING * before:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
-            crowd: dict[int, int] = {}
-            for leg in stand.legs:
-                crowd[leg.call.group] = crowd.get(leg.call.group, 0) + 1
-            rest = sorted(stand.legs, key=lambda leg: crowd[leg.call.group])
+            rest = sorted(stand.legs, key=lambda leg: stand.groups[leg.call.group])
             self.move(rest[:math.ceil(MOVE_SHARE * len(rest))])
         stand.delay, stand.told = delay, self.door.now
 
@@ -284,7 +282,8 @@
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
-        self.send(call, min(low, key=lambda s: self.lot(call, s)))
+        holders = [s for s in low if call.group and s.stand.groups.get(call.group)]
+        self.send(call, min(holders or low, key=lambda s: self.lot(call, s)))
 
     def lot(self, call: Call, server: Server) -> float:
         """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
@@ -296,9 +295,15 @@
 
     def send(self, call: Call, server: Server) -> None:
         until = self.rack.answer.last_moment(call)
-        server.stand.open += 1
+        self.count(call, server, 1)
         self.door.send(call, server, until)
 
+    def count(self, call: Call, server: Server, by: int) -> None:
+        server.stand.open += by
+        server.stand.groups[call.group] = left = server.stand.groups.get(call.group, 0) + by
+        if not left:
+            del server.stand.groups[call.group]
+
     def stands(self, leg: Leg) -> None:
         stand = leg.server.stand
         stand.fails = 0
@@ -309,7 +314,7 @@
     def back(self, leg: Leg, result: Result) -> None:
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
-        leg.server.stand.open -= 1
+        self.count(leg.call, leg.server, -1)
         leg.server.stand.legs.pop(leg, None)
         soon = not leg.standing or self.door.now - leg.sent < SOON
         if result.kind not in (model.COMPLETED, model.CANCELLED, model.MOOT) and soon:
@@ -351,7 +356,7 @@
         self.answer.take(call)
 
     def resumed(self, leg: Leg) -> None:
-        leg.server.stand.open += 1
+        self.draw.count(leg.call, leg.server, 1)
         leg.server.stand.legs[leg] = None
 
     def stands(self, leg: Leg) -> None:
