--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -27,6 +27,7 @@
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
 TIDY_EVERY = 1.0  # seconds between looks at connections that cross zones
 TIDY_SHARE = 0.05  # of them asked to come again at each look, while our zone is calm
+CRUMB = 3  # most connections of a group that are moved to a server that holds more of it
 CALM = 5.0  # seconds since the last late message make a server calm
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
@@ -225,10 +226,21 @@
         home = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
         calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
                 and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
+        self.gather(home, calm)
         if home and len(calm) == len(home):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
             self.rack.draw.move(away[:math.ceil(TIDY_SHARE * len(away))])
 
+    def gather(self, home: list[Server], calm: list[Server]) -> None:
+        """Guards against groups scattered in ones and twos: the smallest crumb goes where its group is."""
+        crumbs = [(count, server, group) for server in home for group, count in server.stand.groups.items()
+                  if group and count <= CRUMB and any(
+                      other is not server and other.stand.groups.get(group, 0) > 2 * count
+                      for other in calm)]
+        if crumbs:
+            _, server, group = min(crumbs, key=lambda crumb: crumb[0])
+            self.rack.draw.move([leg for leg in server.stand.legs if leg.call.group == group])
+
     def share(self) -> float:
         """Healthy matched over all matched; a cold server counts as far as it is warm."""
         matched = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
