--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -32,6 +32,7 @@
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
+PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
@@ -57,6 +58,7 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = self.told_start = 0.0
+        self.next_leg = 0.0  # while cold
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
@@ -199,7 +201,14 @@
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
         under = server.stand.open + self.rack.chance.draw() < usual * server.size * fill
-        return under and self.rack.draw.room(server)
+        quiet = self.door.now - server.stand.told > SWAMPED_FOR
+        return under and quiet and self.door.now >= server.stand.next_leg and self.rack.draw.room(server)
+
+    def sent(self, server: Server) -> None:
+        """Guards against churn: connections that end at once free their place, but each set-up is work."""
+        if self.warm(server) < 1.0:
+            gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
+            server.stand.next_leg = self.door.now + gap
 
 
 class Zone(Stage):
@@ -308,6 +317,7 @@
     def send(self, call: Call, server: Server) -> None:
         until = self.rack.answer.last_moment(call)
         self.count(call, server, 1)
+        self.rack.cold.sent(server)
         self.door.send(call, server, until)
 
     def count(self, call: Call, server: Server, by: int) -> None:
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -97,3 +97,27 @@
         waits.append(min(when for when, what in bench.wakes if what == "watch") - bench.now)
         bench.run(bench.now + waits[-1])
     assert bench.watched == 5 and waits[-1] > 2 * waits[0] > 0
+
+
+def test_churn_on_a_cold_server_is_paced():
+    bench = Bench(settings())
+    cold, *_ = bench.fleet(0, 0, 0)
+    place(bench, 90)
+    cold.since = bench.now
+    bench.rack.listed([cold])
+    bench.run(bench.now + 15)
+    before = len(bench.sent)
+    for _ in range(100):  # each ends at once and frees its place
+        bench.call()
+        bench.back(bench.sent[-1][0], model.COMPLETED)
+    assert sum(leg.server is cold for leg, _ in bench.sent[before:]) == 1
+
+
+def test_group_crumbs_are_gathered_onto_calm_servers():
+    bench = Bench(settings())
+    bench.fleet(0, 0, 0)
+    most, few = list(dict.fromkeys(place(bench, 60, group=5)))[:2]
+    for leg in list(few.stand.legs)[2:]:
+        bench.back(leg, model.COMPLETED)
+    bench.run(bench.now + 10)
+    assert bench.moved and all(call.legs[-1].server is few for call in bench.moved)
