--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -58,7 +58,7 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = self.told_start = 0.0
-        self.next_leg = 0.0  # while cold
+        self.next_leg = 0.0  # while cold, not before this
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -103,6 +103,8 @@
     bench = Bench(settings())
     cold, *_ = bench.fleet(0, 0, 0)
     place(bench, 90)
+    for leg in list(cold.stand.legs):
+        bench.back(leg, model.RESET)
     cold.since = bench.now
     bench.rack.listed([cold])
     bench.run(bench.now + 15)
