--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -234,7 +234,7 @@
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
         home = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
         calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
-                and self.rack.draw.room(s) and self.rack.draw.calm(s)]
+                and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
         self.gather(home, calm)
         if home and len(calm) == len(home):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
@@ -303,14 +303,8 @@
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
-        # Guards against a group's overflow opening ever new servers, each at the price of the group: holders
-        # first, then servers that are calm.
-        best = ([s for s in low if call.group and s.stand.groups.get(call.group)]
-                or [s for s in low if self.calm(s)] or [s for s in places if self.calm(s)] or low)
-        self.send(call, min(best, key=lambda s: self.lot(call, s)))
-
-    def calm(self, server: Server) -> bool:
-        return self.door.now - server.stand.told > CALM
+        holders = [s for s in low if call.group and s.stand.groups.get(call.group)]
+        self.send(call, min(holders or low, key=lambda s: self.lot(call, s)))
 
     def lot(self, call: Call, server: Server) -> float:
         """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
