--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -32,6 +32,7 @@
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
+GROWTH = 0.5  # most legs a second to a warm server, as a share of what it usually holds
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
@@ -208,7 +209,9 @@
         """Guards against churn: connections that end at once free their place, but each set-up is work."""
         if self.warm(server) < 1.0:
             gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
-            server.stand.next_leg = self.door.now + gap
+        else:
+            gap = 1 / (GROWTH * max(4, server.stand.open, self.usual() * server.size))
+        server.stand.next_leg = self.door.now + gap
 
 
 class Zone(Stage):
@@ -304,7 +307,11 @@
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
         holders = [s for s in low if call.group and s.stand.groups.get(call.group)]
-        self.send(call, min(holders or low, key=lambda s: self.lot(call, s)))
+        server = min(holders or low, key=lambda s: self.lot(call, s))
+        if self.door.now >= server.stand.next_leg:
+            self.send(call, server)
+        else:
+            self.rack.keep(call)
 
     def lot(self, call: Call, server: Server) -> float:
         """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
