--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -32,7 +32,8 @@
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
-GROWTH = 0.5  # most legs a second to a warm server, as a share of what it usually holds
+GROWTH = 0.25  # most legs a second to a warm server, as a share of what it usually holds
+LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
@@ -210,7 +211,8 @@
         if self.warm(server) < 1.0:
             gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
         else:
-            gap = 1 / (GROWTH * max(4, server.stand.open, self.usual() * server.size))
+            held = max(server.stand.open, self.usual() * server.size)
+            gap = 1 / max(GROWTH * held, LEAST_PACE / self.settings.peers)
         server.stand.next_leg = self.door.now + gap
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -102,6 +102,7 @@
     bench = Bench(settings())
     cold, *warm = bench.fleet(0, 0, 0)
     for _ in range(40):
+        bench.run(bench.now + 0.13)
         bench.call()
         bench.stand(bench.sent[-1][0])
     for leg in [leg for leg, _ in bench.sent if leg.server is cold]:
