--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -60,7 +60,6 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = self.told_start = 0.0
-        self.peak = 0  # most of them so far
         self.next_leg = 0.0  # while cold, not before this
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
@@ -211,13 +210,10 @@
         """Guards against churn: connections that end at once free their place, but each set-up is work."""
         if self.warm(server) < 1.0:
             gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
-        elif server.stand.open < min(server.stand.peak, server.stand.ceiling):
-            gap = 0.0  # clients that merely reconnect fill what the server has borne before
         else:
             held = max(server.stand.open, self.usual() * server.size)
             gap = 1 / max(GROWTH * held, LEAST_PACE / self.settings.peers)
         server.stand.next_leg = self.door.now + gap
-        server.stand.peak = max(server.stand.peak, server.stand.open)
 
 
 class Zone(Stage):
@@ -392,7 +388,6 @@
 
     def resumed(self, leg: Leg) -> None:
         self.draw.count(leg.call, leg.server, 1)
-        leg.server.stand.peak = leg.server.stand.open
         leg.server.stand.legs[leg] = None
 
     def stands(self, leg: Leg) -> None:
@@ -447,7 +442,6 @@
             if server.since != server.stand.since:  # restarted under the same id
                 server.stand.since, server.stand.told_start = server.since, self.door.now
                 server.stand.fails, server.stand.bad_until, server.stand.weight = 0, 0.0, 1.0
-                server.stand.peak = 0
 
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
