--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -37,6 +37,7 @@
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
+KEPT_LOOKS = 64  # kept calls that may be tried in vain at one look
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
 
@@ -417,7 +418,11 @@
         elif what == "kept":
             waiting, self.kept = self.kept, []
             for call in waiting:
-                self.answer.take(call)
+                # Guards against a long queue: once so many found no room, the rest only look at the clock.
+                if len(self.kept) < KEPT_LOOKS:
+                    self.answer.take(call)
+                else:
+                    self.keep(call)
         elif what == "tidy":
             self.zone.tidy()
             self.door.wake(self.door.now + TIDY_EVERY, "tidy")
@@ -426,6 +431,8 @@
 
     def keep(self, call: Call) -> None:
         """No server may take the call yet: hold it while it is worth something, then answer at once."""
+        if call.done:
+            return
         if self.door.now >= call.arrived + KEEP_SHARE * call.type.setup_target:
             self.answer.give_up(call)
             return
