--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -301,6 +301,8 @@
             # As if warm: guards against a ceiling found while cold that would outlast the warm-up.
             held = stand.open / self.rack.cold.warm(server)
             stand.ceiling = max(1.0, CEILING * min(stand.ceiling, held))
+            if self.door.now - stand.cut > CALM:
+                self.door.log(f"server swamped: held {stand.open}, ceiling {stand.ceiling:.0f}")
             stand.cut = self.door.now
 
     def take(self, call: Call) -> None:
