Set one alarm a call, keep one list of its legs, name the matched servers once

A kept call set its guard-time alarm again at each look, twenty a second; now once, when it arrives. The adapter kept a second list of each call's legs. The zone's matched servers were picked out in two places. A field nobody read is gone and two comments are put right.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -21,7 +21,7 @@
 SWAMPED = 0.5  # a message delay of this share of the shortest message aim closes a server to new connections
 SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
-CEILING_GROWTH = 0.03  # a second after the last notice
+CEILING_GROWTH = 0.03  # a second after the last cut
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.1  # of own connections on a server whose messages come too late, moved at each notice
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
@@ -61,7 +61,7 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = self.told_start = 0.0
-        self.next_leg = 0.0  # while cold, not before this
+        self.next_leg = 0.0  # not before this
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
@@ -92,9 +92,11 @@
 class Answer(Stage):
     """Rule 1: each call gets one final answer by its guard time, and nothing after it."""
 
+    def arrived(self, call: Call) -> None:
+        self.door.wake(self.last_moment(call), call)
+        self.take(call)
+
     def take(self, call: Call) -> None:
-        if not call.legs:
-            self.door.wake(self.last_moment(call), call)
         if call.done:
             return
         if len(call.legs) >= self.settings.max_legs or self.door.now >= self.last_moment(call):
@@ -238,7 +240,7 @@
 
     def tidy(self) -> None:
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
-        home = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
+        home = self.matched()
         calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
                 and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
         self.gather(home, calm)
@@ -256,9 +258,12 @@
             _, server, group = min(crumbs, key=lambda crumb: crumb[0])
             self.rack.draw.move([leg for leg in server.stand.legs if leg.call.group == group])
 
+    def matched(self) -> list[Server]:
+        return [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
+
     def share(self) -> float:
         """Healthy matched over all matched; a cold server counts as far as it is warm."""
-        matched = [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
+        matched = self.matched()
         if not matched:
             return 0.0
         return sum(self.rack.cold.warm(s) for s in matched if self.rack.draw.healthy(s)) / len(matched)
@@ -375,7 +380,6 @@
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
         self.borne = 0.0
-        self.watching = False
         self.watch_wait = WATCH_RETRY
         self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
@@ -387,7 +391,7 @@
             door.wake(door.now + WATCH_SPREAD * self.chance.draw(), "watch")
 
     def arrived(self, call: Call) -> None:
-        self.answer.take(call)
+        self.answer.arrived(call)
 
     def resumed(self, leg: Leg) -> None:
         self.draw.count(leg.call, leg.server, 1)
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -44,16 +44,6 @@
         raise WireError(f"Launch.setup: {error}") from error
 
 
-class _Open:
-    """A call at the door: its number and its legs in the order of sending."""
-
-    __slots__ = ("call", "legs", "xid")
-
-    def __init__(self, xid: int, call: Call):
-        self.xid, self.call = xid, call
-        self.legs: list[Leg] = []
-
-
 class Instance:
     """One balancer and its Door."""
 
@@ -61,8 +51,8 @@
         self.who, self.settings, self.reply = who, settings, reply
         self.now = clock / 1e6
         self._servers: dict[int, Server] = {}
-        self._open: dict[int, _Open] = {}
-        self._numbers: dict[int, int] = {}  # id(call) -> its number on the wire, for calls in _open
+        self._open: dict[int, Call] = {}
+        self._numbers: dict[Call, int] = {}  # the same the other way
         self._wakes: dict[int, Any] = {}
         self._nonce = 0
         self.balancer = Balancer(settings, seed, self)
@@ -70,16 +60,13 @@
     # What the balancer may do.
 
     def send(self, call: Call, server: Server, until: float) -> Leg:
-        entry = self._entry(call)
         leg = Leg(call, server, self.now)
-        entry.legs.append(leg)
         call.legs.append(leg)
-        self.reply.add(self.who, "Forward", entry.xid, server.mark, _micros(until))
+        self.reply.add(self.who, "Forward", self._numbers[call], server.mark, _micros(until))
         return leg
 
     def cancel(self, leg: Leg) -> None:
-        entry = self._entry(leg.call)
-        self.reply.add(self.who, "Cancel", entry.xid, entry.legs.index(leg))
+        self.reply.add(self.who, "Cancel", self._numbers[leg.call], leg.call.legs.index(leg))
 
     def reject(self, call: Call, wait: float = 0.0) -> None:
         self._end(call, "Deny", _micros(wait))
@@ -88,7 +75,7 @@
         self._end(call, "ReportFailure")
 
     def move(self, call: Call) -> None:
-        self.reply.add(self.who, "Shift", self._entry(call).xid)
+        self.reply.add(self.who, "Shift", self._numbers[call])
 
     def watch(self, on: bool = True) -> None:
         self.reply.add(self.who, "KeepInformed", int(on))
@@ -110,20 +97,15 @@
     def log(self, text: str) -> None:
         self.reply.add_data(self.who, "JournalLine", text.encode())
 
-    def _entry(self, call: Call) -> _Open:
-        return self._open[self._numbers[id(call)]]
-
     def _end(self, call: Call, action: str, *values: int) -> None:
-        entry = self._entry(call)
         call.done = True
-        self.reply.add(self.who, action, entry.xid, *values)
-        self._forget(entry)
+        self.reply.add(self.who, action, self._numbers[call], *values)
+        self._forget(call)
 
-    def _forget(self, entry: _Open) -> None:
+    def _forget(self, call: Call) -> None:
         """Let go of a call that is done and has no leg out."""
-        if entry.call.done and all(leg.result for leg in entry.legs):
-            del self._open[entry.xid]
-            del self._numbers[id(entry.call)]
+        if call.done and call in self._numbers and all(leg.result for leg in call.legs):
+            del self._open[self._numbers.pop(call)]
 
     # What happens to it, by the wire's names.
 
@@ -141,7 +123,6 @@
         call = self._book(xid, affinity, remaining, group, customer, bits, priority)
         leg = Leg(call, self._server(server), self.now, standing=True)
         call.legs.append(leg)
-        self._open[xid].legs.append(leg)
         self.balancer.resumed(leg)
 
     def _on_flowing(self, xid, server, took, number):
@@ -162,17 +143,15 @@
         if leg.result:
             raise WireError(f"Returned.sendNo: leg {number} of call {xid} has ended already")
         leg.result = self._result("Returned", result, took, report)
-        entry = self._open[xid]
         leg.call.done = leg.call.done or bool(complete)
         self.balancer.back(leg, leg.result)
-        if xid in self._open:
-            self._forget(entry)
+        self._forget(leg.call)
 
     def _on_dropped(self, xid):
-        if entry := self._open.get(xid):  # it may name a call that we ended a moment ago
-            entry.call.done = True
-            self.balancer.left(entry.call)
-            self._forget(entry)
+        if call := self._open.get(xid):  # it may name a call that we ended a moment ago
+            call.done = True
+            self.balancer.left(call)
+            self._forget(call)
 
     def _on_tickdue(self, nonce):
         if nonce not in self._wakes:
@@ -216,8 +195,8 @@
             raise WireError(f"Inbound.priority: no traffic type {priority}")
         call = Call(self.settings.types[priority], self.now + remaining / 1e6, self.now, affinity, group,
                     customer, bool(bits & 2), bool(bits & 8), bool(bits & 16))
-        self._open[xid] = _Open(xid, call)
-        self._numbers[id(call)] = xid
+        self._open[xid] = call
+        self._numbers[call] = xid
         return call
 
     def _server(self, number: int) -> Server:
@@ -228,12 +207,12 @@
         return self._servers[number]
 
     def _leg(self, event: str, xid: int, number: int) -> Leg:
-        entry = self._open.get(xid)
-        if entry is None:
+        call = self._open.get(xid)
+        if call is None:
             raise WireError(f"{event}.xid: call {xid} is not here")
-        if number >= len(entry.legs):
+        if number >= len(call.legs):
             raise WireError(f"{event}.sendNo: call {xid} has no leg {number}")
-        return entry.legs[number]
+        return call.legs[number]
 
     def _result(self, event: str, code: int, took: int, report: tuple) -> Result:
         if code not in RESULTS:
