Drop settings that no decision reads

Group, parallel-leg, overload, fall-time and two price fields were parsed and never read; legs go one at a time anyway.

--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -22,7 +22,7 @@
     """The settings that decisions read; unknown keys are skipped, optional ones may be absent."""
     try:
         raw = json.loads(data)
-        special, caps, rules, prices = raw["specifics"], raw["caps"], raw["obligations"], raw["prices"]
+        special, caps, rules = raw["specifics"], raw["caps"], raw["obligations"]
         aims = special.get("messageAimUs") or [row["setupTargetUs"] for row in raw["trafficTypes"]]
         types = [
             TrafficType(EFFECTS[row["effect"]], row.get("group", "all"), row.get("keyTtlUs", 0) / 1e6,
@@ -31,13 +31,10 @@
         ]
         return Settings(
             types=types, zone=raw["az"], peers=raw["peersTotal"], asks=raw["discovery"] == "ask",
-            groups=bool(special.get("groups")), max_legs=caps["maxLegs"],
-            parallel_legs=bool(caps.get("parallelTries")),
+            max_legs=caps["maxLegs"],
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
             tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
-            cold_share=rules["coldShare"], ramp_time=rules["rampTimeUs"] / 1e6,
-            overload_factor=rules["overloadFactor"], fall_time=rules["fallUs"] / 1e6,
-            price_cross=prices.get("crossZone", 0.0), price_move=prices.get("moves", 0.0))
+            cold_share=rules["coldShare"], ramp_time=rules["rampTimeUs"] / 1e6)
     except KeyError as error:
         raise WireError(f"Launch.setup: no usable value at {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -48,18 +48,12 @@
     zone: int
     peers: int
     asks: bool  # the list must be asked for
-    groups: bool  # connections of a group share a cost on each server
     max_legs: int
-    parallel_legs: bool
     max_open_wait: float  # the longest wait that a client honours; 0 where clients get none
     tick: float
     answer_slack: float
     cold_share: float
     ramp_time: float
-    overload_factor: float
-    fall_time: float
-    price_cross: float
-    price_move: float
 
 
 @dataclass(eq=False)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,9 +7,8 @@
 def settings(**changes) -> Settings:
     base = {
         "types": [TrafficType(model.REPEATABLE, "all", 0.0, 0.3, 0.1)], "zone": 0, "peers": 1, "asks": True,
-        "groups": True, "max_legs": 3, "parallel_legs": False, "max_open_wait": 1.5, "tick": 0.004,
-        "answer_slack": 0.016, "cold_share": 0.2, "ramp_time": 20.0, "overload_factor": 3.0, "fall_time": 2.0,
-        "price_cross": 0.1, "price_move": 0.02}
+        "max_legs": 3, "max_open_wait": 1.5, "tick": 0.004, "answer_slack": 0.016, "cold_share": 0.2,
+        "ramp_time": 20.0}
     return Settings(**(base | changes))
 
 
