Draw the part of a connection to a cold server once, not at each look

A lot drawn once adds up to the fill; the first fill of a fresh instance is now shared by all balancers.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -35,7 +35,7 @@
 GROWTH = 0.25  # most legs a second to a warm server, as a share of what it usually holds
 LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
-FIRST_FILL = 1.0  # open connections by listed size that a server bears, before any have been seen
+FIRST_FILL = 8.0  # open connections by listed size, of all balancers, that a server bears for sure
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEPT_LOOKS = 64  # kept calls that may be tried in vain at one look
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
@@ -55,7 +55,8 @@
 class Stand:
     """What this balancer has seen of one server."""
 
-    def __init__(self) -> None:
+    def __init__(self, part: float) -> None:
+        self.part = part  # of one connection, by chance: at many balancers it makes fractions add up
         self.weight = 1.0
         self.fails = 0
         self.bad_until = 0.0
@@ -197,15 +198,15 @@
         size = sum(s.size for s in warm)
         now = sum(s.stand.open for s in warm) / size if size else 0.0
         self.rack.borne = max(self.rack.borne, now)
-        return max(self.rack.borne, FIRST_FILL)
+        return max(self.rack.borne, FIRST_FILL / self.settings.peers)
 
     def room(self, server: Server, usual: float) -> bool:
         if self.warm(server) >= 1.0:
             return True
-        # Filled evenly over its warm-up; whole connections by chance, lest all balancers start with one each.
+        # Filled evenly over its warm-up; the first by a lot drawn once, lest all balancers start with one each.
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
-        under = server.stand.open + self.rack.chance.draw() < usual * server.size * fill
+        under = server.stand.open + server.stand.part < usual * server.size * fill
         quiet = self.door.now - server.stand.told > SWAMPED_FOR
         return under and quiet and self.door.now >= server.stand.next_leg and self.rack.draw.room(server)
 
@@ -450,7 +451,7 @@
         self.watch_wait = WATCH_RETRY
         for server in servers:
             if server.stand is None:
-                server.stand = Stand()
+                server.stand = Stand(self.chance.draw())
                 self.fleet.append(server)
             if server.since != server.stand.since:  # restarted under the same id
                 server.stand.since, server.stand.told_start = server.since, self.door.now
