Round moves by chance instead of up: a tenth of one connection is not one

Cause: at full size a balancer holds one to three connections on a server, so each notice moved one at every balancer: a third of a server's connections a second, and the price of moves near 0.2.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -247,7 +247,7 @@
         self.gather(home, calm)
         if home and len(calm) == len(home):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
-            self.rack.draw.move(away[:math.ceil(TIDY_SHARE * len(away))])
+            self.rack.draw.move(self.rack.draw.some(away, TIDY_SHARE))
 
     def gather(self, home: list[Server], calm: list[Server]) -> None:
         """Guards against groups scattered in ones and twos: the smallest crumb goes where its group is."""
@@ -292,9 +292,13 @@
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
             rest = sorted(stand.legs, key=lambda leg: stand.groups[leg.call.group])
-            self.move(rest[:math.ceil(MOVE_SHARE * len(rest))])
+            self.move(self.some(rest, MOVE_SHARE))
         stand.delay, stand.told = delay, self.door.now
 
+    def some(self, legs: list[Leg], share: float) -> list[Leg]:
+        """The first of them, rounded by chance: guards against many balancers that each take a whole one."""
+        return legs[:int(share * len(legs) + self.rack.chance.draw())]
+
     def move(self, legs: list[Leg]) -> None:
         for leg in legs:
             self.door.move(leg.call)
