Ceilings in fractions of a connection, with no floor of one

Cause: a ceiling of 0.95 of one connection was rounded up to one and admitted the next at once, so at full size no ceiling bound.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -280,7 +280,7 @@
         """Not swamped, and under the ceiling found when it last was."""
         stand = server.stand
         return ((stand.delay < SWAMPED or self.door.now - stand.told > SWAMPED_FOR)
-                and stand.open < self.rack.cold.warm(server) * stand.ceiling
+                and stand.open + stand.part < self.rack.cold.warm(server) * stand.ceiling
                 * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
 
     def delayed(self, server: Server, delay: float) -> None:
@@ -310,9 +310,9 @@
         if self.door.now - stand.cut > CUT_EVERY:
             # As if warm: guards against a ceiling found while cold that would outlast the warm-up.
             held = stand.open / self.rack.cold.warm(server)
-            stand.ceiling = max(1.0, CEILING * min(stand.ceiling, held))
+            stand.ceiling = CEILING * min(stand.ceiling, held)
             if self.door.now - stand.cut > CALM:
-                self.door.log(f"server swamped: held {stand.open}, ceiling {stand.ceiling:.0f}")
+                self.door.log(f"server swamped: held {stand.open}, ceiling {stand.ceiling:.1f}")
             stand.cut = self.door.now
 
     def take(self, call: Call) -> None:
