Count late servers against the healthy share; servers not heard of fare as their zone

A late server now does not count as healthy in the ratio, and one on which we hold nothing is taken as late with the share of late ones among those we do hear of, by its fixed part.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -267,21 +267,46 @@
         matched = self.matched()
         if not matched:
             return 0.0
-        return sum(self.rack.cold.warm(s) for s in matched if self.rack.draw.healthy(s)) / len(matched)
+        return sum(self.rack.cold.warm(s) for s in matched
+                   if self.rack.draw.healthy(s) and not self.rack.draw.late(s)) / len(matched)
 
 
 class Draw(Stage):
     """The pick within the set, by failure-driven weight, and the sending."""
 
+    seen_at = -math.inf
+    seen: dict[int, float] = {}
+
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
 
     def room(self, server: Server) -> bool:
         """Not swamped, and under the ceiling found when it last was."""
         stand = server.stand
-        return ((stand.delay < SWAMPED or self.door.now - stand.told > SWAMPED_FOR)
-                and stand.open + stand.part < self.rack.cold.warm(server) * stand.ceiling
-                * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
+        return (not self.late(server) and stand.open + stand.part < self.rack.cold.warm(server)
+                * stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
+
+    def late(self, server: Server) -> bool:
+        """Told of late messages lately; where we hold nothing and so are told nothing, as its zone fares."""
+        stand = server.stand
+        if stand.delay >= SWAMPED and self.door.now - stand.told <= SWAMPED_FOR:
+            return True
+        return not stand.legs and self.rack.cold.warm(server) >= 1.0 and stand.part > self.calm(server.zone)
+
+    def calm(self, zone: int) -> float:
+        """The share of a zone's servers without late messages, among those of which we would be told."""
+        if self.seen_at != self.door.now:
+            self.seen_at, self.seen = self.door.now, {}
+        if zone not in self.seen:
+            heard = late = 0
+            for server in self.rack.fleet:
+                if server.zone == zone and server.state == model.READY:
+                    swamped = (server.stand.delay >= SWAMPED
+                               and self.door.now - server.stand.told <= SWAMPED_FOR)
+                    heard += bool(swamped or server.stand.legs)
+                    late += swamped
+            self.seen[zone] = (heard - late + 1) / (heard + 1)
+        return self.seen[zone]
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
