Move off a late server by the groups' common lots, not by own counts

Cause: with one or two connections of a group at each balancer, own counts tell nothing of where a group is small; the lots are the same everywhere, so whole groups leave.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -316,7 +316,7 @@
         if delay >= 1 and delay > FALLING * before:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
-            rest = sorted(stand.legs, key=lambda leg: stand.groups[leg.call.group])
+            rest = sorted(stand.legs, key=lambda leg: -self.lot(leg.call, server))
             self.move(self.some(rest, MOVE_SHARE))
         stand.delay, stand.told = delay, self.door.now
 
