--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -36,8 +36,9 @@
 LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 8.0  # open connections by listed size, of all balancers, that a server bears for sure
+LOOK = 0.1  # seconds for which what was summed over servers is used again
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
-KEPT_LOOKS = 64  # kept calls that may be tried in vain at one look
+KEPT_LOOKS = 24  # kept calls that may be tried in vain at one look
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
 
@@ -62,6 +63,7 @@
         self.bad_until = 0.0
         self.open = 0  # own connections and legs out
         self.since = self.told_start = 0.0
+        self.warm_at = 0.0  # when it surely is warm
         self.next_leg = 0.0  # not before this
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
@@ -176,9 +178,12 @@
 class Cold(Stage):
     """Rule 4: this instance's part of what a cold server may bear."""
 
+    borne = 0.0
+    looked = -math.inf
+
     def take(self, call: Call) -> None:
-        usual = self.usual()
-        call.places = [server for server in call.places if self.room(server, usual)]
+        now = self.door.now
+        call.places = [s for s in call.places if s.stand.warm_at <= now or self.room(s)]
         if call.places:
             self.after.take(call)
         else:
@@ -186,27 +191,23 @@
 
     def warm(self, server: Server) -> float:
         """The share of its capacity that a server surely has by now."""
-        age = self.door.now - server.since
-        if not server.since or age >= self.settings.ramp_time:
-            return 1.0
-        cold = self.settings.cold_share
-        return cold + (1 - cold) * max(0.0, age) / self.settings.ramp_time
+        left = (server.stand.warm_at - self.door.now) / self.settings.ramp_time
+        return 1.0 - (1.0 - self.settings.cold_share) * min(1.0, left) if left > 0 else 1.0
 
     def usual(self) -> float:
         """Own open connections by size on warm servers: what a server is known to bear."""
-        warm = [s for s in self.rack.fleet if s.state == model.READY and self.warm(s) >= 1.0]
-        size = sum(s.size for s in warm)
-        now = sum(s.stand.open for s in warm) / size if size else 0.0
-        self.rack.borne = max(self.rack.borne, now)
-        return max(self.rack.borne, FIRST_FILL / self.settings.peers)
-
-    def room(self, server: Server, usual: float) -> bool:
-        if self.warm(server) >= 1.0:
-            return True
+        if self.door.now >= self.looked + LOOK:
+            self.looked = now = self.door.now
+            warm = [s for s in self.rack.fleet if s.state == model.READY and s.stand.warm_at <= now]
+            size = sum(s.size for s in warm)
+            self.borne = max(self.borne, sum(s.stand.open for s in warm) / size if size else 0.0)
+        return max(self.borne, FIRST_FILL / self.settings.peers)
+
+    def room(self, server: Server) -> bool:
         # Filled evenly over its warm-up; the first by a lot drawn once, lest all balancers start with one each.
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
-        under = server.stand.open + server.stand.part < usual * server.size * fill
+        under = server.stand.open + server.stand.part < self.usual() * server.size * fill
         quiet = self.door.now - server.stand.told > SWAMPED_FOR
         return under and quiet and self.door.now >= server.stand.next_leg and self.rack.draw.room(server)
 
@@ -223,17 +224,21 @@
 class Zone(Stage):
     """The spillover ratio: stay among our zone's healthy servers, or spread over those of all zones."""
 
+    last = 0.0
+    looked = -math.inf
+
     def take(self, call: Call) -> None:
-        healthy = [server for server in call.places if self.rack.draw.healthy(server)]
-        home = [server for server in healthy if server.zone == self.settings.zone]
-        if self.share() >= SPILLOVER_RATIO and home:
-            chosen = home
-        else:
-            chosen = healthy or [s for s in call.places if s.zone == self.settings.zone] or call.places
-        # Guards against a zone whose servers stand but drown: what finds no room in it leaves, and against a
-        # fleet that drowns: what finds no room anywhere is kept, lest it be shed and come again.
-        call.places = ([s for s in chosen if self.rack.draw.room(s)]
-                       or [s for s in healthy if self.rack.draw.room(s)])
+        now, room = self.door.now, self.rack.draw.room
+        home = [s for s in call.places if s.zone == self.settings.zone]
+        chosen = []
+        if self.share() >= SPILLOVER_RATIO:
+            chosen = [s for s in home if s.stand.bad_until <= now and room(s)]
+        if not chosen:
+            # Guards against a zone whose servers stand but drown: what finds no room in it leaves, and against a
+            # fleet that drowns: what finds no room anywhere is kept, lest it be shed and come again.
+            healthy = [s for s in call.places if s.stand.bad_until <= now]
+            chosen = [s for s in healthy or home or call.places if room(s)]
+        call.places = chosen
         if call.places:
             self.after.take(call)
         else:
@@ -264,17 +269,17 @@
 
     def share(self) -> float:
         """Healthy matched over all matched; a cold server counts as far as it is warm."""
-        matched = self.matched()
-        if not matched:
-            return 0.0
-        return sum(self.rack.cold.warm(s) for s in matched
-                   if self.rack.draw.healthy(s) and not self.rack.draw.late(s)) / len(matched)
+        if self.door.now >= self.looked + LOOK:
+            self.looked, matched = self.door.now, self.matched()
+            fit = [s for s in matched if self.rack.draw.healthy(s) and not self.rack.draw.late(s)]
+            self.last = sum(self.rack.cold.warm(s) for s in fit) / len(matched) if matched else 0.0
+        return self.last
 
 
 class Draw(Stage):
     """The pick within the set, by failure-driven weight, and the sending."""
 
-    seen_at = -math.inf
+    looked = -math.inf
     seen: dict[int, float] = {}
 
     def healthy(self, server: Server) -> bool:
@@ -291,12 +296,12 @@
         stand = server.stand
         if stand.delay >= SWAMPED and self.door.now - stand.told <= SWAMPED_FOR:
             return True
-        return not stand.legs and self.rack.cold.warm(server) >= 1.0 and stand.part > self.calm(server.zone)
+        return not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone)
 
     def calm(self, zone: int) -> float:
         """The share of a zone's servers without late messages, among those of which we would be told."""
-        if self.seen_at != self.door.now:
-            self.seen_at, self.seen = self.door.now, {}
+        if self.door.now >= self.looked + LOOK:
+            self.looked, self.seen = self.door.now, {}
         if zone not in self.seen:
             heard = late = 0
             for server in self.rack.fleet:
@@ -398,6 +403,7 @@
             self.door.log(f"server unhealthy for {HOLD:g} s after {stand.fails} failures in a row")
         if stand.fails >= FAILURES:
             stand.bad_until = self.door.now + HOLD
+            self.rack.zone.looked = -math.inf
 
 
 class Balancer:
@@ -409,7 +415,6 @@
         self.fleet: list[Server] = []
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
-        self.borne = 0.0
         self.watch_wait = WATCH_RETRY
         self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
@@ -478,6 +483,7 @@
 
     def listed(self, servers: list[Server]) -> None:
         self.watch_wait = WATCH_RETRY
+        self.zone.looked = -math.inf
         for server in servers:
             if server.stand is None:
                 server.stand = Stand(self.chance.draw())
@@ -485,6 +491,7 @@
             if server.since != server.stand.since:  # restarted under the same id
                 server.stand.since, server.stand.told_start = server.since, self.door.now
                 server.stand.fails, server.stand.bad_until, server.stand.weight = 0, 0.0, 1.0
+                server.stand.warm_at = server.since + self.settings.ramp_time
 
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
