--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -29,6 +29,7 @@
 TIDY_SHARE = 0.05  # of them asked to come again at each look, while our zone is calm
 CRUMB = 3  # most connections of a group that are moved to a server that holds more of it
 CALM = 5.0  # seconds since the last late message make a server calm
+LOTS = 3  # servers, in the order of a call's lots, that are asked for room
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
@@ -178,8 +179,7 @@
 class Cold(Stage):
     """Rule 4: this instance's part of what a cold server may bear."""
 
-    borne = 0.0
-    looked = -math.inf
+    borne, looked = 0.0, -math.inf
 
     def take(self, call: Call) -> None:
         now = self.door.now
@@ -204,7 +204,7 @@
         return max(self.borne, FIRST_FILL / self.settings.peers)
 
     def room(self, server: Server) -> bool:
-        # Filled evenly over its warm-up; the first by a lot drawn once, lest all balancers start with one each.
+        # Filled evenly over its warm-up; the first by a lot drawn once, lest each balancer start with one.
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
         under = server.stand.open + server.stand.part < self.usual() * server.size * fill
@@ -217,29 +217,27 @@
             gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
         else:
             held = max(server.stand.open, self.usual() * server.size)
-            gap = 1 / max(GROWTH * held, LEAST_PACE / self.settings.peers)
+            # Slower the more servers are late: guards against a fleet that sheds and is filled at once again.
+            gap = 1 / max(GROWTH * held, LEAST_PACE / self.settings.peers) / self.rack.draw.calm(server.zone)
         server.stand.next_leg = self.door.now + gap
 
 
 class Zone(Stage):
     """The spillover ratio: stay among our zone's healthy servers, or spread over those of all zones."""
 
-    last = 0.0
-    looked = -math.inf
+    last, looked = 0.0, -math.inf
 
     def take(self, call: Call) -> None:
-        now, room = self.door.now, self.rack.draw.room
+        now, pick, server = self.door.now, self.rack.draw.pick, None
         home = [s for s in call.places if s.zone == self.settings.zone]
-        chosen = []
         if self.share() >= SPILLOVER_RATIO:
-            chosen = [s for s in home if s.stand.bad_until <= now and room(s)]
-        if not chosen:
-            # Guards against a zone whose servers stand but drown: what finds no room in it leaves, and against a
-            # fleet that drowns: what finds no room anywhere is kept, lest it be shed and come again.
-            healthy = [s for s in call.places if s.stand.bad_until <= now]
-            chosen = [s for s in healthy or home or call.places if room(s)]
-        call.places = chosen
-        if call.places:
+            server = pick(call, [s for s in home if s.stand.bad_until <= now])
+        if not server:
+            # Guards against a zone whose servers stand but drown: what finds no room in it leaves; and what
+            # finds no room anywhere is kept, lest it be shed and come again.
+            server = pick(call, [s for s in call.places if s.stand.bad_until <= now] or home or call.places)
+        if server:
+            call.places = [server]
             self.after.take(call)
         else:
             self.rack.keep(call)
@@ -345,14 +343,21 @@
                 self.door.log(f"server swamped: held {stand.open}, ceiling {stand.ceiling:.1f}")
             stand.cut = self.door.now
 
-    def take(self, call: Call) -> None:
+    def pick(self, call: Call, places: list[Server]) -> Server | None:
+        """The first lot with room, of few: guards against groups that scatter over what each thinks open."""
         tried = [leg.server for leg in call.legs]
-        places = [s for s in call.places if s not in tried] or call.places
+        places = [s for s in places if s not in tried] or places
+        if not places:
+            return None
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
-        holders = [s for s in low if call.group and s.stand.groups.get(call.group)]
-        server = min(holders or low, key=lambda s: self.lot(call, s))
+        held = call.group and [s for s in low if s.stand.groups.get(call.group)]
+        lots = sorted(held or low, key=lambda s: self.lot(call, s))
+        return next((s for s in lots[:LOTS] if self.room(s)), None)
+
+    def take(self, call: Call) -> None:
+        server = call.places[0]
         if self.door.now >= server.stand.next_leg:
             self.send(call, server)
         else:
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -82,7 +82,8 @@
     place(bench, 40)
     home.state = model.READY
     place(bench, 9)
-    late(bench, home, 0.06)
+    bench.rack.delayed(next(iter(home.stand.legs)), 0.04)
+    bench.moved.clear()
     bench.run(bench.now + 4)
     assert not bench.moved
     bench.run(bench.now + 4)
