--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -352,8 +352,7 @@
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
-        held = call.group and [s for s in low if s.stand.groups.get(call.group)]
-        lots = sorted(held or low, key=lambda s: self.lot(call, s))
+        lots = sorted(low, key=lambda s: self.lot(call, s))
         return next((s for s in lots[:LOTS] if self.room(s)), None)
 
     def take(self, call: Call) -> None:
