--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -30,6 +30,7 @@
 CRUMB = 3  # most connections of a group that are moved to a server that holds more of it
 CALM = 5.0  # seconds since the last late message make a server calm
 LOTS = 3  # servers, in the order of a call's lots, that are asked for room
+HOLDS = 2  # own connections of a group make a server its holder; one may be a stray
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
@@ -352,7 +353,8 @@
         mean = sum(s.stand.open for s in places) / sum(s.size * self.rack.cold.warm(s) for s in places)
         low = [s for s in places
                if s.stand.open < 1 + ABOVE_MEAN * mean * s.size * self.rack.cold.warm(s)] or places
-        lots = sorted(low, key=lambda s: self.lot(call, s))
+        held = call.group and [s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS]
+        lots = sorted(held or low, key=lambda s: self.lot(call, s))
         return next((s for s in lots[:LOTS] if self.room(s)), None)
 
     def take(self, call: Call) -> None:
