--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -30,7 +30,6 @@
 CALM = 5.0  # seconds since the last late message make a server calm
 LOTS = 3  # servers, in the order of a call's lots, that are asked for room
 HOLDS = 2  # own connections of a group make a server its holder; one may be a stray
-CALM_SHARE = 0.8  # of our zone's servers that must be calm before connections are called home
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
@@ -247,8 +246,8 @@
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
         home = self.matched()
         calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
-                and self.door.now - s.stand.told > CALM]
-        if home and len(calm) >= CALM_SHARE * len(home):
+                and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
+        if home and len(calm) == len(home):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
             self.rack.draw.move(self.rack.draw.some(away, TIDY_SHARE))
 
