Count late servers by zone once a second and halve: evidence outlives the connections that brought it

Cause: in a jam a balancer's few connections are shed, it then hears of no server and took all for calm.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -266,8 +266,9 @@
 class Draw(Stage):
     """The pick within the set, by failure-driven weight, and the sending."""
 
-    looked = -math.inf
-    seen: dict[int, float] = {}
+    def __init__(self, rack: Balancer):
+        super().__init__(rack)
+        self.seen: dict[int, list[float]] = {}  # by zone, halved at each look
 
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
@@ -285,20 +286,21 @@
             return True
         return not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone)
 
+    def look(self) -> None:
+        """Count, by zone, the servers of which we would be told: those with late messages and all."""
+        for seen in self.seen.values():
+            seen[0], seen[1] = seen[0] / 2, seen[1] / 2
+        for server in self.rack.fleet:
+            stand = server.stand
+            if server.state == model.READY and (stand.legs or self.door.now - stand.told <= SWAMPED_FOR):
+                seen = self.seen.setdefault(server.zone, [0.0, 0.0])
+                seen[0] += stand.delay >= SWAMPED and self.door.now - stand.told <= SWAMPED_FOR
+                seen[1] += 1
+
     def calm(self, zone: int) -> float:
-        """The share of a zone's servers without late messages, among those of which we would be told."""
-        if self.door.now >= self.looked + LOOK:
-            self.looked, self.seen = self.door.now, {}
-        if zone not in self.seen:
-            heard = late = 0
-            for server in self.rack.fleet:
-                if server.zone == zone and server.state == model.READY:
-                    swamped = (server.stand.delay >= SWAMPED
-                               and self.door.now - server.stand.told <= SWAMPED_FOR)
-                    heard += bool(swamped or server.stand.legs)
-                    late += swamped
-            self.seen[zone] = (heard - late + 1) / (heard + 1)
-        return self.seen[zone]
+        """The share of a zone's servers without late messages, as far as we were told these last seconds."""
+        late, heard = self.seen.get(zone, (0.0, 0.0))
+        return (heard - late + 1) / (heard + 1)
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
@@ -462,6 +464,7 @@
                 else:
                     self.keep(call)
         elif what == "tidy":
+            self.draw.look()
             self.zone.tidy()
             self.door.wake(self.door.now + TIDY_EVERY, "tidy")
         elif what == "watch":
