--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -387,7 +387,6 @@
     def back(self, leg: Leg, result: Result) -> None:
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
-            leg.server.stand.delay, leg.server.stand.told = max(1.0, leg.server.stand.delay), self.door.now
         self.count(leg.call, leg.server, -1)
         leg.server.stand.legs.pop(leg, None)
         soon = not leg.standing or self.door.now - leg.sent < SOON
