Test what was found at size: moves, ceilings and cold fills of many balancers in total, drowned zones, few lots

The plain model of rule 4 now also runs up to 280 instances together on generated fleets, each with its own part.

--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -127,3 +127,63 @@
     assert len(bench.sent) == 1
     bench.run(bench.now + 0.24)
     assert {leg.server for leg, _ in bench.sent} == {home} and len(bench.sent) == 2
+
+
+def many(count, *zones, **changes):
+    """Balancers that share nothing but the fleet's shape, each with its own seed."""
+    benches = [Bench(settings(peers=count, **changes), seed * 7919) for seed in range(count)]
+    for bench in benches:
+        bench.fleet(*zones)
+    return benches
+
+
+def test_moves_and_ceilings_hold_in_total_where_each_balancer_holds_one():
+    benches = many(300, 0)
+    for bench in benches:
+        place(bench, 1)
+        late(bench, bench.sent[0][0].server)
+    assert 10 < sum(len(bench.moved) for bench in benches) < 60  # a tenth, not one each
+    for bench in benches:
+        bench.run(bench.now + 2)
+        place(bench, 3)
+        bench.run(bench.now + 0.25)
+    assert 295 < sum(bench.rack.fleet[0].stand.open for bench in benches) < 345  # no second one each
+
+
+def test_a_drowned_zone_spills_also_from_servers_on_which_nothing_is_held():
+    bench = Bench(settings())
+    bench.fleet(*[0] * 12 + [1] * 4)
+    held = dict.fromkeys(place(bench, 9))
+    assert len(held) < 10
+    for server in held:
+        late(bench, server)
+    bench.run(bench.now + 1)
+    for server in held:
+        late(bench, server)
+    assert {server.zone for server in place(bench, 4)} == {1}
+
+
+def test_a_group_overflows_to_few_servers_the_same_at_every_balancer():
+    benches = many(40, *[0] * 12)
+    for bench in benches:
+        for _ in range(12):  # each balancer finds other servers late
+            server = bench.rack.fleet[int(bench.rack.chance.draw() * 12)]
+            server.stand.delay, server.stand.told = 1.0, bench.now + 9
+        for _ in range(3):
+            bench.call(group=5)
+    assert len({leg.server.mark for bench in benches for leg, _ in bench.sent}) <= 3
+
+
+def test_a_balancer_whose_connections_were_shed_still_takes_the_zone_for_late():
+    bench = Bench(settings())
+    bench.fleet(0, 0, 0)
+    place(bench, 6)
+    for _ in range(3):
+        for leg in [leg for leg, _ in bench.sent]:
+            bench.rack.delayed(leg, 0.2)
+        bench.run(bench.now + 1)
+    for leg in [leg for leg, _ in bench.sent if leg.result is None]:
+        bench.back(leg, model.RESET)
+    assert bench.rack.draw.calm(0) < 0.4
+    bench.run(bench.now + 9)
+    assert bench.rack.draw.calm(0) > 0.8
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from bellrack import model
-from bellrack.model import Server, TrafficType
+from bellrack.model import Call, Server, TrafficType
 
 ENDS = [model.COMPLETED, model.ERROR, model.FULL, model.TIMEOUT, model.NO_CONN, model.RESET]
 RAN = [model.ERROR, model.TIMEOUT, model.RESET, model.CANCELLED]
@@ -116,3 +116,27 @@
         usual = sum(server.stand.open for server in warm) / 2
         assert cold.stand.open <= 1 + usual * (bench.now - start) / bench.rules.ramp_time
     assert cold.stand.open > 3
+
+
+@hypothesis_settings(derandomize=True, max_examples=8, deadline=None)
+@given(st.integers(1, 280), st.integers(2, 70), st.integers(0, 8), st.integers(1, 2**60))
+def test_cold_server_is_filled_evenly_by_all_balancers_together(peers, servers, held, seed):
+    """Rule 4 for many instances, each with its own part: the sum keeps to an even fill."""
+    rules, total, sent = settings(peers=peers, ramp_time=20.0), 0.0, 0
+    for number in range(peers):
+        bench = Bench(rules, seed + number * 7919)
+        cold, *warm = fleet = bench.fleet(*[0] * servers)
+        for index in range(held * (number % 3)):  # uneven: some balancers hold nothing
+            leg = bench.send(Call(rules.types[0], 1e9), warm[index % len(warm)], 1e9)
+            bench.rack.resumed(leg)
+        cold.since = start = bench.now
+        bench.rack.listed(fleet)
+        before = len(bench.sent)
+        for step in range(8):  # a storm soon after the start
+            bench.run(start + 0.4 * (step + 1))
+            bench.call(group=number * 31 + step)
+        legs = [leg for leg, _ in bench.sent[before:] if leg.server is cold]
+        sent += len(legs)
+        total += sum(server.stand.open for server in warm) / len(warm)
+    even = (total + 8.0) * 3.2 / rules.ramp_time  # what servers bear in all, or eight before any was seen
+    assert sent <= even + 4 * even ** 0.5 + 1
