--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -250,13 +250,6 @@
         if home and len(calm) == len(home):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
             self.rack.draw.move(self.rack.draw.some(away, TIDY_SHARE))
-        # Guards against groups scattered over second lots: a few come again when a better lot is calm.
-        draw, chance = self.rack.draw, self.rack.chance
-        legs = [leg for s in home for leg in s.stand.legs if leg.call.group and chance.draw() < TIDY_SHARE]
-        for leg in legs:
-            better = draw.pick(leg.call, calm) if calm else None
-            if better and draw.lot(leg.call, better) < draw.lot(leg.call, leg.server):
-                draw.move([leg])
 
     def matched(self) -> list[Server]:
         return [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
