--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -311,7 +311,7 @@
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
             rest = sorted(stand.legs, key=lambda leg: -self.lot(leg.call, server))
-            self.move(self.some(rest, MOVE_SHARE * self.calm(server.zone)))  # fewer the fewer can take them
+            self.move(self.some(rest, MOVE_SHARE))
         stand.delay, stand.told = delay, self.door.now
 
     def some(self, legs: list[Leg], share: float) -> list[Leg]:
