Move the more off a server the later its messages are

0.15 of own connections at a delay of the shortest aim, growing with the delay to at most four times that.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -23,7 +23,8 @@
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
 CEILING_GROWTH = 0.03  # a second after the last cut
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
-MOVE_SHARE = 0.4  # of own connections on a server whose messages come too late, moved at each notice
+MOVE_SHARE = 0.15  # of own connections on a server whose messages come too late, moved at each notice
+MOVE_MOST = 4.0  # at most so many times that share, as the delay grows over the aim
 FALLING = 0.8  # no moves while the delay falls below this share of the last one
 TIDY_EVERY = 1.0  # seconds between looks at connections that cross zones
 TIDY_SHARE = 0.05  # of them asked to come again at each look, while our zone is calm
@@ -311,7 +312,7 @@
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
             rest = sorted(stand.legs, key=lambda leg: -self.lot(leg.call, server))
-            self.move(self.some(rest, MOVE_SHARE))
+            self.move(self.some(rest, MOVE_SHARE * min(delay, MOVE_MOST)))
         stand.delay, stand.told = delay, self.door.now
 
     def some(self, legs: list[Leg], share: float) -> list[Leg]:
