--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -346,7 +346,10 @@
         mean = ABOVE_MEAN * sum([s.stand.open for s in places]) / sum(sizes)
         low = [s for s, size in zip(places, sizes) if s.stand.open < 1 + mean * size] or places
         held = call.group and [s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS]
-        lots = sorted(held or low, key=lambda s: self.lot(call, s))
+        for server in low:  # kept with the call while it is kept: lots are most of what a decision costs
+            if server not in call.lots:
+                call.lots[server] = self.lot(call, server)
+        lots = sorted(held or low, key=call.lots.__getitem__)
         return next((s for s in lots[:LOTS] if self.room(s)), None)
 
     def take(self, call: Call) -> None:
@@ -359,12 +362,10 @@
     def lot(self, call: Call, server: Server) -> float:
         """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
         same at every draw and balancer, so its connections gather and share what they cost a server."""
-        lot = call.lots.get(server)
-        if lot is None:  # kept with the call while it is kept: lots are most of what a decision costs
-            even = Chance(call.group ^ server.mark * 0x9E3779B97F4A7C15) if call.group else self.rack.chance
-            even.draw()
-            lot = call.lots[server] = -math.log(even.draw() + 1e-12)
-        return lot / (server.stand.weight * server.size * self.rack.cold.warm(server))
+        weight = server.stand.weight * server.size * self.rack.cold.warm(server)
+        even = Chance(call.group ^ server.mark * 0x9E3779B97F4A7C15) if call.group else self.rack.chance
+        even.draw()
+        return -math.log(even.draw() + 1e-12) / weight
 
     def send(self, call: Call, server: Server) -> None:
         until, call.lots = self.rack.answer.last_moment(call), {}
