--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -39,7 +39,7 @@
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 8.0  # open connections by listed size, of all balancers, that a server bears for sure
 LOOK = 0.1  # seconds for which what was summed over servers is used again
-KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
+KEEP_STEP = 0.1  # seconds between looks at calls that no server may take yet
 KEPT_LOOKS = 24  # kept calls that may be tried in vain at one look
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
