--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -39,7 +39,7 @@
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 8.0  # open connections by listed size, of all balancers, that a server bears for sure
 LOOK = 0.1  # seconds for which what was summed over servers is used again
-KEEP_STEP = 0.1  # seconds between looks at calls that no server may take yet
+KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEPT_LOOKS = 24  # kept calls that may be tried in vain at one look
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
@@ -350,10 +350,12 @@
             if server not in call.lots:
                 call.lots[server] = self.lot(call, server)
         lots = sorted(held or low, key=call.lots.__getitem__)
+        call.waits += lots[:LOTS]
         return next((s for s in lots[:LOTS] if self.room(s)), None)
 
     def take(self, call: Call) -> None:
         server = call.places[0]
+        call.waits = [server]
         if self.door.now >= server.stand.next_leg:
             self.send(call, server)
         else:
@@ -368,7 +370,7 @@
         return -math.log(even.draw() + 1e-12) / weight
 
     def send(self, call: Call, server: Server) -> None:
-        until, call.lots = self.rack.answer.last_moment(call), {}
+        until, call.lots, call.waits = self.rack.answer.last_moment(call), {}, []
         self.count(call, server, 1)
         self.rack.cold.sent(server)
         self.door.send(call, server, until)
@@ -461,7 +463,10 @@
             waiting, self.kept = self.kept, []
             for call in waiting:
                 # Guards against a long queue: once so many found no room, the rest only look at the clock.
-                if len(self.kept) < KEPT_LOOKS:
+                # And against looking all over again while none of the servers it waits for has room.
+                if len(self.kept) < KEPT_LOOKS and (not call.waits or any(
+                        self.door.now >= s.stand.next_leg and self.draw.room(s) for s in call.waits)):
+                    call.waits = []
                     self.answer.take(call)
                 else:
                     self.keep(call)
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -86,6 +86,7 @@
     done: bool = False  # answered for good, or nothing is owed any more
     places: list[Server] = field(default_factory=list)  # where the chain may still put it
     lots: dict[Server, float] = field(default_factory=dict)  # its draws, while it has no leg out
+    waits: list[Server] = field(default_factory=list)  # those that it waits for while it is kept
 
 
 @dataclass(eq=False)
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -187,3 +187,14 @@
     assert bench.rack.draw.calm(0) < 0.6
     bench.run(bench.now + 9)
     assert bench.rack.draw.calm(0) > 0.8
+
+
+def test_a_kept_call_costs_a_look_at_few_servers_until_one_has_room():
+    bench = Bench(settings())
+    fleet = bench.fleet(*[0] * 40)
+    for server in fleet:
+        server.stand.delay, server.stand.told = 1.0, bench.now
+    call, asked = bench.call(), []
+    bench.rack.draw.room = lambda server: asked.append(server)
+    bench.run(bench.now + 0.1)
+    assert not call.legs and 0 < len(asked) <= 12
