--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -44,14 +44,19 @@
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
 
-class Chance:
+def step(state: int) -> int:
     """A linear congruential generator; its high bits are used."""
+    return (state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+
+
+class Chance:
+    """This instance's own chance."""
 
     def __init__(self, seed: int):
-        self.state = seed & 0xFFFFFFFFFFFFFFFF
+        self.state = seed
 
     def draw(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        self.state = step(self.state)
         return (self.state >> 33) / 2147483648.0
 
 
@@ -87,6 +92,12 @@
     def take(self, call: Call) -> None:
         self.after.take(call)
 
+    def pass_on(self, call: Call) -> None:
+        if call.places:
+            self.after.take(call)
+        else:
+            self.rack.keep(call)
+
     def stands(self, leg: Leg) -> None:
         self.before.stands(leg)
 
@@ -171,10 +182,7 @@
 
     def take(self, call: Call) -> None:
         call.places = [server for server in call.places if server.state == model.READY]
-        if call.places:
-            self.after.take(call)
-        else:
-            self.rack.keep(call)
+        self.pass_on(call)
 
 
 class Cold(Stage):
@@ -185,10 +193,7 @@
     def take(self, call: Call) -> None:
         now = self.door.now
         call.places = [s for s in call.places if s.stand.warm_at <= now or self.room(s)]
-        if call.places:
-            self.after.take(call)
-        else:
-            self.rack.keep(call)
+        self.pass_on(call)
 
     def warm(self, server: Server) -> float:
         """The share of its capacity that a server surely has by now."""
@@ -237,11 +242,8 @@
             # Guards against a zone whose servers stand but drown: what finds no room in it leaves; and what
             # finds no room anywhere is kept, lest it be shed and come again.
             server = pick(call, [s for s in call.places if s.stand.bad_until <= now] or home or call.places)
-        if server:
-            call.places = [server]
-            self.after.take(call)
-        else:
-            self.rack.keep(call)
+        call.places = [server] if server else []
+        self.pass_on(call)
 
     def tidy(self) -> None:
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
@@ -267,10 +269,6 @@
 class Draw(Stage):
     """The pick within the set, by failure-driven weight, and the sending."""
 
-    def __init__(self, rack: Balancer):
-        super().__init__(rack)
-        self.seen: dict[int, list[float]] = {}  # by zone, halved at each look
-
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
 
@@ -289,18 +287,18 @@
 
     def look(self) -> None:
         """Count, by zone, the servers of which we would be told: those with late messages and all."""
-        for seen in self.seen.values():
+        for seen in self.rack.seen.values():
             seen[0], seen[1] = seen[0] / 2, seen[1] / 2
         for server in self.rack.fleet:
             stand = server.stand
             if server.state == model.READY and (stand.legs or self.door.now - stand.told <= SWAMPED_FOR):
-                seen = self.seen.setdefault(server.zone, [0.0, 0.0])
+                seen = self.rack.seen.setdefault(server.zone, [0.0, 0.0])
                 seen[0] += stand.delay >= SWAMPED and self.door.now - stand.told <= SWAMPED_FOR
                 seen[1] += 1
 
     def calm(self, zone: int) -> float:
         """The share of a zone's servers without late messages, as far as we were told these last seconds."""
-        late, heard = self.seen.get(zone, (0.0, 0.0))
+        late, heard = self.rack.seen.get(zone, (0.0, 0.0))
         return (heard - late + 1) / (heard + 1)
 
     def delayed(self, server: Server, delay: float) -> None:
@@ -364,10 +362,13 @@
     def lot(self, call: Call, server: Server) -> float:
         """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
         same at every draw and balancer, so its connections gather and share what they cost a server."""
-        weight = server.stand.weight * server.size * self.rack.cold.warm(server)
-        even = Chance(call.group ^ server.mark * 0x9E3779B97F4A7C15) if call.group else self.rack.chance
-        even.draw()
-        return -math.log(even.draw() + 1e-12) / weight
+        weight = server.stand.weight * server.size
+        if server.stand.warm_at > self.door.now:
+            weight *= self.rack.cold.warm(server)
+        if not call.group:
+            return -math.log(self.rack.chance.draw() + 1e-12) / weight
+        even = step(step(call.group ^ server.mark * 0x9E3779B97F4A7C15))
+        return -math.log((even >> 33) / 2147483648.0 + 1e-12) / weight
 
     def send(self, call: Call, server: Server) -> None:
         until, call.lots, call.waits = self.rack.answer.last_moment(call), {}, []
@@ -419,6 +420,7 @@
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
         self.watch_wait = WATCH_RETRY
+        self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
         self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
         chain = [self.answer, self.effect, self.listing, self.cold, self.zone, self.draw]
@@ -441,20 +443,16 @@
     def back(self, leg: Leg, result: Result) -> None:
         self.draw.back(leg, result)
 
-    def left(self, call: Call) -> None:
-        pass
+    def left(self, call: Call) -> None: ...
 
-    def loaded(self, leg: Leg, load: float) -> None:
-        pass
+    def loaded(self, leg: Leg, load: float) -> None: ...
 
     def delayed(self, leg: Leg, delay: float) -> None:
         self.draw.delayed(leg.server, delay / self.quickest)
 
-    def probed(self, server: Server, result: Result) -> None:
-        pass
+    def probed(self, server: Server, result: Result) -> None: ...
 
-    def heard(self, peer: int, data: bytes) -> None:
-        pass
+    def heard(self, peer: int, data: bytes) -> None: ...
 
     def woke(self, what: object) -> None:
         if isinstance(what, Call):
