A ceiling on all own connections while the zones on the mean are late; moves also while a delay falls

Told from lost or slow servers: nothing in the change log, no server calm. Now own connections in all have a ceiling, cut by a tenth each second that the mean calm share of the zones, unheard ones taken as calm, is under the ratio; it holds back spills only.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -22,10 +22,10 @@
 SWAMPED_FOR = 1.5  # seconds that one notice of delay holds
 CEILING = 0.95  # a swamped server's ceiling, as a share of what it held then
 CEILING_GROWTH = 0.03  # a second after the last cut
+JAM_CUT = 0.9  # of what is held in all, each second that zones on the mean are less calm than the ratio
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE = 0.15  # of own connections on a server whose messages come too late, moved at each notice
 MOVE_MOST = 4.0  # at most so many times that share, as the delay grows over the aim
-FALLING = 0.8  # no moves while the delay falls below this share of the last one
 TIDY_EVERY = 1.0  # seconds between looks at connections that cross zones
 TIDY_SHARE = 0.05  # of them asked to come again at each look, while our zone is calm
 CALM = 5.0  # seconds since the last late message make a server calm
@@ -50,8 +50,6 @@
 
 
 class Chance:
-    """This instance's own chance."""
-
     def __init__(self, seed: int):
         self.state = seed
 
@@ -134,8 +132,7 @@
         else:
             self.door.release(call)
 
-    def stands(self, leg: Leg) -> None:
-        pass
+    def stands(self, leg: Leg) -> None: ...
 
     def back(self, leg: Leg, result: Result) -> None:
         if not leg.call.done:
@@ -232,13 +229,14 @@
     """The spillover ratio: stay among our zone's healthy servers, or spread over those of all zones."""
 
     last, looked = 0.0, -math.inf
+    ceiling, cut = math.inf, 0.0
 
     def take(self, call: Call) -> None:
         now, pick, server = self.door.now, self.rack.draw.pick, None
         home = [s for s in call.places if s.zone == self.settings.zone]
         if self.share() >= SPILLOVER_RATIO:
             server = pick(call, [s for s in home if s.stand.bad_until <= now])
-        if not server:
+        if not server and self.rack.held < self.ceiling * (1 + CEILING_GROWTH * (now - self.cut)) - 0.5:
             # Guards against a zone whose servers stand but drown: what finds no room in it leaves; and what
             # finds no room anywhere is kept, lest it be shed and come again.
             server = pick(call, [s for s in call.places if s.stand.bad_until <= now] or home or call.places)
@@ -247,6 +245,10 @@
 
     def tidy(self) -> None:
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
+        zones = [self.rack.draw.calm(zone) for zone in dict.fromkeys(s.zone for s in self.rack.fleet)]
+        if sum(zones) < SPILLOVER_RATIO * len(zones):
+            # Guards against a jam of the whole fleet, in which what is moved lands on other late servers.
+            self.ceiling, self.cut = JAM_CUT * min(self.ceiling, max(self.rack.held, 1)), self.door.now
         home = self.matched()
         calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
                 and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
@@ -303,10 +305,10 @@
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
-        stand, before = server.stand, server.stand.delay
+        stand = server.stand
         if delay >= SWAMPED:
             self.cut(server)
-        if delay >= 1 and delay > FALLING * before:
+        if delay >= 1:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
             rest = sorted(stand.legs, key=lambda leg: -self.lot(leg.call, server))
@@ -378,6 +380,7 @@
 
     def count(self, call: Call, server: Server, by: int) -> None:
         server.stand.open += by
+        self.rack.held += by
         server.stand.groups[call.group] = left = server.stand.groups.get(call.group, 0) + by
         if not left:
             del server.stand.groups[call.group]
@@ -419,6 +422,7 @@
         self.fleet: list[Server] = []
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
+        self.held = 0  # own connections and legs out, everywhere
         self.watch_wait = WATCH_RETRY
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
         self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
@@ -460,8 +464,7 @@
         elif what == "kept":
             waiting, self.kept = self.kept, []
             for call in waiting:
-                # Guards against a long queue: once so many found no room, the rest only look at the clock.
-                # And against looking all over again while none of the servers it waits for has room.
+                # Guards against a long queue, and looking everywhere while none it waits for has room.
                 if len(self.kept) < KEPT_LOOKS and (not call.waits or any(
                         self.door.now >= s.stand.next_leg and self.draw.room(s) for s in call.waits)):
                     call.waits = []
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -198,3 +198,19 @@
     bench.rack.draw.room = lambda server: asked.append(server)
     bench.run(bench.now + 0.1)
     assert not call.legs and 0 < len(asked) <= 12
+
+
+def test_a_jammed_fleet_is_not_filled_through_servers_of_which_nothing_is_heard():
+    bench = Bench(settings())
+    fleet = bench.fleet(0, 0, 1, 1)
+    for server in fleet:  # something stands on each
+        bench.rack.resumed(bench.send(bench.call(), server, 0.0))
+    bench.run(bench.now + 1)
+    for _ in range(4):
+        for server in fleet:
+            bench.rack.delayed(next(leg for leg, _ in bench.sent if leg.server is server), 0.06)
+        bench.run(bench.now + 1)
+    bench.fleet(0, 0, 1, 1, 1, 1)
+    assert place(bench, 3) == []
+    bench.run(bench.now + 60)
+    assert place(bench, 1)
