Rule out paced cold servers first; lots stay in two steps of the generator

Tried: lots in one step of the generator, with the server's part worked out once. Kept: cold servers that are paced are ruled out before anything is worked out.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -207,12 +207,13 @@
         return max(self.borne, FIRST_FILL / self.settings.peers)
 
     def room(self, server: Server) -> bool:
+        if self.door.now < server.stand.next_leg:
+            return False
         # Filled evenly over its warm-up; the first by a lot drawn once, lest each balancer start with one.
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
         under = server.stand.open + server.stand.part < self.usual() * server.size * fill
-        quiet = self.door.now - server.stand.told > SWAMPED_FOR
-        return under and quiet and self.door.now >= server.stand.next_leg and self.rack.draw.room(server)
+        return under and self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
 
     def sent(self, server: Server) -> None:
         """Guards against churn: connections that end at once free their place, but each set-up is work."""
@@ -305,15 +306,14 @@
 
     def delayed(self, server: Server, delay: float) -> None:
         """Messages at a server take this share of the shortest message aim."""
-        stand = server.stand
         if delay >= SWAMPED:
             self.cut(server)
         if delay >= 1:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group has fewest here.
-            rest = sorted(stand.legs, key=lambda leg: -self.lot(leg.call, server))
+            rest = sorted(server.stand.legs, key=lambda leg: -self.lot(leg.call, server))
             self.move(self.some(rest, MOVE_SHARE * min(delay, MOVE_MOST)))
-        stand.delay, stand.told = delay, self.door.now
+        server.stand.delay, server.stand.told = delay, self.door.now
 
     def some(self, legs: list[Leg], share: float) -> list[Leg]:
         """The first of them, rounded by chance: guards against many balancers that each take a whole one."""
