--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -310,7 +310,7 @@
             self.cut(server)
         if delay >= 1:
             # Guards against connections that stay where their messages are late: the paper's rule is for new
-            # ones, so a few are asked to come again, those first whose group has fewest here.
+            # ones, so a few are asked to come again, those first whose group's lots belong here least.
             rest = sorted(server.stand.legs, key=lambda leg: -self.lot(leg.call, server))
             self.move(self.some(rest, MOVE_SHARE * min(delay, MOVE_MOST)))
         server.stand.delay, server.stand.told = delay, self.door.now
