Read over: one check for a late server, moves by share, the jam apart from the strays

"Told of late messages lately" stood three times; choosing and moving connections were two methods always used together; the ceiling for a jam sat in the look at strays, which also built a list only to count it; lots were sliced twice and a call that is sent had its waiting list set first.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -244,18 +244,19 @@
         call.places = [server] if server else []
         self.pass_on(call)
 
-    def tidy(self) -> None:
-        """Guards against connections that cross zones for life: a few come again while our zone is calm."""
+    def jam(self) -> None:
+        """Guards against a jam of the whole fleet, in which what is moved lands on other late servers."""
         zones = [self.rack.draw.calm(zone) for zone in dict.fromkeys(s.zone for s in self.rack.fleet)]
         if sum(zones) < SPILLOVER_RATIO * len(zones):
-            # Guards against a jam of the whole fleet, in which what is moved lands on other late servers.
             self.ceiling, self.cut = JAM_CUT * min(self.ceiling, max(self.rack.held, 1)), self.door.now
-        home = self.matched()
-        calm = [s for s in home if self.rack.draw.healthy(s) and self.rack.cold.warm(s) >= 1.0
-                and self.rack.draw.room(s) and self.door.now - s.stand.told > CALM]
-        if home and len(calm) == len(home):
+
+    def tidy(self) -> None:
+        """Guards against connections that cross zones for life: a few come again while our zone is calm."""
+        home, now, draw = self.matched(), self.door.now, self.rack.draw
+        if home and all(draw.healthy(s) and s.stand.warm_at <= now and draw.room(s)
+                        and now - s.stand.told > CALM for s in home):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
-            self.rack.draw.move(self.rack.draw.some(away, TIDY_SHARE))
+            draw.move(away, TIDY_SHARE)
 
     def matched(self) -> list[Server]:
         return [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
@@ -284,9 +285,11 @@
     def late(self, server: Server) -> bool:
         """Told of late messages lately; where we hold nothing and so are told nothing, as its zone fares."""
         stand = server.stand
-        if stand.delay >= SWAMPED and self.door.now - stand.told <= SWAMPED_FOR:
-            return True
-        return not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone)
+        return self.told_late(server) or (
+            not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone))
+
+    def told_late(self, server: Server) -> bool:
+        return server.stand.delay >= SWAMPED and self.door.now - server.stand.told <= SWAMPED_FOR
 
     def look(self) -> None:
         """Count, by zone, the servers of which we would be told: those with late messages and all."""
@@ -296,7 +299,7 @@
             stand = server.stand
             if server.state == model.READY and (stand.legs or self.door.now - stand.told <= SWAMPED_FOR):
                 seen = self.rack.seen.setdefault(server.zone, [0.0, 0.0])
-                seen[0] += stand.delay >= SWAMPED and self.door.now - stand.told <= SWAMPED_FOR
+                seen[0] += self.told_late(server)
                 seen[1] += 1
 
     def calm(self, zone: int) -> float:
@@ -312,15 +315,12 @@
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group's lots belong here least.
             rest = sorted(server.stand.legs, key=lambda leg: -self.lot(leg.call, server))
-            self.move(self.some(rest, MOVE_SHARE * min(delay, MOVE_MOST)))
+            self.move(rest, MOVE_SHARE * min(delay, MOVE_MOST))
         server.stand.delay, server.stand.told = delay, self.door.now
 
-    def some(self, legs: list[Leg], share: float) -> list[Leg]:
+    def move(self, legs: list[Leg], share: float) -> None:
         """The first of them, rounded by chance: guards against many balancers that each take a whole one."""
-        return legs[:int(share * len(legs) + self.rack.chance.draw())]
-
-    def move(self, legs: list[Leg]) -> None:
-        for leg in legs:
+        for leg in legs[:int(share * len(legs) + self.rack.chance.draw())]:
             self.door.move(leg.call)
             del leg.server.stand.legs[leg]
 
@@ -349,16 +349,16 @@
         for server in low:  # kept with the call while it is kept: lots are most of what a decision costs
             if server not in call.lots:
                 call.lots[server] = self.lot(call, server)
-        lots = sorted(held or low, key=call.lots.__getitem__)
-        call.waits += lots[:LOTS]
-        return next((s for s in lots[:LOTS] if self.room(s)), None)
+        lots = sorted(held or low, key=call.lots.__getitem__)[:LOTS]
+        call.waits += lots
+        return next((s for s in lots if self.room(s)), None)
 
     def take(self, call: Call) -> None:
         server = call.places[0]
-        call.waits = [server]
         if self.door.now >= server.stand.next_leg:
             self.send(call, server)
         else:
+            call.waits = [server]
             self.rack.keep(call)
 
     def lot(self, call: Call, server: Server) -> float:
@@ -473,6 +473,7 @@
                     self.keep(call)
         elif what == "tidy":
             self.draw.look()
+            self.zone.jam()
             self.zone.tidy()
             self.door.wake(self.door.now + TIDY_EVERY, "tidy")
         elif what == "watch":
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -85,7 +85,7 @@
     legs: list[Leg] = field(default_factory=list)
     done: bool = False  # answered for good, or nothing is owed any more
     places: list[Server] = field(default_factory=list)  # where the chain may still put it
-    lots: dict[Server, float] = field(default_factory=dict)  # its draws, while it has no leg out
+    lots: dict[Server, float] = field(default_factory=dict)  # by server, while it has no leg out
     waits: list[Server] = field(default_factory=list)  # those that it waits for while it is kept
 
 
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -69,6 +69,7 @@
     bench = Bench(settings())
     stays, leaves = bench.call(), bench.call()
     leaves.done = True
+    bench.rack.left(leaves)
     bench.fleet(0)
     bench.run(bench.now + 0.1)
     assert [leg.call for leg, _ in bench.sent] == [stays]
@@ -81,7 +82,7 @@
     place(bench, 40)
     home.state = model.READY
     place(bench, 9)
-    bench.rack.delayed(next(iter(home.stand.legs)), 0.04)
+    late(bench, home, 0.04)
     bench.moved.clear()
     bench.run(bench.now + 4)
     assert not bench.moved
@@ -128,8 +129,8 @@
     assert {leg.server for leg, _ in bench.sent} == {home} and len(bench.sent) == 2
 
 
-def many(count, *zones, **changes):
-    benches = [Bench(settings(peers=count, **changes), seed * 7919) for seed in range(count)]
+def many(count, *zones):
+    benches = [Bench(settings(peers=count), seed * 7919) for seed in range(count)]
     for bench in benches:
         bench.fleet(*zones)
     return benches
