Move settings and the books of calls out of the drill, for a second host

The network host needs the same parsing and the same records, so both stand apart now: settings.py and books.py. The drill derives from the books and keeps only numbers and frames.

--- /dev/null
+++ b/bellrack/books.py
@@ -0,0 +1,62 @@
+"""The books that each host of the decisions keeps: servers as last listed, calls and their legs."""
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bellrack import model
+from bellrack.choice import Balancer
+from bellrack.model import Call, Leg, Result, Server, Settings
+
+
+class Books:
+    """One balancer with its records. Hosts derive from it and add what the balancer may do, its Door."""
+
+    def __init__(self, settings: Settings, seed: int, now: float):
+        self.settings, self.now = settings, now
+        self.servers: dict[int, Server] = {}  # by mark
+        self.balancer = Balancer(settings, seed, self)
+
+    def book(self, kind: int, wait: float, **fields) -> Call:
+        return Call(self.settings.types[kind], self.now + wait, self.now, **fields)
+
+    def begin(self, call: Call, server: Server) -> Leg:
+        leg = Leg(call, server, self.now)
+        call.legs.append(leg)
+        return leg
+
+    def resume(self, leg: Leg) -> None:
+        """It stood before this instance started."""
+        leg.standing = True
+        self.balancer.resumed(leg)
+
+    def stand(self, leg: Leg) -> None:
+        leg.standing = True
+        self.balancer.stands(leg)
+
+    def ended(self, leg: Leg, result: Result, final: bool) -> None:
+        """The first result of a leg; `final` if the call is served or nothing is owed any more."""
+        leg.result = result
+        leg.call.done = leg.call.done or final
+        self.balancer.back(leg, result)
+
+    def list(self, rows: Iterable[tuple[int, str, int, int, float, float]], whole: bool) -> None:
+        """Entries as mark, state, cell, zone, size, start; whoever a whole list lacks has been removed."""
+        changed = []
+        for mark, state, cell, zone, size, since in rows:
+            server = self.servers.setdefault(mark, Server(mark))
+            server.state, server.cell, server.zone, server.size, server.since = state, cell, zone, size, since
+            changed.append(server)
+        if whole:
+            named = set(changed)
+            for server in self.servers.values():
+                if server not in named and server.state != model.GONE:
+                    server.state = model.GONE
+                    changed.append(server)
+        self.balancer.listed(changed)
+
+    def server(self, mark: int) -> Server:
+        """A server by its mark; one that no list has named counts as gone."""
+        if mark not in self.servers:
+            self.servers[mark] = Server(mark, state=model.GONE)
+            self.balancer.listed([self.servers[mark]])
+        return self.servers[mark]
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -1,4 +1,4 @@
-"""Hosts instances on the simulator's wire: turns ids into objects and back, and keeps the books of calls."""
+"""Hosts instances on the simulator's wire: turns ids into objects and back."""
 from __future__ import annotations
 
 import json
@@ -6,59 +6,33 @@
 from typing import Any
 
 from bellrack import model
-from bellrack.choice import Balancer
+from bellrack.books import Books
 from bellrack.drill import wire
 from bellrack.drill.wire import WireError
-from bellrack.model import Call, Leg, Result, Server, Settings, TrafficType
+from bellrack.model import Call, Leg, Result, Server, Settings
+from bellrack.settings import parse_settings
 
 STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
-EFFECTS = {"retryable": model.REPEATABLE, "dedup": model.REFERENCED, "fragile": model.ONCE_ONLY}
 RESULTS = {10: model.COMPLETED, 20: model.ERROR, 30: model.FULL, 40: model.TIMEOUT, 50: model.NO_CONN,
            60: model.RESET, 70: model.CANCELLED, 80: model.MOOT}
 DELTA, FULL_LIST, CACHED, FAILED = 0, 1, 2, 3
 
 
-def parse_settings(data: bytes) -> Settings:
-    """The settings that decisions read; unknown keys are skipped, optional ones may be absent."""
-    try:
-        raw = json.loads(data)
-        special, caps, rules = raw["specifics"], raw["caps"], raw["obligations"]
-        aims = special.get("messageAimUs") or [row["setupTargetUs"] for row in raw["trafficTypes"]]
-        types = [
-            TrafficType(EFFECTS[row["effect"]], row.get("group", "all"), row.get("keyTtlUs", 0) / 1e6,
-                        row["setupTargetUs"] / 1e6, aim / 1e6)
-            for row, aim in zip(raw["trafficTypes"], aims, strict=True)
-        ]
-        return Settings(
-            types=types, zone=raw["az"], peers=raw["peersTotal"], asks=raw["discovery"] == "ask",
-            max_legs=caps["maxLegs"],
-            max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
-            tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
-            cold_share=rules["coldShare"], ramp_time=rules["rampTimeUs"] / 1e6)
-    except KeyError as error:
-        raise WireError(f"Launch.setup: no usable value at {error}") from error
-    except (ValueError, TypeError, AttributeError) as error:
-        raise WireError(f"Launch.setup: {error}") from error
-
-
-class Instance:
+class Instance(Books):
     """One balancer and its Door."""
 
     def __init__(self, who: int, seed: int, settings: Settings, clock: int, reply: wire.Reply):
-        self.who, self.settings, self.reply = who, settings, reply
-        self.now = clock / 1e6
-        self._servers: dict[int, Server] = {}
+        self.who, self.reply = who, reply
         self._open: dict[int, Call] = {}
         self._numbers: dict[Call, int] = {}  # the same the other way
         self._wakes: dict[int, Any] = {}
         self._nonce = 0
-        self.balancer = Balancer(settings, seed, self)
+        super().__init__(settings, seed, clock / 1e6)
 
     # What the balancer may do.
 
     def send(self, call: Call, server: Server, until: float) -> Leg:
-        leg = Leg(call, server, self.now)
-        call.legs.append(leg)
+        leg = self.begin(call, server)
         self.reply.add(self.who, "Forward", self._numbers[call], server.mark, _micros(until))
         return leg
 
@@ -118,14 +92,10 @@
 
     def _on_preexisting(self, xid, affinity, customer, server, group, remaining, cost, priority, bits):
         call = self._book(xid, affinity, remaining, group, customer, bits, priority)
-        leg = Leg(call, self._server(server), self.now, standing=True)
-        call.legs.append(leg)
-        self.balancer.resumed(leg)
+        self.resume(self.begin(call, self.server(server)))
 
     def _on_flowing(self, xid, server, took, number):
-        leg = self._leg("Flowing", xid, number)
-        leg.standing = True
-        self.balancer.stands(leg)
+        self.stand(self._leg("Flowing", xid, number))
 
     def _on_notice(self, xid, server, x, number, sort):
         leg = self._leg("Notice", xid, number)
@@ -139,9 +109,7 @@
         leg = self._leg("Returned", xid, number)
         if leg.result:
             raise WireError(f"Returned.sendNo: leg {number} of call {xid} has ended already")
-        leg.result = self._result("Returned", result, took, report)
-        leg.call.done = leg.call.done or bool(complete)
-        self.balancer.back(leg, leg.result)
+        self.ended(leg, self._result("Returned", result, took, report), bool(complete))
         self._forget(leg.call)
 
     def _on_dropped(self, xid):
@@ -156,7 +124,7 @@
         self.balancer.woke(self._wakes.pop(nonce))
 
     def _on_pong(self, server, result, took, *report):
-        self.balancer.probed(self._server(server), self._result("Pong", result, took, report))
+        self.balancer.probed(self.server(server), self._result("Pong", result, took, report))
 
     def _on_heard(self, by, data):
         self.balancer.heard(by, data)
@@ -169,40 +137,24 @@
             raise WireError(f"Members.kind: unknown kind {kind}")
         if roster not in pools:
             raise WireError(f"Members.rosterId: no list {roster}")
-        changed = []
+        rows = []
         for status, pack, area, hint, since, _, number in pools[roster]:
             if status not in STATES:
                 raise WireError(f"Pool.membersList: unknown status {status}")
-            server = self._servers.setdefault(number, Server(number))
-            server.state, server.cell, server.zone = STATES[status], pack, area
-            server.size, server.since = hint or 1.0, since / 1e6
-            changed.append(server)
-        if kind != DELTA:  # whoever is missing from a complete list has been removed
-            named = {row[-1] for row in pools[roster]}
-            for number, server in self._servers.items():
-                if number not in named and server.state != model.GONE:
-                    server.state = model.GONE
-                    changed.append(server)
-        self.balancer.listed(changed)
+            rows.append((number, STATES[status], pack, area, hint or 1.0, since / 1e6))
+        self.list(rows, kind != DELTA)
 
     def _book(self, xid, affinity, remaining, group, customer, bits, priority) -> Call:
         if xid in self._open:
             raise WireError(f"Inbound.xid: call {xid} is here already")
         if priority >= len(self.settings.types):
             raise WireError(f"Inbound.priority: no traffic type {priority}")
-        call = Call(self.settings.types[priority], self.now + remaining / 1e6, self.now, affinity, group,
-                    customer, bool(bits & 2), bool(bits & 8), bool(bits & 16))
+        call = self.book(priority, remaining / 1e6, key=affinity, group=group, tenant=customer,
+                         repeat=bool(bits & 2), midflow=bool(bits & 8), returned=bool(bits & 16))
         self._open[xid] = call
         self._numbers[call] = xid
         return call
 
-    def _server(self, number: int) -> Server:
-        """A server by its number; one that no list has named counts as gone."""
-        if number not in self._servers:
-            server = self._servers[number] = Server(number, state=model.GONE)
-            self.balancer.listed([server])
-        return self._servers[number]
-
     def _leg(self, event: str, xid: int, number: int) -> Leg:
         call = self._open.get(xid)
         if call is None:
@@ -252,7 +204,11 @@
 
     def _event(self, who: int, name: str, values: tuple, clock: int, reply: wire.Reply) -> None:
         if name == "Launch":
-            self._instances[who] = Instance(who, values[0], parse_settings(values[1]), clock, reply)
+            try:
+                settings = parse_settings(json.loads(values[1]))
+            except ValueError as error:
+                raise WireError(f"Launch.setup: {error}") from error
+            self._instances[who] = Instance(who, values[0], settings, clock, reply)
             return
         instance = self._instances.get(who)
         if instance is None:
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -67,6 +67,7 @@
     size: float = 1.0  # listed capacity, for comparison
     since: float = 0.0  # its last start; 0 for long ago
     stand: Any = None
+    host: Any = None  # the host's own record of it
 
 
 @dataclass(eq=False)
@@ -87,6 +88,7 @@
     places: list[Server] = field(default_factory=list)  # where the chain may still put it
     lots: dict[Server, float] = field(default_factory=dict)  # by server, while it has no leg out
     waits: list[Server] = field(default_factory=list)  # those that it waits for while it is kept
+    host: Any = None  # the host's own record of it
 
 
 @dataclass(eq=False)
@@ -99,6 +101,7 @@
     standing: bool = False
     load: float = 0.0  # as last told; 0 before
     result: Result | None = None
+    host: Any = None  # the host's own record of it
 
 
 @dataclass(eq=False)
--- /dev/null
+++ b/bellrack/settings.py
@@ -0,0 +1,68 @@
+"""The settings object that an instance is told at its start, read once for every host of the decisions."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Settings, TrafficType
+
+EFFECTS = {"retryable": model.REPEATABLE, "dedup": model.REFERENCED, "fragile": model.ONCE_ONLY}
+
+
+class SettingsError(ValueError):
+    """Settings that lack what is needed; the text names the place."""
+
+
+@dataclass(eq=False)
+class Names:
+    """What only a host on sockets reads: names on the lines, and the limits of set-ups."""
+
+    types: dict[str, int]
+    tenants: dict[str, int]
+    zones: dict[str, int]
+    guards: list[float]  # by traffic type, where a line tells none
+    connect_timeout: float
+    tells_delay: bool
+    tells_load: bool
+    report: list[str]  # the values of a load report, where a probe brings one
+
+
+def parse_settings(raw: Any) -> Settings:
+    """The settings that decisions read; unknown keys are skipped, optional ones may be absent."""
+    try:
+        special, caps, rules = raw["specifics"], raw["caps"], raw["obligations"]
+        aims = special.get("messageAimUs") or [row["setupTargetUs"] for row in raw["trafficTypes"]]
+        types = [
+            TrafficType(EFFECTS[row["effect"]], row.get("group", "all"), row.get("keyTtlUs", 0) / 1e6,
+                        row["setupTargetUs"] / 1e6, aim / 1e6)
+            for row, aim in zip(raw["trafficTypes"], aims, strict=True)
+        ]
+        return Settings(
+            types=types, zone=raw["az"], peers=raw["peersTotal"], asks=raw["discovery"] == "ask",
+            max_legs=caps["maxLegs"],
+            max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
+            tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
+            cold_share=rules["coldShare"], ramp_time=rules["rampTimeUs"] / 1e6)
+    except KeyError as error:
+        raise SettingsError(f"no usable value at {error}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(str(error)) from error
+
+
+def parse_names(raw: Any) -> Names:
+    """What a host on sockets needs besides."""
+    try:
+        special, report = raw["specifics"], raw.get("report", {})
+        return Names(
+            types={row["name"]: index for index, row in enumerate(raw["trafficTypes"])},
+            tenants={row["name"]: index for index, row in enumerate(raw.get("accounts", []))},
+            zones={name: index for index, name in enumerate(raw["areas"])},
+            guards=[row["guardTimeUs"] / 1e6 for row in raw["trafficTypes"]],
+            connect_timeout=raw["caps"]["connectTimeoutUs"] / 1e6,
+            tells_delay=bool(special.get("tellsDelay")), tells_load=bool(special.get("tellsLoad")),
+            report=report["fields"] if report.get("how", "off") != "off" else [])
+    except KeyError as error:
+        raise SettingsError(f"no usable value at {error}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(str(error)) from error
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,12 +1,12 @@
 """The frame codec and the worked examples of the wire's page."""
 import io
-import json
 import struct
 
 import pytest
 
 from bellrack.drill import wire
-from bellrack.drill.adapter import Adapter, parse_settings
+from bellrack.drill.adapter import Adapter
+from bellrack.settings import parse_settings
 
 
 def frame(*records: str, tail: bytes = b"", number: int = 1, clock: int = 1) -> bytes:
@@ -66,5 +66,5 @@
            "peersTotal": 3, "discovery": "push", "prices": {}, "caps": {"maxLegs": 2}, "more": [],
            "obligations": {"answerSlackUs": 1, "coldShare": 0.5, "rampTimeUs": 4e6, "overloadFactor": 2,
                            "fallUs": 1e6}}
-    settings = parse_settings(json.dumps(raw).encode())
+    settings = parse_settings(raw)
     assert (settings.zone, settings.asks, settings.types[0].message_aim) == (2, False, 5e-6)
