Serve on real sockets: ring buffers, lines, discovery, clients, servers, node, log, CLI

One program round the module: callbacks queue, each turn hands the module the batch, list changes first, and then carries out what came back.

--- /dev/null
+++ b/bellrack/__main__.py
@@ -0,0 +1,50 @@
+"""bellrack: a balancer for long-lived connections.
+
+Usage:
+  bellrack serve [--config=FILE]
+  bellrack check FILE
+  bellrack version
+  bellrack (-h | --help)
+
+Commands:
+  serve    Serve on the addresses of the configuration until SIGTERM; SIGUSR1 prints the counters.
+  check    Say whether a configuration can be served.
+  version  Print the version.
+
+Options:
+  --config=FILE  The configuration; $BALANCER_CONFIG if not given.
+"""
+from __future__ import annotations
+
+import os
+import sys
+
+from docopt import docopt
+
+from bellrack import __version__
+from bellrack.settings import SettingsError, read_config
+
+
+def main() -> int:
+    args = docopt(__doc__)
+    if args["version"]:
+        print(f"bellrack {__version__}")
+        return 0
+    path = args["FILE"] or args["--config"] or os.environ.get("BALANCER_CONFIG")
+    try:
+        if not path:
+            raise SettingsError("no configuration: give --config or set BALANCER_CONFIG")
+        config = read_config(path)
+        if args["check"]:
+            print(f"{path}: usable; {len(config.known.entries) if config.known else 0} servers known")
+            return 0
+        from bellrack.net.node import run
+        run(config)
+    except (SettingsError, OSError) as error:
+        print(f"bellrack: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bellrack/net/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on real sockets."""
--- /dev/null
+++ b/bellrack/net/clients.py
@@ -0,0 +1,108 @@
+"""Connections of clients, and of the front that asks whether we are ready.
+
+Owns what a client is told: one answer to its first line, then its server's lines unchanged, or MOVE between
+two of them. It never answers on its own authority but to malformed lines, and never ends a connection that
+stands without a word unless one of its sides has ended.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Call
+from bellrack.net import lines
+from bellrack.net.ring import Link
+from bellrack.net.servers import ServerLink
+
+FIRST_LINE = 10.0  # seconds that a connection may stand without a first line
+
+
+class Client(Link):
+    side = "client"
+
+    def __init__(self, node: Any):
+        super().__init__(node)
+        self.call: Call | None = None
+        self.wish: lines.Wish
+        self.leg: ServerLink | None = None  # the leg that is out or stands
+        self.pinged = False
+
+    def made(self) -> None:
+        self.node.clients[self] = None
+        self.node.after(FIRST_LINE, self.stale)
+        if self.node.crowded():
+            self.wake()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
+        self.node.clients.pop(self, None)
+
+    def stale(self) -> None:
+        if self.call is None and not self.pinged:
+            self.finish("no-first-line")
+
+    def ready(self) -> None:
+        if self.call is None and self.node.crowded():
+            self.node.counters["crowded"] += 1
+            self.answer(lines.busy(self.node.settings.max_open_wait), "no-descriptors")
+        while not self.over and self.call is None and (line := self.ring.line()):
+            self.first(line)
+        if self.over:
+            return
+        if self.other:
+            self.pass_on()
+        if self.overlong():
+            self.refuse("line-too-long")
+        elif self.ended and not (self.other and self.other.blocked):
+            self.gone()
+
+    def first(self, line: bytes) -> None:
+        if line.strip() == b"PING":
+            self.pinged = True
+            self.node.counters["pings"] += 1
+            self.write(b"PONG\r\n")
+            return
+        try:
+            self.wish = lines.wish(line)
+            self.node.arrive(self)
+        except lines.LineError as error:
+            self.refuse(str(error))
+
+    def pass_on(self) -> None:
+        passed = []
+        while not self.other.blocked and (line := self.ring.line()):
+            passed.append(line)
+            self.other.asked.append(self.node.now)
+        if passed:
+            self.node.counters["lines_to_servers"] += len(passed)
+            self.other.write(b"".join(passed))
+
+    def refuse(self, code: str) -> None:
+        """Malformed: one failing answer and the end."""
+        self.node.counters["malformed"] += 1
+        if self.leg:
+            self.leg.end(model.CANCELLED, "client-malformed", "rst")
+        self.answer(b"SYNTAX\r\n", code)
+
+    def answer(self, line: bytes, reason: str) -> None:
+        self.write(line)
+        self.finish(reason)
+
+    def move(self, reason: str, kind: str = model.CANCELLED) -> None:
+        """Send it away between two lines; it comes again through the front."""
+        if self.over or not self.other:
+            return
+        self.node.counters["moved"] += 1
+        self.answer(b"MOVE\r\n", reason)
+        self.leg.end(kind, reason)
+
+    def gone(self) -> None:
+        """The client has ended the connection."""
+        self.finish("front" if self.pinged and not self.call else f"client-{self.ended}", self.ended)
+        if self.call and not self.call.done:
+            if not self.other:
+                self.call.done = True
+                self.node.balancer.left(self.call)
+            if self.leg:
+                served = self.other and self.ended == "fin"
+                self.leg.end(model.COMPLETED if served else model.CANCELLED, "client-gone", self.ended)
--- /dev/null
+++ b/bellrack/net/lines.py
@@ -0,0 +1,210 @@
+"""The forms on the sockets: lines of clients and servers, entries of the list, HTTP answers.
+
+Owns parsing and writing of text, from bytes to plain values and back. It never reads or writes a socket,
+keeps no state of a connection but the part of an HTTP answer that is still to come, and decides nothing.
+"""
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from bellrack import model
+
+STATES = {"in_service": model.READY, "terminating": model.DRAINING, "terminated": model.GONE}
+ANSWERS = {"UP": "up", "BYE": model.COMPLETED, "MOVE": model.CANCELLED, "ERR": model.ERROR,
+           "BUSY": model.FULL}
+MOST = 1 << 24  # bytes of one line or head of the list service
+
+
+class LineError(ValueError):
+    """Input that is not as the pages have it; the text is a reason code."""
+
+
+@dataclass
+class Wish:
+    """An OPEN line: its own bytes, and what it says."""
+
+    line: bytes
+    id: str
+    key: int
+    values: dict[str, str]
+
+    def number(self, name: str, base: int = 10) -> int | None:
+        try:
+            return int(self.values[name], base) if name in self.values else None
+        except ValueError:
+            raise LineError(f"bad-{name}") from None
+
+
+def mark(name: str) -> int:
+    """The same number for a server at every balancer and start; the interpreter's own hash is not."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def wish(line: bytes) -> Wish:
+    try:
+        words = line.decode("ascii").split()
+    except UnicodeDecodeError:
+        raise LineError("not-ascii") from None
+    if len(words) not in (3, 4) or words[0] != "OPEN":
+        raise LineError("not-open")
+    values = {}
+    for pair in words[3].split(",") if len(words) == 4 else []:
+        name, equals, value = pair.partition("=")
+        if not name or not equals:
+            raise LineError("bad-value")
+        values[name] = value
+    try:
+        return Wish(line, words[1], int(words[2], 16), values)
+    except ValueError:
+        raise LineError("bad-key") from None
+
+
+def with_wait(asked: Wish, seconds: float) -> bytes:
+    """The line as it goes on: unchanged, but for how long we will wait."""
+    if "d" not in asked.values:
+        return asked.line
+    head, space, pairs = asked.line.rpartition(b" ")
+    end = pairs[len(pairs.rstrip()):]
+    wait = b"d=%d" % max(1, int(seconds * 1000))
+    kept = [wait if pair.startswith(b"d=") else pair for pair in pairs.rstrip().split(b",")]
+    return head + space + b",".join(kept) + end
+
+
+def answer(line: bytes) -> tuple[str, str]:
+    """What a server's line means, '' for none of the known, and the rest of it."""
+    word, _, rest = line.decode("ascii", "replace").strip().partition(" ")
+    return ANSWERS.get(word, ""), rest
+
+
+def busy(wait: float) -> bytes:
+    return b"BUSY %d\r\n" % int(wait * 1000) if wait > 0 else b"BUSY\r\n"
+
+
+@dataclass
+class Entry:
+    """A server as the list has it."""
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    row: tuple[str, int, float, float]  # state, cell, size, start
+
+
+@dataclass
+class Listing:
+    version: int
+    whole: bool
+    entries: list[Entry]
+
+
+def listing(raw: Any) -> Listing:
+    """A list or the changes of one, from its JSON object."""
+    try:
+        entries = [Entry(
+            item["instanceId"], address(item["hostPort"]), item["zone"],
+            (STATES[item["lifecycle"]], int(item.get("cell", 0)), float(item.get("weight", 1.0)) or 1.0,
+             item.get("startedAtMs", 0) / 1000)) for item in raw["instances"]]
+        return Listing(int(raw["generation"]), bool(raw["reset"]), entries)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise LineError(f"bad-list: {error!r}") from None
+
+
+def address(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def written(place: tuple[str, int]) -> str:
+    return f"{place[0]}:{place[1]}"
+
+
+class Answer:
+    """An HTTP/1.1 answer as it comes in: `feed` returns what the bytes add to the body."""
+
+    def __init__(self) -> None:
+        self.rest = bytearray()
+        self.status = 0
+        self.chunked = self.done = False
+        self.left: int | None = None  # of the body or the chunk; None: until the end of the connection
+
+    def feed(self, data: bytes) -> bytes:
+        self.rest += data
+        body = b""
+        while not self.done:
+            if not self.status:
+                if not self._head():
+                    break
+            elif self.left is None and not self.chunked:
+                body += self._cut(len(self.rest))
+                break
+            elif self.left:
+                part = self._cut(min(self.left, len(self.rest)))
+                if not part:
+                    break
+                body += part
+                self.left -= len(part)
+                self.done = not self.left and not self.chunked
+            elif not self._chunk():
+                break
+        if len(self.rest) > MOST:
+            raise LineError("too-long")
+        return body
+
+    def _cut(self, count: int) -> bytes:
+        part = bytes(self.rest[:count])
+        del self.rest[:count]
+        return part
+
+    def _line(self) -> bytes | None:
+        at = self.rest.find(b"\r\n")
+        return self._cut(at + 2)[:-2] if at >= 0 else None
+
+    def _head(self) -> bool:
+        at = self.rest.find(b"\r\n\r\n")
+        if at < 0:
+            return False
+        first, *fields = self._cut(at + 4)[:-4].decode("latin-1").split("\r\n")
+        words = first.split(" ", 2)
+        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
+            raise LineError("not-http")
+        if words[1].startswith("1"):
+            return True  # an interim answer; the real one follows
+        self.status = int(words[1])
+        named = {name.strip().lower(): value.strip() for name, _, value in (f.partition(":") for f in fields)}
+        self.chunked = named.get("transfer-encoding", "").lower() == "chunked"
+        length = named.get("content-length", "")
+        if self.chunked:
+            self.left = 0
+        elif length.isdigit():
+            self.left = int(length)
+            self.done = not self.left
+        elif length:
+            raise LineError("bad-length")
+        return True
+
+    def _chunk(self) -> bool:
+        """The line before a chunk; the one that ends the chunk before it is empty."""
+        line = self._line()
+        if line is None:
+            return False
+        if line:
+            try:
+                self.left = int(line.split(b";")[0], 16)
+            except ValueError:
+                raise LineError("bad-chunk") from None
+            if self.left < 0:
+                raise LineError("bad-chunk")
+            self.done = not self.left
+        return True
+
+
+def parsed(text: bytes) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError:
+        raise LineError("not-json") from None
--- /dev/null
+++ b/bellrack/net/node.py
@@ -0,0 +1,346 @@
+"""One real balancer: the loop of batches, the Door, timers, limits and the way out.
+
+Owns the clock, the queue of what has happened and of what is to be done, the count of descriptors, and the
+books. Each turn fixes `now`, hands the module all that is queued, list changes first, and then carries out
+what came back. It never chooses a server, and never lets one faulty connection end the program.
+"""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from bellrack import model
+from bellrack.books import Books
+from bellrack.model import Call, Leg, Result, Server
+from bellrack.net import lines, log
+from bellrack.net.clients import Client
+from bellrack.net.discovery import Discovery, Question
+from bellrack.net.servers import Place, Probe, ServerLink
+from bellrack.settings import Config
+
+BACKLOG = 100  # connections accepted at one go
+RESERVE = 128  # descriptors kept free, over one such go
+LOOK = 1.0  # seconds between notices of late messages, as the module expects them
+NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
+AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
+STAY = 1.0  # seconds that connections may still come after the call to end
+LONGEST, GRACE = 3.0, 0.7  # what is left after that call: the longest guard time, at most, and some more
+DATAGRAM = 256  # bytes
+
+
+class Node(Books):
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop):
+        self.config, self.names, self.loop = config, config.names, loop
+        # Anchored once: starts of servers are in Unix time, and a step of that clock must not move timers.
+        self.anchor = time.time() - time.monotonic()
+        self.events: list[tuple[Callable, tuple]] = []
+        self.news: list[tuple[Callable, tuple]] = []
+        self.acts: list[tuple[Callable, tuple]] = []
+        self.turning = False
+        self.counters = log.Counters()
+        self.clients: dict[Client, None] = {}
+        self.version = 0
+        self.peers: Peers | None = None
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.limit = min(config.sockets, hard if hard > 0 else config.sockets)
+        self.reserve = min(RESERVE, self.limit // 4)
+        self.descriptors = len(os.listdir("/proc/self/fd"))
+        self.leaving = 0.0
+        self.over = asyncio.Event()
+        self.discovery = Discovery(self, config.discovery)
+        super().__init__(config.settings, config.seed, self.clock())
+
+    def clock(self) -> float:
+        return time.monotonic() + self.anchor
+
+    # The loop of batches.
+
+    def queue(self, what: Callable, *values: Any, first: bool = False) -> None:
+        """For the next turn; this is all that callbacks do."""
+        (self.news if first else self.events).append((what, values))
+        if not self.turning:
+            self.turning = True
+            self.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        self.now = self.clock()
+        news, events, self.news, self.events = self.news, self.events, [], []
+        for what, values in news + events:
+            self.guarded(what, values)
+        while self.acts:
+            acts, self.acts = self.acts, []
+            for what, values in acts:
+                self.guarded(what, values)
+        self.turning = False
+        if self.news or self.events:
+            self.queue(int)
+
+    def guarded(self, what: Callable, values: tuple) -> None:
+        """Guards against a fault with one connection that would end the program, and all others with it."""
+        try:
+            what(*values)
+        except Exception:
+            self.counters["faults"] += 1
+            log.fault("fault", doing=getattr(what, "__qualname__", what))
+
+    def at(self, when: float, what: Callable, *values: Any) -> asyncio.TimerHandle:
+        return self.loop.call_at(when - self.anchor, self.queue, what, *values)
+
+    def after(self, wait: float, what: Callable, *values: Any) -> asyncio.TimerHandle:
+        return self.loop.call_later(wait, self.queue, what, *values)
+
+    def counted(self, by: int) -> None:
+        self.descriptors += by
+
+    def crowded(self) -> bool:
+        """A call takes one more descriptor than its client has by now."""
+        return self.descriptors + self.reserve >= self.limit
+
+    def log_end(self, link: Any, reason: str, figures: dict) -> None:
+        self.counters[f"ended_{link.side}"] += 1
+        log.tell("ended", side=link.side, reason=reason, **figures)
+
+    # What the balancer may do: each is carried out when the module has had the whole batch.
+
+    def send(self, call: Call, server: Server, until: float) -> Leg:
+        leg = self.begin(call, server)
+        self.acts.append((self.connect, (leg, until)))
+        return leg
+
+    def cancel(self, leg: Leg) -> None:
+        self.acts.append((self.cancelled, (leg,)))
+
+    def reject(self, call: Call, wait: float = 0.0) -> None:
+        self.answer(call, lines.busy(min(wait, self.settings.max_open_wait)), "rejected")
+
+    def release(self, call: Call) -> None:
+        self.answer(call, b"ERR\r\n", "released")
+
+    def move(self, call: Call) -> None:
+        self.acts.append((call.host.move, ("moved",)))
+
+    def watch(self, on: bool = True) -> None:
+        self.acts.append((self.discovery.watch, (on,)))
+
+    def fetch(self) -> None:
+        self.acts.append((self.discovery.fetch, ()))
+
+    def probe(self, server: Server) -> None:
+        self.acts.append((Probe, (self, server)))
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        if self.peers and len(data) <= DATAGRAM:
+            self.acts.append((self.peers.tell, (peer, data)))
+
+    def wake(self, when: float, what: Any) -> None:
+        self.at(when, self.woke, what)
+
+    def log(self, text: str) -> None:
+        log.tell("mode", text=text)
+
+    def woke(self, what: Any) -> None:
+        self.balancer.woke(what)
+
+    def answer(self, call: Call, line: bytes, how: str) -> None:
+        call.done = True
+        self.counters[how] += 1
+        self.acts.append((call.host.answer, (line, how)))
+
+    def connect(self, leg: Leg, until: float) -> None:
+        client: Client = leg.call.host
+        if leg.call.done:
+            self.ended(leg, Result(model.MOOT), True)
+        elif self.descriptors + 2 > self.limit:
+            self.ended(leg, Result(model.MOOT), False)
+        else:
+            self.counters["legs"] += 1
+            ServerLink(self, leg, client, until)
+
+    def cancelled(self, leg: Leg) -> None:
+        if leg.host and not leg.standing:
+            leg.host.end(model.CANCELLED, "cancelled")
+
+    # What happens to it.
+
+    def arrive(self, client: Client) -> None:
+        """A first line that is well formed."""
+        wish = client.wish
+        values, wait = wish.values, wish.number("d")
+        kind = self.names.types.get(values.get("c", ""))
+        if kind is None:
+            raise lines.LineError("unknown-type")
+        wait = self.names.guards[kind] if wait is None else wait / 1000
+        call = self.book(kind, wait, key=wish.key, group=wish.number("g", 16) or 0,
+                         tenant=self.names.tenants.get(values.get("t", ""), 0), repeat=values.get("r") == "1",
+                         returned=values.get("again") == "1")
+        self.counters["calls"] += 1
+        call.host, client.call = client, call
+        if "at" in values and (server := self.servers.get(lines.mark(values["at"]))):
+            self.reopen(client, server, self.now + wait)
+        elif self.leaving:
+            # Nothing was sent, so trying again is harmless; the front deals it to another balancer.
+            self.reject(call)
+        else:
+            self.balancer.arrived(call)
+
+    def reopen(self, client: Client, server: Server, until: float) -> None:
+        """Take up a connection that was open there before the start; no decision is in it."""
+        if not client.over:
+            ServerLink(self, Leg(client.call, server, self.now), client, until, resumes=True)
+
+    def stands(self, leg: Leg, resumes: bool) -> None:
+        self.counters["stood"] += 1
+        if resumes:
+            leg.call.legs.append(leg)
+            self.resume(leg)
+        else:
+            self.stand(leg)
+        if self.leaving:
+            self.move(leg.call)
+
+    def leg_over(self, link: ServerLink, kind: str) -> None:
+        leg = link.leg
+        self.counters[f"leg_{kind.replace(' ', '_')}"] += 1
+        if link.resumes and not leg.standing:
+            if self.now + AT_RETRY < link.until:
+                self.after(AT_RETRY, self.reopen, link.client, leg.server, link.until)
+            else:
+                self.release(leg.call)
+            return
+        self.ended(leg, Result(kind, self.now - leg.sent), leg.standing or kind == model.COMPLETED)
+        if kind == model.COMPLETED:
+            link.client.finish("completed")
+
+    def loaded(self, leg: Leg, load: str) -> None:
+        with contextlib.suppress(ValueError):
+            leg.load = float(load)
+            self.balancer.loaded(leg, leg.load)
+
+    def learn(self, news: lines.Listing, fetched: bool = False) -> None:
+        """The list or its changes, as discovery wrote it."""
+        if fetched and news.version < self.version:
+            return  # a watch has told newer since it was asked for
+        self.version = news.version
+        self.counters["list_lines"] += 1
+        rows = []
+        for entry in news.entries:
+            state, cell, size, since = entry.row
+            zone = self.names.zones.setdefault(entry.zone, len(self.names.zones))
+            mark = lines.mark(entry.name)
+            server = self.servers.setdefault(mark, Server(mark))
+            if server.host is None:
+                server.host = Place(entry.name, entry.address)
+            server.host.address = entry.address
+            rows.append((mark, state, cell, zone, size, since))
+        self.list(rows, news.whole)
+
+    def unlisted(self, question: Question) -> None:
+        self.counters["list_failures"] += 1
+        self.discovery.failed(question)
+        self.balancer.unlisted()
+
+    def look(self) -> None:
+        """Once a second: tell of servers whose messages are late, and end what has gone silent."""
+        self.after(LOOK, self.look)
+        self.discovery.look()
+        for server in list(self.servers.values()):
+            place = server.host
+            if not place.legs:
+                place.took.clear()
+                continue
+            delay = place.look(self.now)
+            late = delay > NOTICE * self.balancer.quickest
+            if self.names.tells_delay and (late or place.late):
+                self.balancer.delayed(next(iter(place.legs)).leg, delay)
+            place.late = late
+            for link in [link for link in place.legs if link.silent()]:
+                link.client.move("server-silent", model.RESET)
+
+    # Its beginning and its end.
+
+    async def serve(self) -> None:
+        if self.config.known:
+            self.learn(self.config.known)
+        if not self.settings.asks:
+            self.watch()
+        self.queue(self.look)
+        await self.open_peers()
+        listener = await self.loop.create_server(lambda: Client(self), *self.config.listen, backlog=BACKLOG)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.queue, self.leave)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
+        log.tell("serving", name=self.config.name, listen=lines.written(self.config.listen),
+                 servers=len(self.servers))
+        await self.over.wait()
+        listener.close()
+        self.counters.show()
+
+    async def open_peers(self) -> None:
+        if self.config.peer_listen:
+            _, self.peers = await self.loop.create_datagram_endpoint(
+                lambda: Peers(self), local_addr=self.config.peer_listen)
+            self.descriptors += 1
+
+    def leave(self) -> None:
+        """Asked to end: move what stands, spread over the time there is, and go once empty."""
+        if self.leaving:
+            return
+        self.leaving = self.now
+        allowed = min(LONGEST, max(self.names.guards)) + GRACE
+        standing = [client for client in self.clients if client.other]
+        log.tell("leaving", standing=len(standing), seconds=allowed)
+        for index, client in enumerate(standing):
+            self.after(0.6 * allowed * index / len(standing), client.move, "leaving")
+        self.after(0.8 * allowed, self.move_rest)
+        self.empty(self.now + allowed - 0.2)
+
+    def move_rest(self) -> None:
+        for client in list(self.clients):
+            client.move("leaving")
+
+    def empty(self, last: float) -> None:
+        if self.now >= last or not self.clients and self.now >= self.leaving + STAY:
+            self.over.set()
+        else:
+            self.after(0.05, self.empty, last)
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Datagrams between balancers of the tier."""
+
+    def __init__(self, node: Node):
+        self.node, self.transport = node, None
+        self.numbers = {address: number for number, address in enumerate(node.config.peers)}
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
+        number = self.numbers.get(sender[:2])
+        if number is not None and len(data) <= DATAGRAM:
+            self.node.queue(self.node.balancer.heard, number, data)
+
+    def error_received(self, error: Exception) -> None: ...
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        address = self.node.config.peers_all if peer is None else self.node.config.peers[peer]
+        if address:
+            self.transport.sendto(data, address)
+
+
+def run(config: Config) -> None:
+    log.start()
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, said: log.tell(
+            "loop", what=said.get("message", ""), error=repr(said.get("exception", ""))))
+        await Node(config, loop).serve()
+
+    asyncio.run(main())
--- /dev/null
+++ b/bellrack/net/ring.py
@@ -0,0 +1,165 @@
+"""Ring buffers, and the end of a TCP connection that reads into one.
+
+Owns the bytes that have come in and are not yet taken: one ring for each direction of a connection, of fixed
+size, which pauses reading while it is full. It never looks into lines, never decides, and never acts in a
+callback beyond queueing itself for the node's next turn.
+"""
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+SIZE = 8192  # of a ring: a whole line and the start of the next
+LINE = 4096  # longest line, its end included
+HIGH = 16384  # bytes that a transport may hold unsent before the other side's reading pauses
+LINGER = 1.0  # seconds that the other side has to end after we have
+ABORT = struct.pack("ii", 1, 0)  # linger of nought: closing resets
+SCRATCH = memoryview(bytearray(SIZE))  # what comes after our end goes here and is dropped
+
+
+class Ring:
+    """A fixed number of bytes, first in, first out."""
+
+    __slots__ = ("data", "view", "start", "held")
+
+    def __init__(self, size: int = SIZE):
+        self.data = bytearray(size)
+        self.view = memoryview(self.data)
+        self.start = self.held = 0
+
+    def space(self) -> memoryview:
+        """Free room in one piece; empty only when the ring is full."""
+        if not self.held:
+            self.start = 0
+        end = self.start + self.held
+        size = len(self.data)
+        return self.view[end - size:self.start] if end >= size else self.view[end:]
+
+    def added(self, count: int) -> None:
+        self.held += count
+
+    @property
+    def full(self) -> bool:
+        return self.held == len(self.data)
+
+    def line(self) -> bytes | None:
+        """Take the first whole line, its end included."""
+        size = len(self.data)
+        over = self.start + self.held - size
+        at = self.data.find(b"\n", self.start, min(self.start + self.held, size))
+        if at >= 0:
+            return self.take(at + 1 - self.start)
+        at = self.data.find(b"\n", 0, over) if over > 0 else -1
+        return self.take(size - self.start + at + 1) if at >= 0 else None
+
+    def take(self, count: int) -> bytes:
+        size, end = len(self.data), self.start + count
+        out = bytes(self.view[self.start:end])
+        if end > size:
+            out += bytes(self.view[:end - size])
+        self.start, self.held = end % size, self.held - count
+        return out
+
+
+class Link(asyncio.BufferedProtocol):
+    """One end of a connection. What is read waits in its ring until the node's turn calls `ready`."""
+
+    side = "link"
+    first = False  # its turn comes before the others' of the batch
+
+    def __init__(self, node: Any):
+        self.node, self.ring = node, Ring()
+        self.transport: Any = None
+        self.other: Link | None = None  # where whole lines go on to, once there is one
+        self.queued = self.paused = self.blocked = self.over = False
+        self.ended = ""  # how the other side ended: "fin" or "rst"
+
+    # Callbacks: they only note and queue.
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(high=HIGH)
+        self.node.counted(1)
+        self.made()
+
+    def made(self) -> None: ...
+
+    def get_buffer(self, hint: int) -> memoryview:
+        return SCRATCH if self.over else self.ring.space()
+
+    def buffer_updated(self, count: int) -> None:
+        if self.over:
+            return
+        self.ring.added(count)
+        if self.ring.full:
+            self.paused = True
+            self.transport.pause_reading()
+        self.wake()
+
+    def eof_received(self) -> bool:
+        self.ended = self.ended or "fin"
+        self.wake()
+        return not self.over  # after our own end there is nothing left to wait for
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.node.counted(-1)
+        self.ended = self.ended or ("rst" if error else "fin")
+        self.wake()
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+        if self.other:
+            self.other.wake()
+
+    def wake(self) -> None:
+        if not self.queued and not self.over:
+            self.queued = True
+            self.node.queue(self.turn, first=self.first)
+
+    # In the node's turn.
+
+    def turn(self) -> None:
+        self.queued = False
+        if not self.over:
+            self.ready()
+        if self.paused and not self.ring.full and not self.over:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def ready(self) -> None:
+        """There are bytes to look at, room to write, or the other side has ended."""
+        raise NotImplementedError
+
+    def overlong(self) -> bool:
+        return self.ring.held > LINE and not (self.other and self.other.blocked)
+
+    def write(self, data: bytes) -> None:
+        if not self.over and self.transport and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def finish(self, reason: str, how: str = "fin", **figures: Any) -> None:
+        """End it: after what was written, or at once with a reset. Leaves the connection's log line."""
+        if self.over:
+            return
+        self.over = True
+        self.node.log_end(self, reason, figures)
+        if self.transport is None:
+            return
+        if how == "rst":
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
+            self.transport.abort()
+        elif self.ended or self.transport.is_closing():
+            self.transport.close()
+        else:
+            # Guards against a close with bytes still unread, which resets and takes our last line with it.
+            self.transport.write_eof()
+            if self.paused:
+                self.transport.resume_reading()
+            self.node.after(LINGER, self.transport.abort)
--- /dev/null
+++ b/bellrack/net/servers.py
@@ -0,0 +1,200 @@
+"""Connections to servers: one for each leg, and what a host knows of a server beside its list entry.
+
+Owns the way of a leg from connecting to its one result, the passing on of the server's lines, and the timing
+of lines to their answers. It never chooses a server, never sends a second leg of its own accord, and writes
+nothing to a server that a drain has been heard of.
+"""
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from bellrack import model
+from bellrack.model import Leg, Result, Server
+from bellrack.net import lines
+from bellrack.net.ring import Link
+
+if TYPE_CHECKING:
+    from bellrack.net.clients import Client
+
+PROBE_WAIT = 0.25  # seconds that a probe may take
+SILENT = 4.0  # an unanswered line this old: clients send every 2 s, and 7 s without an answer are too long
+
+
+class Place:
+    """A server as its host sees it: where it is, what stands there, how long lines take."""
+
+    def __init__(self, name: str, address: tuple[str, int]):
+        self.name, self.address = name, address
+        self.legs: dict[ServerLink, None] = {}  # standing
+        self.took: list[float] = []  # by the answers since the last look
+        self.late = False  # as last told
+
+    def look(self, now: float) -> float:
+        """What a line takes here now: by the answers since the last look and the lines still out."""
+        out = [now - link.asked[0] for link in self.legs if link.asked]
+        took, self.took = sorted(self.took), []
+        return max(took[len(took) // 2] if took else 0.0, min(out, default=0.0) if not took else 0.0)
+
+
+class Outgoing(Link):
+    """A connection that we open."""
+
+    def open(self, address: tuple[str, int], wait: float) -> None:
+        self.task = self.node.loop.create_task(self._open(address, wait))
+
+    async def _open(self, address: tuple[str, int], wait: float) -> None:
+        self.node.counted(1)  # the descriptor is there from the start
+        try:
+            async with asyncio.timeout(wait):
+                await self.node.loop.create_connection(lambda: self, *address)
+        except (OSError, TimeoutError) as error:
+            self.ended = "refused" if isinstance(error, ConnectionRefusedError) else "unreached"
+            self.wake()
+        finally:
+            self.node.counted(-1)
+
+    def made(self) -> None:
+        if self.over:  # given up while it came up
+            self.transport.abort()
+        self.wake()
+
+    def drop(self) -> None:
+        """Stop connecting, if that is still under way."""
+        if self.transport is None:
+            self.task.cancel()
+
+
+class ServerLink(Outgoing):
+    """One leg."""
+
+    side = "server"
+
+    def __init__(self, node: Any, leg: Leg, client: Client, until: float, resumes: bool = False):
+        super().__init__(node)
+        self.leg, self.client, self.until, self.resumes = leg, client, until, resumes
+        self.asked: deque[float] = deque(maxlen=64)  # when the client's lines still unanswered went on
+        self.written = False
+        self.said = ""  # how the server said that the connection ends
+        leg.host = client.leg = self
+        self.timer = node.at(until, self.late)
+        self.open(leg.server.host.address, min(node.names.connect_timeout, max(0.0, until - node.now)))
+
+    @property
+    def place(self) -> Place:
+        return self.leg.server.host
+
+    def ready(self) -> None:
+        if not self.written and not self.ended:
+            self.speak()
+        while not self.over and not self.leg.standing and (line := self.ring.line()):
+            self.answered(line)
+        if self.over:
+            return
+        if self.leg.standing:
+            self.pass_on()
+        if self.overlong():
+            self.end(model.ERROR, "line-too-long", "rst")
+        elif self.ended and not (self.other and self.other.blocked):
+            self.lost()
+
+    def speak(self) -> None:
+        """The first byte goes out now; a drain heard while we connected is a connection never made."""
+        if not self.resumes and self.leg.server.state != model.READY:
+            self.end(model.NO_CONN, "drain-heard")
+        else:
+            self.written = True
+            self.write(lines.with_wait(self.client.wish, self.until - self.node.now))
+
+    def answered(self, line: bytes) -> None:
+        kind, _ = lines.answer(line)
+        if kind == "up":
+            self.timer.cancel()
+            self.other, self.client.other = self.client, self
+            self.place.legs[self] = None
+            self.client.write(line)
+            self.node.stands(self.leg, self.resumes)
+            self.client.wake()
+        else:
+            if kind == model.COMPLETED:
+                self.client.write(line)
+            self.end(kind or model.ERROR, f"answer-{kind or 'unknown'}")
+
+    def pass_on(self) -> None:
+        passed = []
+        while not self.other.blocked and (line := self.ring.line()):
+            passed.append(line)
+            kind, rest = lines.answer(line)
+            if kind in (model.COMPLETED, model.CANCELLED):
+                self.said = kind
+            elif line.startswith(b"LOAD "):
+                self.node.loaded(self.leg, rest)
+            elif self.asked:
+                self.place.took.append(self.node.now - self.asked.popleft())
+        if passed:
+            self.node.counters["lines_to_clients"] += len(passed)
+            self.other.write(b"".join(passed))
+
+    def lost(self) -> None:
+        """The server, or the way to it, has ended the connection."""
+        if self.leg.standing:
+            self.client.finish(f"server-{self.said or self.ended}", self.ended)
+            self.end(self.said or model.RESET, self.said or self.ended)
+        elif not self.written:
+            self.end(model.NO_CONN, self.ended)
+        else:
+            self.end(model.RESET, self.ended)
+
+    def late(self) -> None:
+        if not self.leg.standing:
+            self.end(model.TIMEOUT if self.written else model.NO_CONN, "timeout")
+
+    def silent(self) -> bool:
+        """No line comes back, and not because the client takes none."""
+        return bool(self.asked) and self.node.now - self.asked[0] > SILENT and not self.ring.held
+
+    def end(self, kind: str, reason: str, how: str = "fin") -> None:
+        """The leg's one result; the connection to the server ends with it."""
+        if self.over:
+            return
+        self.timer.cancel()
+        self.drop()
+        self.place.legs.pop(self, None)
+        self.finish(reason, how, server=self.place.name, result=kind)
+        self.client.leg = None
+        self.node.leg_over(self, kind)
+
+
+class Probe(Outgoing):
+    """One question for a server's health, or for its load report where probes bring one."""
+
+    side = "probe"
+
+    def __init__(self, node: Any, server: Server):
+        super().__init__(node)
+        self.server, self.begun, self.asked = server, node.now, False
+        self.node.after(PROBE_WAIT, self.over_with, model.TIMEOUT)
+        self.open(server.host.address, PROBE_WAIT)
+
+    def ready(self) -> None:
+        if not self.asked and not self.ended:
+            self.asked = True
+            self.write(b"STATS\r\n" if self.node.names.report else b"PING\r\n")
+        line = self.ring.line()
+        word = line.split() if line else []
+        if word == [b"PONG"] and not self.node.names.report:
+            self.over_with(model.COMPLETED)
+        elif word and word != [b"PONG"]:
+            try:
+                self.over_with(model.COMPLETED, tuple(float(value) for value in word))
+            except ValueError:
+                self.over_with(model.ERROR)
+        elif self.ended:
+            self.over_with(model.RESET if self.asked else model.NO_CONN)
+
+    def over_with(self, kind: str, report: tuple[float, ...] = ()) -> None:
+        if not self.over:
+            self.drop()
+            self.finish(kind, server=self.server.host.name)
+            self.node.balancer.probed(self.server, Result(kind, self.node.now - self.begun, report))
