--- a/bellrack/__main__.py
+++ b/bellrack/__main__.py
@@ -22,7 +22,8 @@
 from docopt import docopt
 
 from bellrack import __version__
-from bellrack.settings import SettingsError, read_config
+from bellrack.net.config import read_config
+from bellrack.settings import SettingsError
 
 
 def main() -> int:
--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -39,7 +39,7 @@
         leg.call.done = leg.call.done or final
         self.balancer.back(leg, result)
 
-    def list(self, rows: Iterable[tuple[int, str, int, int, float, float]], whole: bool) -> None:
+    def entries(self, rows: Iterable[tuple[int, str, int, int, float, float]], whole: bool) -> None:
         """Entries as mark, state, cell, zone, size, start; whoever a whole list lacks has been removed."""
         changed = []
         for mark, state, cell, zone, size, since in rows:
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -142,7 +142,7 @@
             if status not in STATES:
                 raise WireError(f"Pool.membersList: unknown status {status}")
             rows.append((number, STATES[status], pack, area, hint or 1.0, since / 1e6))
-        self.list(rows, kind != DELTA)
+        self.entries(rows, kind != DELTA)
 
     def _book(self, xid, affinity, remaining, group, customer, bits, priority) -> Call:
         if xid in self._open:
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -30,8 +30,7 @@
     def made(self) -> None:
         self.node.clients[self] = None
         self.node.after(FIRST_LINE, self.stale)
-        if self.node.crowded():
-            self.wake()
+        self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
         super().connection_lost(error)
@@ -42,16 +41,15 @@
             self.finish("no-first-line")
 
     def ready(self) -> None:
-        if self.call is None and self.node.crowded():
-            self.node.counters["crowded"] += 1
-            self.answer(lines.busy(self.node.settings.max_open_wait), "no-descriptors")
+        if self.call is None and self.node.crowded(2):
+            self.busy()  # before accepting fails: whatever it wants, it is told
         while not self.over and self.call is None and (line := self.ring.line()):
             self.first(line)
         if self.over:
             return
         if self.other:
             self.pass_on()
-        if self.overlong():
+        if self.ring.stuck:
             self.refuse("line-too-long")
         elif self.ended and not (self.other and self.other.blocked):
             self.gone()
@@ -64,10 +62,18 @@
             return
         try:
             self.wish = lines.wish(line)
-            self.node.arrive(self)
+            if self.node.crowded():
+                self.busy()
+            else:
+                self.node.arrive(self)
         except lines.LineError as error:
             self.refuse(str(error))
 
+    def busy(self) -> None:
+        """Nothing has been sent for it, so trying again is harmless."""
+        self.node.counters["crowded"] += 1
+        self.answer(lines.busy(self.node.settings.max_open_wait), "no-descriptors")
+
     def pass_on(self) -> None:
         passed = []
         while not self.other.blocked and (line := self.ring.line()):
--- /dev/null
+++ b/bellrack/net/config.py
@@ -0,0 +1,56 @@
+"""What a balancer on sockets is told at its start.
+
+Owns the reading of the configuration file. It never opens a socket, and whatever makes a file unusable leaves
+it as one SettingsError with a plain text.
+"""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from bellrack.model import Settings
+from bellrack.net.lines import Listing, address, listing
+from bellrack.settings import Names, SettingsError, parse_names, parse_settings
+
+
+@dataclass(eq=False)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    settings: Settings
+    names: Names
+    known: Listing | None
+    peer_listen: tuple[str, int] | None
+    peers: list[tuple[str, int]]
+    peers_all: tuple[str, int] | None
+
+
+def read_config(path: str) -> Config:
+    try:
+        with open(path, encoding="utf-8") as file:
+            return parse_config(json.load(file))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def parse_config(raw: Any) -> Config:
+    """A configuration from its JSON object."""
+    try:
+        return Config(
+            name=str(raw.get("name", "")), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
+            seed=int(str(raw.get("seed", "0")), 16), sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            settings=parse_settings(raw["settings"]), names=parse_names(raw["settings"]),
+            known=listing(raw["known"]) if raw.get("known") else None,
+            peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
+            peers=[address(peer) for peer in raw.get("peers", [])],
+            peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None)
+    except KeyError as error:
+        raise SettingsError(f"no value at {error}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(str(error)) from error
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -19,9 +19,9 @@
 from bellrack.model import Call, Leg, Result, Server
 from bellrack.net import lines, log
 from bellrack.net.clients import Client
+from bellrack.net.config import Config
 from bellrack.net.discovery import Discovery, Question
 from bellrack.net.servers import Place, Probe, ServerLink
-from bellrack.settings import Config
 
 BACKLOG = 100  # connections accepted at one go
 RESERVE = 128  # descriptors kept free, over one such go
@@ -98,9 +98,9 @@
     def counted(self, by: int) -> None:
         self.descriptors += by
 
-    def crowded(self) -> bool:
-        """A call takes one more descriptor than its client has by now."""
-        return self.descriptors + self.reserve >= self.limit
+    def crowded(self, part: int = 1) -> bool:
+        """No descriptors but the reserve, or that part of it."""
+        return self.descriptors + self.reserve // part >= self.limit
 
     def log_end(self, link: Any, reason: str, figures: dict) -> None:
         self.counters[f"ended_{link.side}"] += 1
@@ -156,7 +156,7 @@
         client: Client = leg.call.host
         if leg.call.done:
             self.ended(leg, Result(model.MOOT), True)
-        elif self.descriptors + 2 > self.limit:
+        elif self.descriptors + 2 > self.limit:  # never sent: that proves it has not run
             self.ended(leg, Result(model.MOOT), False)
         else:
             self.counters["legs"] += 1
@@ -248,7 +248,7 @@
                 server.host = Place(entry.name, entry.address)
             server.host.address = entry.address
             rows.append((mark, state, cell, zone, size, since))
-        self.list(rows, news.whole)
+        self.entries(rows, news.whole)
 
     def unlisted(self, question: Question) -> None:
         self.counters["list_failures"] += 1
@@ -285,7 +285,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
-        log.tell("serving", name=self.config.name, listen=lines.written(self.config.listen),
+        self.address = listener.sockets[0].getsockname()
+        log.tell("serving", name=self.config.name, listen=lines.written(self.address),
                  servers=len(self.servers))
         await self.over.wait()
         listener.close()
@@ -315,7 +316,8 @@
             client.move("leaving")
 
     def empty(self, last: float) -> None:
-        if self.now >= last or not self.clients and self.now >= self.leaving + STAY:
+        called = any(client.call for client in self.clients)
+        if self.now >= last or not called and self.now >= self.leaving + STAY:
             self.over.set()
         else:
             self.after(0.05, self.empty, last)
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -15,6 +15,7 @@
 LINE = 4096  # longest line, its end included
 HIGH = 16384  # bytes that a transport may hold unsent before the other side's reading pauses
 LINGER = 1.0  # seconds that the other side has to end after we have
+UNHEARD = 15000  # milliseconds after which the kernel gives up bytes that nobody takes
 ABORT = struct.pack("ii", 1, 0)  # linger of nought: closing resets
 SCRATCH = memoryview(bytearray(SIZE))  # what comes after our end goes here and is dropped
 
@@ -46,13 +47,22 @@
 
     def line(self) -> bytes | None:
         """Take the first whole line, its end included."""
+        length = self._length()
+        return self.take(length) if length else None
+
+    @property
+    def stuck(self) -> bool:
+        """Longer than a line may be, and no end in sight."""
+        return self.held > LINE and not self._length()
+
+    def _length(self) -> int:
         size = len(self.data)
         over = self.start + self.held - size
         at = self.data.find(b"\n", self.start, min(self.start + self.held, size))
-        if at >= 0:
-            return self.take(at + 1 - self.start)
-        at = self.data.find(b"\n", 0, over) if over > 0 else -1
-        return self.take(size - self.start + at + 1) if at >= 0 else None
+        if at < 0 < over:
+            at = self.data.find(b"\n", 0, over)
+            return size - self.start + at + 1 if at >= 0 else 0
+        return at + 1 - self.start if at >= 0 else 0
 
     def take(self, count: int) -> bytes:
         size, end = len(self.data), self.start + count
@@ -81,6 +91,10 @@
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=HIGH)
+        if sock := transport.get_extra_info("socket"):
+            # Guards against a side that vanished: nothing else would ever end a connection to it.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD)
         self.node.counted(1)
         self.made()
 
@@ -135,9 +149,6 @@
         """There are bytes to look at, room to write, or the other side has ended."""
         raise NotImplementedError
 
-    def overlong(self) -> bool:
-        return self.ring.held > LINE and not (self.other and self.other.blocked)
-
     def write(self, data: bytes) -> None:
         if not self.over and self.transport and not self.transport.is_closing():
             self.transport.write(data)
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -95,7 +95,7 @@
             return
         if self.leg.standing:
             self.pass_on()
-        if self.overlong():
+        if self.ring.stuck:
             self.end(model.ERROR, "line-too-long", "rst")
         elif self.ended and not (self.other and self.other.blocked):
             self.lost()
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -1,13 +1,11 @@
 """The settings object that an instance is told at its start, read once for every host of the decisions."""
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any
 
 from bellrack import model
 from bellrack.model import Settings, TrafficType
-from bellrack.net.lines import Listing, address, listing
 
 EFFECTS = {"retryable": model.REPEATABLE, "dedup": model.REFERENCED, "fragile": model.ONCE_ONLY}
 
@@ -68,43 +66,3 @@
         raise SettingsError(f"no usable value at {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
         raise SettingsError(str(error)) from error
-
-
-@dataclass(eq=False)
-class Config:
-    """What a balancer on sockets is told at its start."""
-
-    name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
-    seed: int
-    sockets: int
-    settings: Settings
-    names: Names
-    known: Listing | None
-    peer_listen: tuple[str, int] | None
-    peers: list[tuple[str, int]]
-    peers_all: tuple[str, int] | None
-
-
-def read_config(path: str) -> Config:
-    """A configuration file; whatever makes it unusable is one SettingsError."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-        if not isinstance(raw, dict):
-            raise SettingsError("not an object")
-        return Config(
-            name=str(raw.get("name", "")), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
-            seed=int(str(raw.get("seed", "0")), 16), sockets=int(raw.get("limits", {}).get("sockets", 1024)),
-            settings=parse_settings(raw["settings"]), names=parse_names(raw["settings"]),
-            known=listing(raw["known"]) if raw.get("known") else None,
-            peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
-            peers=[address(peer) for peer in raw.get("peers", [])],
-            peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None)
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    except KeyError as error:
-        raise SettingsError(f"{path}: no value at {error}") from error
-    except (ValueError, TypeError, AttributeError) as error:
-        raise SettingsError(f"{path}: {error}") from error
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,14 @@
-"""A door that records, settings to start from, and a fleet to place calls on."""
+"""A door that records, settings to start from, a fleet to place calls on; and a node among played peers."""
+import asyncio
+import functools
+import socket
+import struct
+
 from bellrack import model
 from bellrack.choice import Balancer
 from bellrack.model import Call, Leg, Result, Server, Settings, TrafficType
+from bellrack.net.config import parse_config
+from bellrack.net.node import Node
 
 
 def settings(**changes) -> Settings:
@@ -77,3 +84,122 @@
             self.now = max(self.now, first[0])
             self.rack.woke(first[1])
         self.now = max(self.now, until)
+
+
+def raw_settings(effect="retryable", **changes) -> dict:
+    """The settings object as an instance on sockets gets it, with one traffic type, in zones a and b."""
+    return {
+        "trafficTypes": [{"name": "chat", "effect": effect, "group": "all", "keyTtlUs": 5e6,
+                          "guardTimeUs": 2e6, "setupTargetUs": 3e5}],
+        "specifics": {"messageAimUs": [1e5], "tellsDelay": True, "tellsLoad": False},
+        "caps": {"maxLegs": 3, "retryAfter": True, "maxRetryAfterUs": 1500000, "connectTimeoutUs": 200000},
+        "obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7},
+        "accounts": [{"name": "acme"}], "areas": ["a", "b"], "az": 0, "peersTotal": 1, "discovery": "ask",
+        "tickUs": 4000} | changes
+
+
+class Peer:
+    """The far side of a connection in the tests."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    def say(self, text):
+        self.writer.write(text.encode() + b"\r\n")
+
+    async def line(self):
+        """The next line, or how the connection ended."""
+        try:
+            got = await asyncio.wait_for(self.reader.readline(), 5)
+        except ConnectionResetError:
+            return "rst"
+        return got.decode().removesuffix("\r\n") if got else "fin"
+
+    def end(self, how):
+        if how == "rst":
+            self.writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
+
+class World:
+    """A node on loopback between a list service and servers, whose sides the test plays."""
+
+    def __init__(self, servers=1, effect="retryable", sockets=256, known=True, **changes):
+        self.raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+                    "limits": {"sockets": sockets}, "settings": raw_settings(effect, **changes)}
+        self.count, self.known, self.entries = servers, known, []
+        self.arrived, self.questions = asyncio.Queue(), asyncio.Queue()
+
+    async def __aenter__(self):
+        self.listeners = [await asyncio.start_server(self.served(n), "127.0.0.1") for n in range(self.count)]
+        lister = await asyncio.start_server(
+            lambda *both: self.questions.put_nowait(Peer(*both)), "127.0.0.1")
+        self.listeners.append(lister)
+        places = ["{}:{}".format(*one.sockets[0].getsockname()) for one in self.listeners]
+        self.entries = [self.entry(number, places[number]) for number in range(self.count)]
+        self.raw |= {"discovery": places[-1]}
+        if self.known:
+            self.raw["known"] = {"generation": 41, "reset": True, "instances": self.entries}
+        self.node = Node(parse_config(self.raw), asyncio.get_running_loop())
+        self.serving = asyncio.create_task(self.node.serve())
+        while not hasattr(self.node, "address"):
+            await asyncio.sleep(0.001)
+        return self
+
+    async def __aexit__(self, *error):
+        self.node.over.set()
+        await asyncio.wait_for(self.serving, 5)
+        for one in self.listeners:
+            one.close()
+
+    def served(self, number):
+        return lambda *both: self.arrived.put_nowait((number, Peer(*both)))
+
+    def entry(self, number, place, state="in_service", started=0, zone="a"):
+        return {"instanceId": f"s-{number}", "hostPort": place, "zone": zone, "machineType": "m", "cell": 0,
+                "lifecycle": state, "weight": 1.0, "startedAtMs": started}
+
+    async def dial(self):
+        return Peer(*await asyncio.open_connection(*self.node.address))
+
+    async def call(self, values="c=chat,t=acme,d=2000", number=1):
+        client = await self.dial()
+        client.say(f"OPEN {number:016x} 7f3a9c21e0b4d655 {values}")
+        return client
+
+    async def leg(self):
+        """The next connection that a server takes in, and its first line."""
+        number, peer = await asyncio.wait_for(self.arrived.get(), 5)
+        return number, peer, await peer.line()
+
+    async def standing(self, values="c=chat,t=acme,d=2000"):
+        client = await self.call(values)
+        _, server, _ = await self.leg()
+        server.say("UP 0011")
+        assert await client.line() == "UP 0011"
+        return client, server
+
+    async def question(self):
+        """The next question to the list service, as its target."""
+        peer = await asyncio.wait_for(self.questions.get(), 5)
+        target = (await peer.line()).split()[1]
+        while await peer.line():
+            pass
+        return peer, target
+
+    async def until(self, true, seconds=5.0):
+        end = self.node.loop.time() + seconds
+        while not true():
+            assert self.node.loop.time() < end, "it never came"
+            await asyncio.sleep(0.005)
+
+
+def played(test):
+    """A test that is a coroutine."""
+    @functools.wraps(test)
+    def run(*args, **named):
+        asyncio.run(asyncio.wait_for(test(*args, **named), 20))
+    return run
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,73 @@
+"""Rings, lines, HTTP answers and log lines, without a socket."""
+import logging
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bellrack.net import lines, log
+from bellrack.net.ring import Ring
+
+
+@settings(derandomize=True)
+@given(st.lists(st.binary(min_size=1, max_size=9) | st.sampled_from([b"\r\n", b"a\r\nb\r\n"]), max_size=60))
+def test_a_ring_gives_back_what_went_in(pieces):
+    ring, plain = Ring(16), bytearray()
+    for piece in pieces:
+        while piece:
+            room = ring.space()
+            assert len(room) > 0 or ring.full
+            part = piece[:len(room)]
+            room[:len(part)] = part
+            ring.added(len(part))
+            plain += part
+            piece = piece[len(part):]
+            while (line := ring.line()) is not None:
+                assert line.endswith(b"\n") and plain.startswith(line) and b"\n" not in line[:-1]
+                del plain[:len(line)]
+            assert b"\n" not in plain and ring.held == len(plain)
+            if ring.full:
+                assert ring.take(ring.held) == bytes(plain)
+                plain.clear()
+
+
+BODY = (b'{"a":1}\n', b"\n", b"x" * 300)
+CHUNKED = (b"HTTP/1.1 200 OK\r\ntransfer-encoding:  Chunked\r\nX: y\r\n\r\n"
+           + b"".join(b"%x;ext=1\r\n%b\r\n" % (len(part), part) for part in BODY) + b"0\r\n\r\n")
+SIZED = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 309\r\n\r\n" + b"".join(BODY)
+
+
+@pytest.mark.parametrize("answer", [CHUNKED, SIZED])
+@pytest.mark.parametrize("step", [1, 2, 3, 7, 1000])
+def test_an_answer_comes_out_the_same_in_any_pieces(answer, step):
+    reply = lines.Answer()
+    body = b"".join(reply.feed(answer[at:at + step]) for at in range(0, len(answer), step))
+    assert (reply.status, reply.done, body) == (200, True, b"".join(BODY))
+
+
+@pytest.mark.parametrize("answer", [
+    b"SSH-2.0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+def test_what_is_not_an_answer_is_refused(answer):
+    with pytest.raises(lines.LineError):
+        lines.Answer().feed(answer)
+
+
+@pytest.mark.parametrize("raw", [
+    [], {}, {"generation": 1, "reset": True, "instances": [{}]},
+    {"generation": 1, "reset": True, "instances": [
+        {"instanceId": "s", "hostPort": "h:1", "zone": "a", "lifecycle": "odd"}]}])
+def test_a_list_that_cannot_be_read_is_refused(raw):
+    with pytest.raises(lines.LineError):
+        lines.listing(raw)
+
+
+def test_marks_are_the_same_at_every_start():
+    assert lines.mark("s-5be2a07c") == 0x850D21AD14919D0C
+
+
+def test_a_log_line_is_key_value_pairs_on_one_line():
+    record = logging.LogRecord("bellrack", logging.INFO, "", 0, "ended", None, None)
+    record.figures = {"side": "client", "took": 0.25, "text": 'said "no"\n', "none": ""}
+    text = log.KeyValue().format(record)
+    assert text.endswith(' level=info event=ended side=client took=0.250 text="said \\"no\\"\\x0a" none=""')
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,339 @@
+"""The program on sockets: what passes through it, how connections end, and a test for each failure found."""
+import asyncio
+import json
+import socket
+
+import pytest
+from helpers import World, played
+
+from bellrack import __main__ as program
+from bellrack import model
+from bellrack.net import discovery, lines, node, servers
+
+
+@played
+async def test_a_call_stands_and_its_lines_pass_unchanged():
+    async with World() as world:
+        client = await world.call("c=chat,t=acme,d=2000,g=00ff,h=3.5")
+        _, server, line = await world.leg()
+        head, _, values = line.rpartition(" ")
+        assert head == "OPEN 0000000000000001 7f3a9c21e0b4d655"
+        assert values.startswith("c=chat,t=acme,d=19") and values.endswith(",g=00ff,h=3.5")
+        server.say("UP 5c0f \\o/")
+        client.say("M 1  two  spaces")
+        assert await client.line() == "UP 5c0f \\o/" and await server.line() == "M 1  two  spaces"
+        server.writer.write(b"half a ")
+        await asyncio.sleep(0.02)
+        server.say("line")
+        assert await client.line() == "half a line"
+        server.say("BYE")
+        server.end("fin")
+        assert [await client.line(), await client.line()] == ["BYE", "fin"]
+        await world.until(lambda: world.node.counters["leg_completed"] == 1)
+        assert world.node.balancer.held == 0
+
+
+@pytest.mark.parametrize("how", ["fin", "rst"])
+@pytest.mark.parametrize("side", [0, 1])
+@played
+async def test_a_connection_ends_as_its_other_side_did(how, side):
+    async with World() as world:
+        pair = await world.standing()
+        pair[side].end(how)
+        assert await pair[1 - side].line() == how
+        await world.until(lambda: not world.node.balancer.held and not world.node.clients)
+
+
+@pytest.mark.parametrize("effect, answer, told", [
+    ("retryable", "ERR", "UP 2"), ("retryable", "BUSY", "UP 2"), ("retryable", "rst", "UP 2"),
+    ("fragile", "BUSY", "UP 2"), ("fragile", "ERR", "ERR"), ("fragile", "fin", "ERR"),
+    ("fragile", "rst", "ERR"), ("fragile", "what?", "ERR"), ("dedup", "rst", "UP 2")])
+@played
+async def test_a_failed_leg_goes_again_only_if_that_is_harmless(effect, answer, told):
+    async with World(servers=2, effect=effect) as world:
+        client = await world.call()
+        first, server, _ = await world.leg()
+        if answer in ("fin", "rst"):
+            server.end(answer)
+        else:
+            server.say(answer)
+        if told.startswith("UP"):
+            second, server, _ = await world.leg()
+            assert second != first
+            server.say(told)
+        assert await client.line() == told
+        assert world.arrived.empty()
+
+
+@played
+async def test_an_unreachable_server_proves_that_a_leg_never_ran():
+    async with World(servers=2, effect="fragile") as world:
+        world.listeners[0].close()
+        for _ in range(4):
+            client = await world.call()
+            number, server, _ = await world.leg()
+            server.say("UP 1")
+            assert number == 1 and await client.line() == "UP 1"
+        assert world.node.counters["leg_no_connection"]
+
+
+@played
+async def test_a_call_that_no_server_answers_is_answered_by_its_guard_time():
+    async with World() as world:
+        client = await world.call("c=chat,t=acme,d=300")
+        _, server, _ = await world.leg()
+        begun = world.node.loop.time()
+        assert await client.line() == "BUSY 1500"  # repeatable, so trying again does no harm
+        assert await client.line() == "fin" and await server.line() == "fin"
+        assert 0.2 < world.node.loop.time() - begun < 0.316
+
+
+@played
+async def test_without_servers_a_call_is_told_when_to_come_back():
+    async with World(servers=0) as world:
+        client = await world.call()
+        assert [await client.line(), await client.line()] == ["BUSY 1500", "fin"]
+
+
+@pytest.mark.parametrize("tells, heard", [(False, 0.25), (True, 0.0)])
+@played
+async def test_load_lines_tell_delays_where_no_loads_are_told(tells, heard):
+    # Guards against a module that is never told of late messages: lines come back at once even then.
+    special = {"messageAimUs": [1e5], "tellsDelay": True, "tellsLoad": tells}
+    async with World(specifics=special) as world:
+        client, server = await world.standing()
+        server.say("LOAD 25.0")
+        assert await client.line() == "LOAD 25.0"
+        stand = next(iter(world.node.servers.values())).stand
+        assert (stand.delay, next(iter(stand.legs)).load) == (heard, 25.0 if tells else 0.0)
+
+
+@played
+async def test_a_server_that_falls_silent_is_late_and_then_left(monkeypatch):
+    monkeypatch.setattr(node, "LOOK", 0.05)
+    monkeypatch.setattr(servers, "SILENT", 0.3)
+    monkeypatch.setattr("bellrack.choice.MOVE_SHARE", 0.0)
+    async with World() as world:
+        client, _ = await world.standing()
+        client.say("M 1")
+        stand = next(iter(world.node.servers.values())).stand
+        await world.until(lambda: stand.delay > 0.5)
+        assert [await client.line(), await client.line()] == ["MOVE", "fin"]
+        assert world.node.counters["leg_reset"] == 1
+
+
+@played
+async def test_a_drain_heard_while_a_leg_connects_keeps_it_from_being_sent(monkeypatch):
+    gate, opened = asyncio.Event(), servers.Outgoing._open
+
+    async def slowly(self, *args):
+        if self.side == "server":
+            await gate.wait()
+        await opened(self, *args)
+
+    monkeypatch.setattr(servers.Outgoing, "_open", slowly)
+    async with World(servers=2) as world:
+        client = await world.call()
+        await world.until(lambda: world.node.counters["legs"])
+        chosen = next(s for s in world.node.servers.values() if s.stand.open).host.name[-1]
+        drained = world.entry(chosen, world.entries[int(chosen)]["hostPort"], "terminating")
+        world.node.queue(world.node.learn, lines.listing(
+            {"generation": 42, "reset": False, "instances": [drained]}), first=True)
+        gate.set()
+        number, _, line = await world.leg()
+        assert (number, line) == (int(chosen), "fin")  # it came up and ended without a byte
+        number, server, _ = await world.leg()
+        server.say("UP 1")
+        assert number != int(chosen) and await client.line() == "UP 1"
+
+
+@pytest.mark.parametrize("line", [
+    b"HELLO\r\n", b"OPEN 1\r\n", b"OPEN 1 zz c=chat\r\n", b"OPEN 1 2 c=none\r\n", b"OPEN 1 2 chat\r\n",
+    b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c=chat,g=x\r\n", b"\xff\xfe\r\n", b"\r\n", b"x" * 5000])
+@played
+async def test_a_malformed_line_gets_one_failing_answer_and_the_end(line):
+    async with World() as world:
+        client = await world.dial()
+        client.writer.write(line)
+        assert [await client.line(), await client.line()] == ["SYNTAX", "fin"]
+        assert world.node.counters["malformed"] == 1 and not world.node.counters["faults"]
+
+
+@played
+async def test_the_front_is_answered_and_a_client_that_leaves_is_forgotten():
+    async with World() as world:
+        front = await world.dial()
+        front.say("PING")
+        assert await front.line() == "PONG"
+        front.say("PING")
+        assert await front.line() == "PONG"
+        client = await world.call()
+        _, server, _ = await world.leg()
+        client.end("fin")
+        assert await server.line() == "fin"
+        await world.until(lambda: world.node.counters["leg_cancelled"] == 1 and not world.node.balancer.held)
+
+
+@played
+async def test_connections_from_before_the_start_are_taken_up_where_they_were():
+    async with World(servers=3) as world:
+        client = await world.call("c=chat,t=acme,d=9000,at=s-2")
+        number, server, line = await world.leg()
+        assert number == 2 and line.endswith("at=s-2")
+        server.end("rst")
+        number, server, _ = await world.leg()
+        server.say("UP 7")
+        assert number == 2 and await client.line() == "UP 7"
+        assert [s.stand.open for s in world.node.servers.values()] == [0, 0, 1]
+
+
+@played
+async def test_short_of_descriptors_it_says_busy_before_accepting_fails():
+    async with World(sockets=60) as world:
+        world.node.descriptors = 60 - world.node.reserve - 4
+        clients = [await world.call(number=number) for number in range(12)]
+        answered = [client for client in clients if await settled(client) == "BUSY 1500"]
+        assert 7 <= len(answered) <= 11
+        for client in answered:
+            client.end("fin")
+        await world.until(lambda: len(world.node.clients) == 12 - len(answered))
+        front = await world.dial()
+        front.say("PING")
+        assert await front.line() == "PONG"
+
+
+async def settled(client):
+    try:
+        return await asyncio.wait_for(client.reader.readline(), 0.2) and "BUSY 1500"
+    except TimeoutError:
+        return "waits"
+
+
+@played
+async def test_what_nobody_reads_is_bounded():
+    async with World() as world:
+        client, server = await world.standing()
+        client.writer.transport.pause_reading()
+        link = next(iter(world.node.clients))
+        server.writer.write((b"x" * 1000 + b"\r\n") * 20000)
+        await world.until(lambda: link.blocked and link.other.paused)
+        assert link.transport.get_write_buffer_size() < 40000
+        client.writer.transport.resume_reading()
+        for _ in range(20000):
+            assert len(await client.line()) == 1000
+
+
+@played
+async def test_asked_to_end_it_moves_what_stands_and_goes():
+    async with World() as world:
+        pairs = [await world.standing() for _ in range(4)]
+        waiting = await world.call()
+        _, server, _ = await world.leg()
+        world.node.queue(world.node.leave)
+        late = await world.call()
+        assert await late.line() == "BUSY"
+        server.say("UP 9")
+        assert [await waiting.line(), await waiting.line()] == ["UP 9", "MOVE"]
+        for client, server in pairs:
+            assert [await client.line(), await server.line()] == ["MOVE", "fin"]
+            client.end("fin")
+        waiting.end("fin")
+        late.end("fin")
+        await asyncio.wait_for(world.serving, 3)
+
+
+def chunk(text):
+    return f"{len(text):x}\r\n{text}\r\n".encode()
+
+
+@played
+async def test_the_watch_brings_changes_and_is_renewed_when_it_fails(monkeypatch):
+    monkeypatch.setattr("bellrack.choice.WATCH_RETRY", 0.05)
+    monkeypatch.setattr(node, "LOOK", 0.05)
+    monkeypatch.setattr(discovery, "SILENT", 0.4)
+    async with World(servers=2) as world:
+        refused, target = await world.question()
+        assert target == "/v1/endpoints?watch=1&after=41"
+        refused.writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        watch, _ = await world.question()
+        change = {"generation": 43, "reset": False, "instances": [
+            world.entry(0, world.entries[0]["hostPort"], "terminating")]}
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        watch.writer.write(head + chunk("\n") + chunk(json.dumps(change) + "\n"))
+        one, other = world.node.servers.values()
+        await world.until(lambda: one.state == model.DRAINING)
+        watch, target = await world.question()  # the one before fell silent
+        assert target.endswith("after=43") and other.state == model.READY
+        whole = {"generation": 50, "reset": True, "instances": [world.entries[0]]}
+        watch.writer.write(head + chunk(json.dumps(whole) + "\n"))
+        await world.until(lambda: (one.state, other.state) == (model.READY, model.GONE))
+        watch.end("rst")
+        await world.question()
+        assert world.node.counters["list_failures"] == 3
+        world.node.fetch()
+        world.node.queue(int)
+        fetch, target = await world.question()
+        assert target == "/v1/endpoints"
+        body = json.dumps(whole | {"instances": world.entries}).encode()
+        fetch.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        await world.until(lambda: other.state == model.READY)
+
+
+@played
+async def test_where_changes_come_unasked_the_host_holds_the_watch(monkeypatch):
+    monkeypatch.setattr(discovery, "AGAIN", 0.05)
+    async with World(discovery="push") as world:
+        (await world.question())[0].end("rst")
+        await world.question()
+
+
+@played
+async def test_probes_and_datagrams():
+    async with World() as world:
+        found, heard = [], []
+        world.node.balancer.probed = lambda server, result: found.append(result.kind)
+        world.node.balancer.heard = lambda peer, data: heard.append((peer, data))
+        server = next(iter(world.node.servers.values()))
+        for answer in ("PONG", "NO", ""):
+            world.node.probe(server)
+            world.node.queue(int)
+            _, peer, line = await world.leg()
+            assert line == "PING"
+            peer.writer.write(answer.encode() + b"\r\n" if answer else b"")
+            assert await peer.line() == "fin"
+        assert found == [model.COMPLETED, model.ERROR, model.TIMEOUT]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+            free.bind(("127.0.0.1", 0))
+            place = free.getsockname()
+        world.node.config.peer_listen, world.node.config.peers = place, [place]
+        world.node.config.peers_all = place
+        await world.node.open_peers()
+        world.node.tell(0, b"one")
+        world.node.tell(None, b"x" * 257)
+        world.node.tell(None, b"all")
+        world.node.queue(int)
+        await world.until(lambda: len(heard) == 2)
+        assert heard == [(0, b"one"), (0, b"all")]
+        world.node.peers.transport.close()
+
+
+@played
+async def test_a_fault_in_one_turn_ends_neither_the_program_nor_other_connections(capsys):
+    async with World() as world:
+        client, server = await world.standing()
+        world.node.queue(lambda: 1 // 0)
+        client.say("M 1")
+        assert await server.line() == "M 1" and world.node.counters["faults"] == 1
+
+
+@pytest.mark.parametrize("text, told", [
+    (None, "No such file"), ("{", "Expecting"), ("[]", "attribute"), ("{}", "'listen'"),
+    ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'")])
+def test_an_unusable_configuration_is_one_plain_line(tmp_path, capsys, monkeypatch, text, told):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setattr("sys.argv", ["bellrack", "check", str(path)])
+    assert program.main() == 2
+    said = capsys.readouterr()
+    assert told in said.err and said.err.count("\n") == 1 and not said.out
