--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -132,7 +132,7 @@
         await world.until(lambda: world.node.counters["stood"])
         client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         client.close()
-        world.node.guarded(next(iter(world.node.clients)).move, ("test",))
+        world.node.guarded(next(iter(world.node.clients)).finish, ("test",))
         await world.until(lambda: not world.node.clients)
         assert not world.node.counters["faults"]
 
