--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -86,9 +86,8 @@
     def refuse(self, code: str) -> None:
         """Malformed: one failing answer and the end."""
         self.node.counters["malformed"] += 1
-        if self.leg:
-            self.leg.end(model.CANCELLED, "client-malformed", "rst")
         self.answer(b"SYNTAX\r\n", code)
+        self.forgotten(model.CANCELLED)
 
     def answer(self, line: bytes, reason: str) -> None:
         self.write(line)
@@ -105,10 +104,12 @@
     def gone(self) -> None:
         """The client has ended the connection."""
         self.finish("front" if self.pinged and not self.call else f"client-{self.ended}", self.ended)
-        if self.call and not self.call.done:
-            if not self.other:
-                self.call.done = True
-                self.node.balancer.left(self.call)
-            if self.leg:
-                served = self.other and self.ended == "fin"
-                self.leg.end(model.COMPLETED if served else model.CANCELLED, "client-gone", self.ended)
+        self.forgotten(model.COMPLETED if self.other and self.ended == "fin" else model.CANCELLED)
+
+    def forgotten(self, kind: str) -> None:
+        """Nothing is owed any more; what is out for it ends."""
+        if self.call and not self.call.done and not self.other:
+            self.call.done = True
+            self.node.balancer.left(self.call)
+        if self.leg:
+            self.leg.end(kind, "client-gone", self.ended or "fin")
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +17,9 @@
 ANSWERS = {"UP": "up", "BYE": model.COMPLETED, "MOVE": model.CANCELLED, "ERR": model.ERROR,
            "BUSY": model.FULL}
 MOST = 1 << 24  # bytes of one line or head of the list service
+LINE = 4096  # bytes of a line of clients and servers, its end included
+PAIR = rb"[!-+\--<>-~]+=[!-+\--~]*"  # printable but for the comma, and for the name no equals sign
+OPEN = re.compile(rb"OPEN ([!-~]+) ([0-9A-Fa-f]{1,16}) (%b(?:,%b)*)\r\n" % (PAIR, PAIR))
 
 
 class LineError(ValueError):
@@ -32,10 +36,14 @@
     values: dict[str, str]
 
     def number(self, name: str, base: int = 10) -> int | None:
+        if name not in self.values:
+            return None
         try:
-            return int(self.values[name], base) if name in self.values else None
+            if self.values[name].isalnum():
+                return int(self.values[name], base)
         except ValueError:
-            raise LineError(f"bad-{name}") from None
+            pass
+        raise LineError(f"bad-{name}")
 
 
 def mark(name: str) -> int:
@@ -44,33 +52,25 @@
 
 
 def wish(line: bytes) -> Wish:
-    try:
-        words = line.decode("ascii").split()
-    except UnicodeDecodeError:
-        raise LineError("not-ascii") from None
-    if len(words) not in (3, 4) or words[0] != "OPEN":
+    """Strict, since the line goes on to a server as it is."""
+    form = OPEN.fullmatch(line)
+    if not form or len(line) > LINE:
         raise LineError("not-open")
-    values = {}
-    for pair in words[3].split(",") if len(words) == 4 else []:
-        name, equals, value = pair.partition("=")
-        if not name or not equals:
-            raise LineError("bad-value")
-        values[name] = value
-    try:
-        return Wish(line, words[1], int(words[2], 16), values)
-    except ValueError:
-        raise LineError("bad-key") from None
+    name, key, pairs = (part.decode() for part in form.groups())
+    values = dict(pair.split("=", 1) for pair in pairs.split(","))
+    if len(values) != pairs.count(",") + 1:
+        raise LineError("named-twice")
+    return Wish(line, name, int(key, 16), values)
 
 
 def with_wait(asked: Wish, seconds: float) -> bytes:
     """The line as it goes on: unchanged, but for how long we will wait."""
     if "d" not in asked.values:
         return asked.line
-    head, space, pairs = asked.line.rpartition(b" ")
-    end = pairs[len(pairs.rstrip()):]
+    head, space, pairs = asked.line.removesuffix(b"\r\n").rpartition(b" ")
     wait = b"d=%d" % max(1, int(seconds * 1000))
-    kept = [wait if pair.startswith(b"d=") else pair for pair in pairs.rstrip().split(b",")]
-    return head + space + b",".join(kept) + end
+    kept = [wait if pair.startswith(b"d=") else pair for pair in pairs.split(b",")]
+    return head + space + b",".join(kept) + b"\r\n"
 
 
 def answer(line: bytes) -> tuple[str, str]:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -176,23 +176,32 @@
         if kind is None:
             raise lines.LineError("unknown-type")
         wait = self.names.guards[kind] if wait is None else wait / 1000
-        call = self.book(kind, wait, key=wish.key, group=wish.number("g", 16) or 0,
-                         tenant=self.names.tenants.get(values.get("t", ""), 0), repeat=values.get("r") == "1",
-                         returned=values.get("again") == "1")
+        tenant = self.names.tenants.get(values.get("t", ""), 0)
+        if "t" in values and self.names.tenants and values["t"] not in self.names.tenants:
+            raise lines.LineError("unknown-tenant")
+        call = self.book(kind, wait, key=wish.key, group=wish.number("g", 16) or 0, tenant=tenant,
+                         repeat=values.get("r") == "1", returned=values.get("again") == "1")
         self.counters["calls"] += 1
         call.host, client.call = client, call
-        if "at" in values and (server := self.servers.get(lines.mark(values["at"]))):
-            self.reopen(client, server, self.now + wait)
+        if "at" in values:
+            self.reopen(client, self.now + wait)
         elif self.leaving:
             # Nothing was sent, so trying again is harmless; the front deals it to another balancer.
             self.reject(call)
         else:
             self.balancer.arrived(call)
 
-    def reopen(self, client: Client, server: Server, until: float) -> None:
-        """Take up a connection that was open there before the start; no decision is in it."""
-        if not client.over:
+    def reopen(self, client: Client, until: float) -> None:
+        """Take up a connection that was open at a server before the start; no decision is in it."""
+        server = self.servers.get(lines.mark(client.wish.values["at"]))
+        if client.over:
+            return
+        if self.now >= until:
+            self.release(client.call)
+        elif server:
             ServerLink(self, Leg(client.call, server, self.now), client, until, resumes=True)
+        else:
+            self.after(AT_RETRY, self.reopen, client, until)  # the list may yet name it
 
     def stands(self, leg: Leg, resumes: bool) -> None:
         self.counters["stood"] += 1
@@ -208,10 +217,7 @@
         leg = link.leg
         self.counters[f"leg_{kind.replace(' ', '_')}"] += 1
         if link.resumes and not leg.standing:
-            if self.now + AT_RETRY < link.until:
-                self.after(AT_RETRY, self.reopen, link.client, leg.server, link.until)
-            else:
-                self.release(leg.call)
+            self.after(AT_RETRY, self.reopen, link.client, link.until)
             return
         self.ended(leg, Result(kind, self.now - leg.sent), leg.standing or kind == model.COMPLETED)
         if kind == model.COMPLETED:
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -12,8 +12,9 @@
 import struct
 from typing import Any
 
+from bellrack.net.lines import LINE
+
 SIZE = 8192  # of a ring: a whole line and the start of the next
-LINE = 4096  # longest line, its end included
 HIGH = 16384  # bytes that a transport may hold unsent before the other side's reading pauses
 LINGER = 1.0  # seconds that the other side has to end after we have
 UNHEARD = 15000  # milliseconds after which the kernel gives up bytes that nobody takes
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -20,7 +20,7 @@
 
 PROBE_WAIT = 0.25  # seconds that a probe may take
 BEAT, BEAT_SLACK = 1.0, 0.004  # seconds between notices of delay, measured to a thousandth
-SILENT = 4.0  # an unanswered line this old: clients send every 2 s, and 7 s without an answer are too long
+SILENT = 2.5  # an unanswered line this old: clients send every 2 s, looks come each second, 7 s are too long
 
 
 class Place:
@@ -110,7 +110,9 @@
             return
         if self.leg.standing:
             self.pass_on()
-        if self.ring.stuck:
+        if self.ring.stuck and self.leg.standing:
+            self.client.move("line-too-long", model.RESET)
+        elif self.ring.stuck:
             self.end(model.ERROR, "line-too-long", "rst")
         elif self.ended and not (self.other and self.other.blocked):
             self.lost()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -177,15 +177,42 @@
 
 
 @pytest.mark.parametrize("line", [
-    b"HELLO\r\n", b"OPEN 1\r\n", b"OPEN 1 zz c=chat\r\n", b"OPEN 1 2 c=none\r\n", b"OPEN 1 2 chat\r\n",
-    b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c=chat,g=x\r\n", b"\xff\xfe\r\n", b"\r\n", b"x" * 5000])
+    b"HELLO\r\n", b"OPEN 1\r\n", b"OPEN 1 2\r\n", b"OPEN 1 zz c=chat\r\n", b"OPEN 1 2 c=none\r\n",
+    b"OPEN 1 2 chat\r\n", b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c=chat,d=-1\r\n", b"OPEN 1 2 c=chat,g=x\r\n",
+    b"OPEN  1 2 c=chat\r\n", b"OPEN 1 2 c=chat \r\n", b"OPEN 1 2 c=chat\n", b"OPEN 1 2 c=chat,c=chat\r\n",
+    b"OPEN 1 2 c=chat,t=nobody\r\n", b"OPEN 1 2 c=chat,\xc3=1\r\n", b"open 1 2 c=chat\r\n", b"\xff\xfe\r\n",
+    b"\r\n", b"x" * 5000, b"OPEN 1 2 c=chat,h=" + b"1" * 5000 + b"\r\n"])
 @played
 async def test_a_malformed_line_gets_one_failing_answer_and_the_end(line):
+    # Guards against passing on what no client sent: the line goes to a server as it is.
     async with World() as world:
         client = await world.dial()
         client.writer.write(line)
         assert [await client.line(), await client.line()] == ["SYNTAX", "fin"]
         assert world.node.counters["malformed"] == 1 and not world.node.counters["faults"]
+        assert world.arrived.empty()
+
+
+@played
+async def test_a_call_whose_client_floods_it_is_dropped_and_not_sent_again():
+    # Guards against a call refused by the host that the module goes on placing.
+    async with World(servers=2) as world:
+        client = await world.call()
+        _, server, _ = await world.leg()
+        client.writer.write(b"x" * 5000)
+        assert [await client.line(), await client.line()] == ["SYNTAX", "fin"]
+        assert await server.line() == "fin"
+        await world.until(lambda: not world.node.balancer.held)
+        assert world.node.counters["legs"] == 1
+
+
+@played
+async def test_an_endless_line_of_a_server_moves_its_client():
+    # Guards against a client left open with its server gone.
+    async with World() as world:
+        client, server = await world.standing()
+        server.writer.write(b"x" * 5000)
+        assert [await client.line(), await client.line()] == ["MOVE", "fin"]
 
 
 @played
@@ -206,6 +233,8 @@
 @played
 async def test_connections_from_before_the_start_are_taken_up_where_they_were():
     async with World(servers=3) as world:
+        unknown = await world.call("c=chat,t=acme,d=300,at=s-9")
+        assert await unknown.line() == "ERR"  # not elsewhere: no other server has it
         client = await world.call("c=chat,t=acme,d=9000,at=s-2")
         number, server, line = await world.leg()
         assert number == 2 and line.endswith("at=s-2")
