Accept 16 at one go and keep 48 descriptors, not 100 and 128; the kernel queues 1024

From reading over: with a limit near what stands, a reserve of 128 refused calls that there was room for, and a queue of 100 in the kernel makes a rush of returning clients wait a second for its retries. asyncio takes one figure for the queue and for one go, so the queue is set again after it.

--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -10,6 +10,7 @@
 import os
 import resource
 import signal
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -23,8 +24,9 @@
 from bellrack.net.discovery import Discovery, Question
 from bellrack.net.servers import Place, Probe, ServerLink
 
-BACKLOG = 100  # connections accepted at one go
-RESERVE = 128  # descriptors kept free, over one such go
+BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
+ACCEPTS = 16  # of them accepted at one go
+RESERVE = 48  # descriptors kept free: three such goes, as many as may come before a turn sees the first
 LOOK = 1.0  # seconds between notices of late messages, as the module expects them
 TOLD_FOR = 1.5  # seconds for which a server's own word on its messages stands before what we timed
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
@@ -289,11 +291,13 @@
         self.queue(self.look)
         self.queue(self.discovery.look)
         await self.open_peers()
-        listener = await self.loop.create_server(lambda: Client(self), *self.config.listen, backlog=BACKLOG)
+        place = socket.create_server(self.config.listen)
+        listener = await self.loop.create_server(lambda: Client(self), sock=place, backlog=ACCEPTS)
+        place.listen(BACKLOG)  # after asyncio, which takes one figure for both
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
-        self.address = listener.sockets[0].getsockname()
+        self.address = place.getsockname()
         log.tell("serving", name=self.config.name, listen=lines.written(self.address),
                  servers=len(self.servers))
         await self.over.wait()
