Forget servers long gone; bound fetched lists; no moves before the front has noticed

From reading over, each but the bound with a test. Records of servers grew with each replaced machine, in the host and in the module's fleet, which every call looks through; one that is gone for a minute and holds nothing of ours is forgotten. A fetched list had no bound. On SIGTERM the first clients were moved at once, while the front still deals to us for up to 0.4 s, so they could come back to a BUSY; moves begin after half a second.

--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -54,6 +54,11 @@
                     changed.append(server)
         self.balancer.listed(changed)
 
+    def forget(self, server: Server) -> None:
+        """One that is gone and holds nothing of ours; listed again, it is a new one."""
+        del self.servers[server.mark]
+        self.balancer.fleet.remove(server)
+
     def server(self, mark: int) -> Server:
         """A server by its mark; one that no list has named counts as gone."""
         if mark not in self.servers:
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -37,6 +37,8 @@
         try:
             while self.ring.held and not self.over:
                 self.body += self.reply.feed(self.ring.take(self.ring.held))
+                if len(self.body) > lines.MOST:
+                    raise lines.LineError("too-long")
             if self.reply.status not in (0, 200):
                 self.fail(f"status-{self.reply.status}")
             elif self.watch:
@@ -54,8 +56,6 @@
             line, _, self.body = self.body.partition(b"\n")
             if line.strip():
                 self.node.learn(lines.listing(lines.parsed(line)))
-        if len(self.body) > lines.MOST:
-            raise lines.LineError("too-long")
 
     def fail(self, reason: str) -> None:
         if not self.over:
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -16,7 +16,7 @@
 STATES = {"in_service": model.READY, "terminating": model.DRAINING, "terminated": model.GONE}
 ANSWERS = {"UP": "up", "BYE": model.COMPLETED, "MOVE": model.CANCELLED, "ERR": model.ERROR,
            "BUSY": model.FULL}
-MOST = 1 << 24  # bytes of one line or head of the list service
+MOST = 1 << 22  # bytes of one line or head of the list service
 LINE = 4096  # bytes of a line of clients and servers, its end included
 PAIR = rb"[!-+\--<>-~]+=[!-+\--~]*"  # printable but for the comma, and for the name no equals sign
 OPEN = re.compile(rb"OPEN ([!-~]+) ([0-9A-Fa-f]{1,16}) (%b(?:,%b)*)\r\n" % (PAIR, PAIR))
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -27,11 +27,13 @@
 BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
 ACCEPTS = 16  # of them accepted at one go
 RESERVE = 48  # descriptors kept free: three such goes, as many as may come before a turn sees the first
+FORGET = 60.0  # seconds after which a server that is gone and holds nothing of ours is forgotten
 LOOK = 1.0  # seconds between notices of late messages, as the module expects them
 TOLD_FOR = 1.5  # seconds for which a server's own word on its messages stands before what we timed
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
-STAY = 1.0  # seconds that connections may still come after the call to end
+DEALT = 0.5  # seconds that the front may still deal connections to us after the call to end
+STAY = 1.0  # seconds that we stay at least
 LONGEST, GRACE = 3.0, 0.7  # what is left after that call: the longest guard time, at most, and some more
 DATAGRAM = 256  # bytes
 
@@ -270,6 +272,10 @@
         self.after(LOOK, self.look)
         for server in list(self.servers.values()):
             place = server.host
+            if server.state != model.GONE or server.stand.open:
+                place.used = self.now
+            elif self.now - place.used > FORGET:
+                self.forget(server)  # guards against records that grow with each machine that is replaced
             if not place.legs:
                 place.took.clear()
                 continue
@@ -319,7 +325,9 @@
         standing = [client for client in self.clients if client.other]
         log.tell("leaving", standing=len(standing), seconds=allowed)
         for index, client in enumerate(standing):
-            self.after(0.6 * allowed * index / len(standing), client.move, "leaving")
+            # Not at once: guards against clients that come again while the front still deals them to us.
+            wait = DEALT + (0.6 * allowed - DEALT) * index / len(standing)
+            self.after(wait, client.move, "leaving")
         self.after(0.8 * allowed, self.move_rest)
         self.empty(self.now + allowed - 0.2)
 
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -31,6 +31,7 @@
         self.legs: dict[ServerLink, None] = {}  # standing
         self.took: list[float] = []  # by the answers since the last look
         self.late = False  # by those, as last told
+        self.used = 0.0  # when it last was listed or stood for anything
         self.told = 0.0  # when the server itself last told how long messages take
         self.figures: list[tuple[float, ServerLink]] = []  # LOAD lines of the last second
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -300,9 +300,12 @@
         late = await world.call()
         assert await late.line() == "BUSY"
         server.say("UP 9")
+        begun = world.node.loop.time()
         assert [await waiting.line(), await waiting.line()] == ["UP 9", "MOVE"]
-        for client, server in pairs:
-            assert [await client.line(), await server.line()] == ["MOVE", "fin"]
+        for index, (client, server) in enumerate(pairs):
+            assert await client.reader.read(6) == b"MOVE\r\n"
+            assert world.node.loop.time() - begun > 0.4 + 0.2 * index  # spread, none to be dealt here again
+            assert [await client.line(), await server.line()] == ["fin", "fin"]
             client.end("fin")
         waiting.end("fin")
         late.end("fin")
@@ -349,6 +352,23 @@
         await world.until(lambda: other.state == model.READY)
 
 
+@played
+async def test_a_server_that_is_gone_is_forgotten_once_it_holds_nothing(monkeypatch):
+    monkeypatch.setattr(node, "LOOK", 0.02)
+    monkeypatch.setattr(node, "FORGET", 0.1)
+    async with World(servers=2) as world:
+        client, server = await world.standing()
+        world.node.queue(world.node.learn, lines.listing({"generation": 42, "reset": True, "instances": []}))
+        await world.until(lambda: len(world.node.servers) == 1)
+        await asyncio.sleep(0.2)
+        client.say("M 1")
+        assert await server.line() == "M 1" and len(world.node.balancer.fleet) == 1
+        client.end("fin")
+        await world.until(lambda: not world.node.servers and not world.node.balancer.fleet)
+        world.node.queue(world.node.learn, lines.listing(world.raw["known"] | {"generation": 43}))
+        await world.standing()
+
+
 @played
 async def test_where_changes_come_unasked_the_host_holds_the_watch(monkeypatch):
     monkeypatch.setattr(discovery, "AGAIN", 0.05)
