--- a/bellrack/net/log.py
+++ b/bellrack/net/log.py
@@ -44,6 +44,7 @@
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
     logger.propagate = False
+    logging.raiseExceptions = False  # a log that nobody takes any more must not end the program
     for name in ("asyncio",):
         logging.getLogger(name).addHandler(handler)
 
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -129,7 +129,10 @@
 
     def answered(self, line: bytes) -> None:
         kind, _ = lines.answer(line)
-        if kind == "up":
+        if self.client.over:
+            # Guards against a leg that stands for nobody: its call was answered while this was under way.
+            self.end(model.CANCELLED, "client-answered")
+        elif kind == "up":
             self.timer.cancel()
             self.other, self.client.other = self.client, self
             self.place.legs[self] = None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -89,6 +89,18 @@
         assert 0.2 < world.node.loop.time() - begun < 0.316
 
 
+@played
+async def test_a_leg_that_comes_up_for_an_answered_call_is_ended():
+    async with World() as world:
+        client = await world.call()
+        _, server, _ = await world.leg()
+        world.node.queue(world.node.release, next(iter(world.node.clients)).call)
+        assert await client.line() == "ERR"
+        server.say("UP 1")
+        assert [await server.line(), await client.line()] == ["fin", "fin"]
+        assert not world.node.balancer.held
+
+
 @played
 async def test_without_servers_a_call_is_told_when_to_come_back():
     async with World(servers=0) as world:
