--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -41,6 +41,8 @@
 
 def parse_config(raw: Any) -> Config:
     """A configuration from its JSON object."""
+    if not isinstance(raw, dict):
+        raise SettingsError("not an object")
     try:
         return Config(
             name=str(raw.get("name", "")), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -38,12 +38,15 @@
                         row["setupTargetUs"] / 1e6, aim / 1e6)
             for row, aim in zip(raw["trafficTypes"], aims, strict=True)
         ]
+        peers = int(raw["peersTotal"])
+        if not types or peers < 1:
+            raise SettingsError("no traffic types" if not types else f"peersTotal is {peers}")
         return Settings(
-            types=types, zone=raw["az"], peers=raw["peersTotal"], asks=raw["discovery"] == "ask",
-            max_legs=caps["maxLegs"],
+            types=types, zone=int(raw["az"]), peers=peers, asks=raw["discovery"] == "ask",
+            max_legs=int(caps["maxLegs"]),
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
             tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
-            cold_share=rules["coldShare"], ramp_time=rules["rampTimeUs"] / 1e6)
+            cold_share=float(rules["coldShare"]), ramp_time=rules["rampTimeUs"] / 1e6)
     except KeyError as error:
         raise SettingsError(f"no usable value at {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,7 +5,7 @@
 import struct
 
 import pytest
-from helpers import World, played
+from helpers import World, played, raw_settings
 
 from bellrack import __main__ as program
 from bellrack import model
@@ -428,9 +428,16 @@
         assert await server.line() == "M 1" and world.node.counters["faults"] == 1
 
 
+def configured(**changes):
+    place = "127.0.0.1:1"
+    return json.dumps({"listen": place, "discovery": place, "settings": raw_settings(**changes)})
+
+
 @pytest.mark.parametrize("text, told", [
-    (None, "No such file"), ("{", "Expecting"), ("[]", "attribute"), ("{}", "'listen'"),
-    ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'")])
+    (None, "No such file"), ("{", "Expecting"), ("[]", "not an object"), ("{}", "'listen'"),
+    ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'"),
+    (configured(trafficTypes=[], specifics={}), "no traffic types"),
+    (configured(peersTotal=0), "peersTotal is 0"), (configured(az="x"), "invalid literal"), (configured(caps={}), "'maxLegs'")])
 def test_an_unusable_configuration_is_one_plain_line(tmp_path, capsys, monkeypatch, text, told):
     path = tmp_path / "config.json"
     if text is not None:
