--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -437,7 +437,8 @@
     (None, "No such file"), ("{", "Expecting"), ("[]", "not an object"), ("{}", "'listen'"),
     ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'"),
     (configured(trafficTypes=[], specifics={}), "no traffic types"),
-    (configured(peersTotal=0), "peersTotal is 0"), (configured(az="x"), "invalid literal"), (configured(caps={}), "'maxLegs'")])
+    (configured(peersTotal=0), "peersTotal is 0"), (configured(az="x"), "invalid literal"),
+    (configured(caps={}), "'maxLegs'")])
 def test_an_unusable_configuration_is_one_plain_line(tmp_path, capsys, monkeypatch, text, told):
     path = tmp_path / "config.json"
     if text is not None:
