Put only list changes first in a batch: clients' turns had slipped in with them

Link.first was the flag by which a turn is queued before the others; Client has a method of the same name, which is true as a value, so each client's turn went among the list changes, in order of arrival, and a call could be placed by a list that the same batch outdated. The flag has a name of its own now. The test fails without it.

--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -19,7 +19,7 @@
     """One call of the list service."""
 
     side = "discovery"
-    first = True  # list changes go first in a batch
+    leads = True  # list changes go first in a batch
 
     def __init__(self, node: Any, address: tuple[str, int], watch: bool):
         super().__init__(node)
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -80,7 +80,7 @@
     """One end of a connection. What is read waits in its ring until the node's turn calls `ready`."""
 
     side = "link"
-    first = False  # its turn comes before the others' of the batch
+    leads = False  # its turn comes before the others' of the batch
 
     def __init__(self, node: Any):
         self.node, self.ring = node, Ring()
@@ -137,7 +137,7 @@
     def wake(self) -> None:
         if not self.queued and not self.over:
             self.queued = True
-            self.node.queue(self.turn, first=self.first)
+            self.node.queue(self.turn, first=self.leads)
 
     # In the node's turn.
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -197,6 +197,24 @@
         assert number != int(chosen) and await client.line() == "UP 1"
 
 
+@played
+async def test_a_list_change_goes_before_the_calls_of_its_batch():
+    # Guards against a call placed by a list that the same batch has outdated.
+    async with World() as world:
+        watch, _ = await world.question()
+        client = await world.call()
+        await world.until(lambda: world.node.counters["legs"])
+        order, link = [], next(iter(world.node.clients))
+        world.node.discovery.standing.ready = lambda: order.append("list")
+        link.ready = lambda: order.append("call")
+        link.wake()
+        world.node.discovery.standing.wake()
+        await world.until(lambda: len(order) == 2)
+        assert order == ["list", "call"]
+        del link.ready
+        client.end("fin")
+
+
 @pytest.mark.parametrize("line", [
     b"HELLO\r\n", b"OPEN 1\r\n", b"OPEN 1 2\r\n", b"OPEN 1 zz c=chat\r\n", b"OPEN 1 2 c=none\r\n",
     b"OPEN 1 2 chat\r\n", b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c=chat,d=-1\r\n", b"OPEN 1 2 c=chat,g=x\r\n",
