Pass lines on in one place for both sides; name what is amiss in settings in one place

Clients' and servers' links each had the same loop that takes whole lines while the other side has room; it stands once in Link, and each side says what a line tells on its way. The two readers of the settings shared their except clauses to the letter. A loop over one name went from the log's start. Behaviour and texts are as they were; the tests are unchanged.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -19,6 +19,7 @@
 
 class Client(Link):
     side = "client"
+    passed = "lines_to_servers"
 
     def __init__(self, node: Any):
         super().__init__(node)
@@ -74,14 +75,8 @@
         self.node.counters["crowded"] += 1
         self.answer(lines.busy(self.node.settings.max_open_wait), "no-descriptors")
 
-    def pass_on(self) -> None:
-        passed = []
-        while not self.other.blocked and (line := self.ring.line()):
-            passed.append(line)
-            self.other.asked.append(self.node.now)
-        if passed:
-            self.node.counters["lines_to_servers"] += len(passed)
-            self.other.write(b"".join(passed))
+    def passing(self, line: bytes) -> None:
+        self.other.asked.append(self.node.now)
 
     def refuse(self, code: str) -> None:
         """Malformed: one failing answer and the end."""
--- a/bellrack/net/log.py
+++ b/bellrack/net/log.py
@@ -45,8 +45,7 @@
     logger.setLevel(logging.INFO)
     logger.propagate = False
     logging.raiseExceptions = False  # a log that nobody takes any more must not end the program
-    for name in ("asyncio",):
-        logging.getLogger(name).addHandler(handler)
+    logging.getLogger("asyncio").addHandler(handler)
 
 
 def tell(event: str, **figures: object) -> None:
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -80,6 +80,7 @@
     """One end of a connection. What is read waits in its ring until the node's turn calls `ready`."""
 
     side = "link"
+    passed = ""  # the counter of the lines that go on to the other end
     leads = False  # its turn comes before the others' of the batch
 
     def __init__(self, node: Any):
@@ -153,6 +154,19 @@
         """There are bytes to look at, room to write, or the other side has ended."""
         raise NotImplementedError
 
+    def pass_on(self) -> None:
+        """Whole lines go on to the other end, unchanged, while it has room."""
+        out = []
+        while not self.other.blocked and (line := self.ring.line()):
+            out.append(line)
+            self.passing(line)
+        if out:
+            self.node.counters[self.passed] += len(out)
+            self.other.write(b"".join(out))
+
+    def passing(self, line: bytes) -> None:
+        """What a line tells on its way."""
+
     def done(self) -> bool:
         """It has ended, and what it sent has gone on or waited long enough.
 
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -88,6 +88,7 @@
     """One leg."""
 
     side = "server"
+    passed = "lines_to_clients"
 
     def __init__(self, node: Any, leg: Leg, client: Client, until: float, resumes: bool = False):
         super().__init__(node)
@@ -144,20 +145,14 @@
                 self.client.write(line)
             self.end(kind or model.ERROR, f"answer-{kind or 'unknown'}")
 
-    def pass_on(self) -> None:
-        passed = []
-        while not self.other.blocked and (line := self.ring.line()):
-            passed.append(line)
-            kind, rest = lines.answer(line)
-            if kind in (model.COMPLETED, model.CANCELLED):
-                self.said = kind
-            elif line.startswith(b"LOAD "):
-                self.node.told(self.leg, rest)
-            elif self.asked:
-                self.place.took.append(self.node.now - self.asked.popleft())
-        if passed:
-            self.node.counters["lines_to_clients"] += len(passed)
-            self.other.write(b"".join(passed))
+    def passing(self, line: bytes) -> None:
+        kind, rest = lines.answer(line)
+        if kind in (model.COMPLETED, model.CANCELLED):
+            self.said = kind
+        elif line.startswith(b"LOAD "):
+            self.node.told(self.leg, rest)
+        elif self.asked:
+            self.place.took.append(self.node.now - self.asked.popleft())
 
     def lost(self) -> None:
         """The server, or the way to it, has ended the connection."""
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -1,6 +1,8 @@
 """The settings object that an instance is told at its start, read once for every host of the decisions."""
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -28,9 +30,20 @@
     report: list[str]  # the values of a load report, where a probe brings one
 
 
+@contextmanager
+def named_errors() -> Iterator[None]:
+    """Whatever is amiss within becomes one SettingsError."""
+    try:
+        yield
+    except KeyError as error:
+        raise SettingsError(f"no usable value at {error}") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(str(error)) from error
+
+
 def parse_settings(raw: Any) -> Settings:
     """The settings that decisions read; unknown keys are skipped, optional ones may be absent."""
-    try:
+    with named_errors():
         special, caps, rules = raw["specifics"], raw["caps"], raw["obligations"]
         aims = special.get("messageAimUs") or [row["setupTargetUs"] for row in raw["trafficTypes"]]
         types = [
@@ -47,15 +60,11 @@
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
             tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
             cold_share=float(rules["coldShare"]), ramp_time=rules["rampTimeUs"] / 1e6)
-    except KeyError as error:
-        raise SettingsError(f"no usable value at {error}") from error
-    except (ValueError, TypeError, AttributeError) as error:
-        raise SettingsError(str(error)) from error
 
 
 def parse_names(raw: Any) -> Names:
     """What a host on sockets needs besides."""
-    try:
+    with named_errors():
         special, report = raw["specifics"], raw.get("report", {})
         return Names(
             types={row["name"]: index for index, row in enumerate(raw["trafficTypes"])},
@@ -65,7 +74,3 @@
             connect_timeout=raw["caps"]["connectTimeoutUs"] / 1e6,
             tells_delay=bool(special.get("tellsDelay")), tells_load=bool(special.get("tellsLoad")),
             report=report["fields"] if report.get("how", "off") != "off" else [])
-    except KeyError as error:
-        raise SettingsError(f"no usable value at {error}") from error
-    except (ValueError, TypeError, AttributeError) as error:
-        raise SettingsError(str(error)) from error
