Refuse open ids, huge waits and early bytes; let silent connections go after 2 s

Ruled out: CPU (0.17 s in a second at most), memory (23 of 80 MB), server errors of the fleet trouble (none). At fault: Node.arrive (no look at ids, no bound of d), Client.stale (5 s, never after PING), Client.ready (bytes before UP wait and go on). Changed: limits.py owns descriptors, connections to which nothing is owed, open ids, bounds.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -10,12 +10,10 @@
 
 from bellrack import model
 from bellrack.model import Call
-from bellrack.net import lines
+from bellrack.net import limits, lines
 from bellrack.net.ring import Link
 from bellrack.net.servers import ServerLink
 
-FIRST_LINE = 5.0  # seconds that a connection may stand without a first line
-
 
 class Client(Link):
     side = "client"
@@ -26,23 +24,33 @@
         self.call: Call | None = None
         self.wish: lines.Wish
         self.leg: ServerLink | None = None  # the leg that is out or stands
-        self.pinged = False
+        self.pings = 0
 
     def made(self) -> None:
         self.node.clients[self] = None
-        self.node.after(FIRST_LINE, self.stale)
+        self.node.limits.spare[self] = self.node.clock()
+        self.lasts(limits.FIRST_LINE, self.stale)
         self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
         super().connection_lost(error)
         self.node.clients.pop(self, None)
+        if self.call and self.node.limits.ids.get(self.wish.id) is self:
+            del self.node.limits.ids[self.wish.id]
 
     def stale(self) -> None:
-        if self.call is None and not self.pinged:
+        """Guards against connections that say nothing, or never end their line, and stay."""
+        if self.call is None:
             self.finish("no-first-line")
 
+    def spared(self) -> None:
+        if not self.over:
+            self.write(lines.busy(self.node.settings.max_open_wait))
+            self.finish("no-descriptors", "now")
+        super().spared()
+
     def ready(self) -> None:
-        if self.call is None and self.node.crowded(2):
+        if self.call is None and not self.node.limits.room(self.node.now, 2):
             self.busy()  # before accepting fails: whatever it wants, it is told
         while not self.over and self.call is None and (line := self.ring.line()):
             self.first(line)
@@ -50,6 +58,11 @@
             return
         if self.other:
             self.pass_on()
+        elif self.call and self.ring.held:
+            # Guards against hundreds of commands at once: whoever waits for UP as agreed says nothing before.
+            self.refuse("not-awaited")
+        if self.over:
+            return
         if self.ring.stuck:
             self.refuse("line-too-long")
         elif self.done():
@@ -57,13 +70,15 @@
 
     def first(self, line: bytes) -> None:
         if line.strip() == b"PING":
-            self.pinged = True
+            self.pings += 1
             self.node.counters["pings"] += 1
+            if self.pings > limits.PINGS:
+                self.refuse("many-pings")
             self.write(b"PONG\r\n")
             return
         try:
             self.wish = lines.wish(line)
-            if self.node.crowded():
+            if not self.node.limits.room(self.node.now):
                 self.busy()
             else:
                 self.node.arrive(self)
@@ -98,7 +113,7 @@
 
     def gone(self) -> None:
         """The client has ended the connection."""
-        self.finish("front" if self.pinged and not self.call else f"client-{self.ended}", self.ended)
+        self.finish("front" if self.pings and not self.call else f"client-{self.ended}", self.ended)
         self.forgotten(model.COMPLETED if self.other and self.ended == "fin" else model.CANCELLED)
 
     def forgotten(self, kind: str) -> None:
--- /dev/null
+++ b/bellrack/net/limits.py
@@ -0,0 +1,45 @@
+"""What outsiders may make grow or last, and how room is made again.
+
+Owns the count of descriptors, the connections to which nothing is owed, oldest first, and the ids that
+are open. It never looks into lines, and never ends a connection that has a call.
+"""
+from __future__ import annotations
+
+import os
+import resource
+from typing import Any
+
+BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
+ACCEPTS = 16  # of them accepted at one go
+RESERVE = 48  # descriptors kept free: three such goes, as many as may come before a turn sees the first
+FIRST_LINE = 2.0  # seconds from connecting in which the first line must be whole; an end is owed within 3
+PINGS = 8  # on one connection
+YOUNG = 0.1  # seconds for which a connection without a word stays even if room is needed
+LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
+TAKE_UP = 40.0  # seconds after the start in which connections from before it may be taken up
+
+
+class Limits:
+    def __init__(self, sockets: int):
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.limit = min(sockets, hard if hard > 0 else sockets)
+        self.reserve = min(RESERVE, self.limit // 4)
+        self.descriptors = len(os.listdir("/proc/self/fd"))
+        self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
+        self.ids: dict[str, Any] = {}  # of calls whose connections are open
+
+    def counted(self, by: int) -> None:
+        self.descriptors += by
+
+    def crowded(self, part: int = 1) -> bool:
+        """No descriptors but the reserve, or that part of it."""
+        return self.descriptors + self.reserve // part >= self.limit
+
+    def room(self, now: float, part: int = 1) -> bool:
+        """Is there any? Guards against calls told BUSY for the sake of connections that say nothing."""
+        while self.crowded(part) and self.spare:
+            link, since = next(iter(self.spare.items()))
+            if now - since < YOUNG:
+                break
+            link.spared()
+        return not self.crowded(part)
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -17,6 +17,7 @@
 ANSWERS = {"UP": "up", "BYE": model.COMPLETED, "MOVE": model.CANCELLED, "ERR": model.ERROR,
            "BUSY": model.FULL}
 MOST = 1 << 22  # bytes of one line or head of the list service
+DIGITS = 16  # of a number on a line
 LINE = 4096  # bytes of a line of clients and servers, its end included
 PAIR = rb"[!-+\--<>-~]+=[!-+\--~]*"  # printable but for the comma, and for the name no equals sign
 OPEN = re.compile(rb"OPEN ([!-~]+) ([0-9A-Fa-f]{1,16}) (%b(?:,%b)*)\r\n" % (PAIR, PAIR))
@@ -39,7 +40,7 @@
         if name not in self.values:
             return None
         try:
-            if self.values[name].isalnum():
+            if self.values[name].isalnum() and len(self.values[name]) <= DIGITS:
                 return int(self.values[name], base)
         except ValueError:
             pass
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import resource
 import signal
 import socket
 import time
@@ -18,15 +16,12 @@
 from bellrack import model
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
-from bellrack.net import lines, log
+from bellrack.net import limits, lines, log
 from bellrack.net.clients import Client
 from bellrack.net.config import Config
 from bellrack.net.discovery import Discovery, Question
 from bellrack.net.servers import Place, Probe, ServerLink
 
-BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
-ACCEPTS = 16  # of them accepted at one go
-RESERVE = 48  # descriptors kept free: three such goes, as many as may come before a turn sees the first
 FORGET = 60.0  # seconds after which a server that is gone and holds nothing of ours is forgotten
 LOOK = 1.0  # seconds between notices of late messages, as the module expects them
 TOLD_FOR = 1.5  # seconds for which a server's own word on its messages stands before what we timed
@@ -51,10 +46,8 @@
         self.clients: dict[Client, None] = {}
         self.version = 0
         self.peers: Peers | None = None
-        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        self.limit = min(config.sockets, hard if hard > 0 else config.sockets)
-        self.reserve = min(RESERVE, self.limit // 4)
-        self.descriptors = len(os.listdir("/proc/self/fd"))
+        self.limits = limits.Limits(config.sockets)
+        self.begun, self.dealing = self.clock(), False  # a new call has come
         self.leaving = 0.0
         self.over = asyncio.Event()
         self.discovery = Discovery(self, config.discovery)
@@ -99,13 +92,6 @@
     def after(self, wait: float, what: Callable, *values: Any) -> asyncio.TimerHandle:
         return self.loop.call_later(wait, self.queue, what, *values)
 
-    def counted(self, by: int) -> None:
-        self.descriptors += by
-
-    def crowded(self, part: int = 1) -> bool:
-        """No descriptors but the reserve, or that part of it."""
-        return self.descriptors + self.reserve // part >= self.limit
-
     def log_end(self, link: Any, reason: str, figures: dict) -> None:
         self.counters[f"ended_{link.side}"] += 1
         log.tell("ended", side=link.side, reason=reason, **figures)
@@ -160,7 +146,7 @@
         client: Client = leg.call.host
         if leg.call.done:
             self.ended(leg, Result(model.MOOT), True)
-        elif self.descriptors + 2 > self.limit:  # never sent: that proves it has not run
+        elif self.limits.descriptors + 2 > self.limits.limit:  # never sent: that proves it has not run
             self.ended(leg, Result(model.MOOT), False)
         else:
             self.counters["legs"] += 1
@@ -180,6 +166,15 @@
         if kind is None:
             raise lines.LineError("unknown-type")
         wait = self.names.guards[kind] if wait is None else wait / 1000
+        if "at" in values:
+            wait = min(wait, limits.TAKE_UP)  # these say that they wait for an hour
+        elif wait > limits.LONGEST_WAIT:
+            raise lines.LineError("bad-d")
+        if wish.id in self.limits.ids:
+            # Guards against another client's id: servers refuse it, which looked like failures of theirs.
+            raise lines.LineError("id-open")
+        if "at" in values and (self.dealing or self.now - self.begun > limits.TAKE_UP):
+            raise lines.LineError("late-at")
         tenant = self.names.tenants.get(values.get("t", ""), 0)
         if "t" in values and self.names.tenants and values["t"] not in self.names.tenants:
             raise lines.LineError("unknown-tenant")
@@ -187,6 +182,10 @@
                          repeat=values.get("r") == "1", returned=values.get("again") == "1")
         self.counters["calls"] += 1
         call.host, client.call = client, call
+        self.limits.ids[wish.id] = client
+        self.limits.spare.pop(client, None)
+        client.lasts(None)
+        self.dealing = self.dealing or "at" not in values
         if "at" in values:
             self.reopen(client, self.now + wait)
         elif self.leaving:
@@ -301,8 +300,8 @@
         self.queue(self.discovery.look)
         await self.open_peers()
         place = socket.create_server(self.config.listen)
-        listener = await self.loop.create_server(lambda: Client(self), sock=place, backlog=ACCEPTS)
-        place.listen(BACKLOG)  # after asyncio, which takes one figure for both
+        listener = await self.loop.create_server(lambda: Client(self), sock=place, backlog=limits.ACCEPTS)
+        place.listen(limits.BACKLOG)  # after asyncio, which takes one figure for both
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
@@ -317,7 +316,7 @@
         if self.config.peer_listen:
             _, self.peers = await self.loop.create_datagram_endpoint(
                 lambda: Peers(self), local_addr=self.config.peer_listen)
-            self.descriptors += 1
+            self.limits.counted(1)
 
     def leave(self) -> None:
         """Asked to end: move what stands, spread over the time there is, and go once empty."""
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -18,6 +18,7 @@
 HIGH = 16384  # bytes that a transport may hold unsent before the other side's reading pauses
 HELD = 0.5  # seconds that one side's last lines wait for the other to take them
 LINGER = 1.0  # seconds that the other side has to end after we have
+DROPPED = 65536  # bytes read after our end, for the sake of our last line; more only cost time
 UNHEARD = 15000  # milliseconds after which the kernel gives up bytes that nobody takes
 ABORT = struct.pack("ii", 1, 0)  # linger of nought: closing resets
 SCRATCH = memoryview(bytearray(SIZE))  # what comes after our end goes here and is dropped
@@ -26,19 +27,20 @@
 class Ring:
     """A fixed number of bytes, first in, first out."""
 
-    __slots__ = ("data", "view", "start", "held")
+    __slots__ = ("size", "data", "view", "start", "held")
 
     def __init__(self, size: int = SIZE):
-        self.data = bytearray(size)
-        self.view = memoryview(self.data)
+        self.size, self.data = size, bytearray()
         self.start = self.held = 0
 
     def space(self) -> memoryview:
         """Free room in one piece; empty only when the ring is full."""
+        if not self.data:  # guards against hundreds of connections that say nothing, each with its ring
+            self.data = bytearray(self.size)
+            self.view = memoryview(self.data)
         if not self.held:
             self.start = 0
-        end = self.start + self.held
-        size = len(self.data)
+        end, size = self.start + self.held, self.size
         return self.view[end - size:self.start] if end >= size else self.view[end:]
 
     def added(self, count: int) -> None:
@@ -46,7 +48,7 @@
 
     @property
     def full(self) -> bool:
-        return self.held == len(self.data)
+        return self.held == self.size
 
     def line(self) -> bytes | None:
         """Take the first whole line, its end included."""
@@ -59,7 +61,7 @@
         return self.held > LINE and not self._length()
 
     def _length(self) -> int:
-        size = len(self.data)
+        size = self.size
         over = self.start + self.held - size
         at = self.data.find(b"\n", self.start, min(self.start + self.held, size))
         if at < 0 < over:
@@ -68,7 +70,7 @@
         return at + 1 - self.start if at >= 0 else 0
 
     def take(self, count: int) -> bytes:
-        size, end = len(self.data), self.start + count
+        size, end = self.size, self.start + count
         out = bytes(self.view[self.start:end])
         if end > size:
             out += bytes(self.view[:end - size])
@@ -90,6 +92,9 @@
         self.queued = self.paused = self.blocked = self.over = False
         self.ended = ""  # how the other side ended: "fin" or "rst"
         self.patience = 0.0  # until when its last lines wait, once it has
+        self.counted = False  # among the descriptors
+        self.dropped = 0  # bytes that came after our end
+        self.limit: asyncio.TimerHandle | None = None  # until when it may last as it is
 
     # Callbacks: they only note and queue.
 
@@ -100,16 +105,25 @@
             # Guards against a side that vanished: nothing else would ever end a connection to it.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD)
-        self.node.counted(1)
+        self.count(True)
         self.made()
 
     def made(self) -> None: ...
 
+    def count(self, on: bool) -> None:
+        if self.counted != on:
+            self.counted = on
+            self.node.limits.counted(1 if on else -1)
+
     def get_buffer(self, hint: int) -> memoryview:
         return SCRATCH if self.over else self.ring.space()
 
     def buffer_updated(self, count: int) -> None:
         if self.over:
+            # Guards against a client that goes on sending, 60 MB if it likes, when its answer is out.
+            self.dropped += count
+            if self.dropped > DROPPED:
+                self.transport.abort()
             return
         self.ring.added(count)
         if self.ring.full:
@@ -123,7 +137,9 @@
         return not self.over  # after our own end there is nothing left to wait for
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.node.counted(-1)
+        self.count(False)
+        self.node.limits.spare.pop(self, None)
+        self.lasts(None)
         self.ended = self.ended or ("rst" if error else "fin")
         self.wake()
 
@@ -195,7 +211,7 @@
             if sock is not None and sock.fileno() >= 0:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
             self.transport.abort()
-        elif self.ended or self.transport.is_closing():
+        elif self.ended or self.transport.is_closing() or how == "now":
             self.transport.close()
         else:
             # Guards against a close with bytes still unread, which resets and takes our last line with it;
@@ -204,4 +220,18 @@
                 self.transport.write_eof()
             if self.paused:
                 self.transport.resume_reading()
-            self.node.after(LINGER, self.transport.abort)
+            self.lasts(LINGER, self.transport.abort)
+            self.node.limits.spare.setdefault(self, self.node.now)
+
+    def lasts(self, wait: float | None, then: Any = None) -> None:
+        """At most so long as it is now."""
+        if self.limit:
+            self.limit.cancel()
+        self.limit = self.node.after(wait, then) if wait is not None else None
+
+    def spared(self) -> None:
+        """Its descriptor is needed and nothing is owed to it: guards against ends that wait long."""
+        self.node.limits.spare.pop(self, None)
+        if self.transport:
+            self.transport.abort()
+            self.count(False)  # the descriptor is free before the next is accepted
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -63,7 +63,7 @@
         self.task = self.node.loop.create_task(self._open(address, wait))
 
     async def _open(self, address: tuple[str, int], wait: float) -> None:
-        self.node.counted(1)  # the descriptor is there from the start
+        self.node.limits.counted(1)  # the descriptor is there from the start
         try:
             async with asyncio.timeout(wait):
                 await self.node.loop.create_connection(lambda: self, *address)
@@ -71,7 +71,7 @@
             self.ended = "refused" if isinstance(error, ConnectionRefusedError) else "unreached"
             self.wake()
         finally:
-            self.node.counted(-1)
+            self.node.limits.counted(-1)
 
     def made(self) -> None:
         if self.over:  # given up while it came up
