Read the configuration again on SIGHUP and move the watch to the new address

At fault: Node.serve set no handler, so the signal's default action ended the program; Discovery held one address. Changed: SIGHUP parses the whole file before anything changes (a bad one leaves one line), takes the limit of descriptors and the address of the list service. The new watch asks from version 0, since the other service has versions of its own; the old one tells on until the first list of the new one, and its end is no failure. A retry of the module no longer ends a watch that stands. SIGHUP before there is a loop is ignored. Ruled out by the test: versions that start lower, two signals in a second, one while leaving, half a file.

--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -27,16 +27,19 @@
     peer_listen: tuple[str, int] | None
     peers: list[tuple[str, int]]
     peers_all: tuple[str, int] | None
+    path: str = ""  # read again on request
 
 
 def read_config(path: str) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
-            return parse_config(json.load(file))
+            config = parse_config(json.load(file))
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except ValueError as error:
         raise SettingsError(f"{path}: {error}") from error
+    config.path = path
+    return config
 
 
 def parse_config(raw: Any) -> Config:
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -1,7 +1,8 @@
 """The list of servers, over HTTP/1.1.
 
 Owns the questions to the list service: one standing watch and single fetches, each on a connection of its
-own. It never decides when to ask where the decisions do, never keeps the list, and takes silence for failure.
+own, and the change to another address of that service. It never decides when to ask where the decisions do,
+never keeps the list, and takes silence for failure.
 """
 from __future__ import annotations
 
@@ -23,7 +24,7 @@
 
     def __init__(self, node: Any, address: tuple[str, int], watch: bool):
         super().__init__(node)
-        self.host, self.watch = lines.written(address), watch
+        self.address, self.watch = address, watch
         self.reply, self.body, self.asked, self.heard = lines.Answer(), b"", False, node.now
         self.open(address, SILENT)
 
@@ -32,7 +33,7 @@
         if not self.asked and not self.ended:
             self.asked = True
             query = f"?watch=1&after={self.node.version}" if self.watch else ""
-            self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {self.host}\r\n"
+            self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
                        f"Accept: application/json\r\n\r\n".encode())
         try:
             while self.ring.held and not self.over:
@@ -45,7 +46,8 @@
                 self.changes()
             elif self.reply.done or self.ended == "fin" and self.reply.left is None and self.reply.status:
                 self.finish("fetched")
-                self.node.learn(lines.listing(lines.parsed(self.body)), fetched=True)
+                if self.address == self.node.discovery.address:
+                    self.node.learn(lines.listing(lines.parsed(self.body)), fetched=True)
         except lines.LineError as error:
             self.fail(str(error).partition(":")[0])
         if self.ended or self.reply.done:
@@ -55,13 +57,15 @@
         while b"\n" in self.body and not self.over:
             line, _, self.body = self.body.partition(b"\n")
             if line.strip():
-                self.node.learn(lines.listing(lines.parsed(line)))
+                news = lines.listing(lines.parsed(line))
+                self.node.discovery.told(self)
+                self.node.learn(news, counts=self is not self.node.discovery.former)
 
     def fail(self, reason: str) -> None:
         if not self.over:
             self.drop()
             self.finish(reason, "rst")
-            self.node.unlisted(self)
+            self.node.discovery.failed(self)
 
 
 class Discovery:
@@ -70,27 +74,58 @@
     def __init__(self, node: Any, address: tuple[str, int]):
         self.node, self.address = node, address
         self.standing: Question | None = None
+        self.former: Question | None = None  # of the address before, until the new one has told its list
 
     def watch(self, on: bool = True) -> None:
-        if self.standing:
-            self.standing.finish("watch-renewed" if on else "watch-ended", "rst")
+        if on and self.standing:
+            return  # guards against a late retry that ends the watch which a change of address has brought
+        self.end(self.standing, "watch-ended")
         self.standing = Question(self.node, self.address, True) if on else None
 
+    def end(self, question: Question | None, reason: str) -> None:
+        if question:
+            question.drop()
+            question.finish(reason, "rst")
+
     def fetch(self) -> None:
         Question(self.node, self.address, False)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Another address from now on. Its versions are its own, so the first list is asked for whole; till
+        it has come, the watch at the old address tells what it still has to."""
+        self.address, self.node.version = address, 0
+        if self.standing and self.standing.reply.status:
+            self.former, self.standing = self.standing, self.former
+        self.end(self.standing, "watch-replaced")
+        self.standing = None
+        self.watch()
+
+    def told(self, question: Question) -> None:
+        """A watch brings news. The first of a new address replaces the old one's."""
+        if question is self.standing and self.former:
+            self.end(self.former, "watch-replaced")
+            self.former = None
+
     def failed(self, question: Question) -> None:
+        if question is self.former:
+            self.former = None  # expected, so not a failure of the list
+            return
         if question is self.standing:
             self.standing = None
             if not self.node.settings.asks:  # changes come unasked there, so the host holds the watch
                 self.node.after(AGAIN, self.watch)
+        self.node.unlisted()
 
     def look(self) -> None:
         """A watch that is cut off says nothing. One that had been answered is renewed at once: guards against
         a drain that is told meanwhile and counts as heard 6 s later. One that never was has failed."""
         self.node.after(LOOK, self.look)
+        if self.former and self.node.now - self.former.heard > SILENT:
+            self.former.fail("watch-silent")
         if self.standing and self.node.now - self.standing.heard > SILENT:
             if self.standing.reply.status:
+                self.end(self.standing, "watch-silent")
+                self.standing = None
                 self.watch()
             else:
                 self.standing.fail("watch-silent")
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -21,13 +21,16 @@
 
 class Limits:
     def __init__(self, sockets: int):
-        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        self.limit = min(sockets, hard if hard > 0 else sockets)
-        self.reserve = min(RESERVE, self.limit // 4)
+        self.allow(sockets)
         self.descriptors = len(os.listdir("/proc/self/fd"))
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
 
+    def allow(self, sockets: int) -> None:
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.limit = min(sockets, hard if hard > 0 else sockets)
+        self.reserve = min(RESERVE, self.limit // 4)
+
     def counted(self, by: int) -> None:
         self.descriptors += by
 
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -18,9 +18,10 @@
 from bellrack.model import Call, Leg, Result, Server
 from bellrack.net import limits, lines, log
 from bellrack.net.clients import Client
-from bellrack.net.config import Config
-from bellrack.net.discovery import Discovery, Question
+from bellrack.net.config import Config, read_config
+from bellrack.net.discovery import Discovery
 from bellrack.net.servers import Place, Probe, ServerLink
+from bellrack.settings import SettingsError
 
 FORGET = 60.0  # seconds after which a server that is gone and holds nothing of ours is forgotten
 LOOK = 1.0  # seconds between notices of late messages, as the module expects them
@@ -243,11 +244,12 @@
             leg.load = value
             self.balancer.loaded(leg, value)
 
-    def learn(self, news: lines.Listing, fetched: bool = False) -> None:
-        """The list or its changes, as discovery wrote it."""
+    def learn(self, news: lines.Listing, fetched: bool = False, counts: bool = True) -> None:
+        """The list or its changes, as discovery wrote it; `counts` if in the versions of its address now."""
         if fetched and news.version < self.version:
             return  # a watch has told newer since it was asked for
-        self.version = news.version
+        if counts:
+            self.version = news.version
         self.counters["list_lines"] += 1
         rows = []
         for entry in news.entries:
@@ -264,9 +266,8 @@
             rows.append((mark, state, cell, zone, size, since))
         self.entries(rows, news.whole)
 
-    def unlisted(self, question: Question) -> None:
+    def unlisted(self) -> None:
         self.counters["list_failures"] += 1
-        self.discovery.failed(question)
         self.balancer.unlisted()
 
     def look(self) -> None:
@@ -304,6 +305,7 @@
         place.listen(limits.BACKLOG)  # after asyncio, which takes one figure for both
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.queue, self.leave)
+        self.loop.add_signal_handler(signal.SIGHUP, self.queue, self.reload)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
         self.address = place.getsockname()
         log.tell("serving", name=self.config.name, listen=lines.written(self.address),
@@ -318,6 +320,19 @@
                 lambda: Peers(self), local_addr=self.config.peer_listen)
             self.limits.counted(1)
 
+    def reload(self) -> None:
+        """Asked to read the configuration again: all of it is parsed before anything changes."""
+        try:
+            config = read_config(self.config.path)
+        except SettingsError as error:
+            # Guards against a file that is bad or half written: what was told before holds.
+            log.tell("reload", taken="nothing", error=error)
+            return
+        log.tell("reload", discovery=lines.written(config.discovery), sockets=config.sockets)
+        self.limits.allow(config.sockets)
+        if config.discovery != self.discovery.address:
+            self.discovery.move(config.discovery)
+
     def leave(self) -> None:
         """Asked to end: move what stands, spread over the time there is, and go once empty."""
         if self.leaving:
@@ -370,6 +385,7 @@
 
 def run(config: Config) -> None:
     log.start()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # till there is a configuration to replace
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,11 +1,13 @@
 """The program on sockets: what passes through it, how connections end, and a test for each failure found."""
 import asyncio
 import json
+import os
+import signal
 import socket
 import struct
 
 import pytest
-from helpers import World, played, raw_settings
+from helpers import Peer, World, played, raw_settings
 
 from bellrack import __main__ as program
 from bellrack import model
@@ -460,6 +462,54 @@
         await world.until(lambda: other.state == model.READY)
 
 
+@played
+async def test_on_sighup_the_list_comes_from_the_new_address_and_a_bad_file_changes_nothing(tmp_path, caplog):
+    # Guards against ending on SIGHUP, versions that start lower, and the old watch's end taken for a failure.
+    async with World(servers=2) as world:
+        old, _ = await world.question()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        whole = {"generation": 90, "reset": True, "instances": world.entries}
+        old.writer.write(head + chunk(json.dumps(whole) + "\n"))
+        await world.until(lambda: world.node.version == 90)
+        client, server = await world.standing()
+        file = tmp_path / "config.json"
+        world.node.config.path = str(file)
+        asked = asyncio.Queue()
+        second = await asyncio.start_server(lambda *both: asked.put_nowait(Peer(*both)), "127.0.0.1")
+        world.listeners.append(second)
+        text = json.dumps(world.raw | {"discovery": "{}:{}".format(*second.sockets[0].getsockname())})
+        caplog.set_level("INFO", logger="bellrack")
+        for bad in (None, text[:300], "{}", ""):
+            if bad is not None:
+                file.write_text(bad)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.03)
+        told = [record.figures["taken"] for record in caplog.records if record.msg == "reload"]
+        assert told == ["nothing"] * 4 and asked.empty() and world.node.version == 90
+        file.write_text(text)
+        for _ in range(2):
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.03)
+        new = await asyncio.wait_for(asked.get(), 2)
+        assert (await new.line()).split()[1] == "/v1/endpoints?watch=1&after=0" and asked.empty()
+        gone = {"generation": 91, "reset": False, "instances": [
+            world.entry(0, world.entries[0]["hostPort"], "terminating")]}
+        old.writer.write(chunk(json.dumps(gone) + "\n"))  # the old one still tells what it has to
+        one, other = world.node.servers.values()
+        await world.until(lambda: one.state == model.DRAINING)
+        assert world.node.version == 0
+        new.writer.write(head + chunk(json.dumps(whole | {"generation": 3}) + "\n"))
+        await world.until(lambda: (one.state, world.node.version) == (model.READY, 3))
+        assert await old.line() in ("fin", "rst") and not world.node.counters["list_failures"]
+        client.say("M 1")
+        assert await server.line() == "M 1"
+        world.node.queue(world.node.leave)
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert await client.line() == "MOVE"
+        new.end("rst")
+        await world.until(lambda: world.node.counters["list_failures"] == 1)
+
+
 @played
 async def test_a_server_that_is_gone_is_forgotten_once_it_holds_nothing(monkeypatch):
     monkeypatch.setattr(node, "LOOK", 0.02)
