Take a connection that is up for up, however late we come to look at it

At fault: Outgoing._open had the whole create_connection under the connect time-out of 0.2 s. With part of a core, 54 connects at once take longer; the connection was made and the line written, and then given up for the time-out, while the server had taken it. Calls of a rush fare the same: reset, so may have run. Changed: only connecting is under the time-out, and what is up when it strikes is up. The test stops the loop for longer than the time-out; without the change it is told BUSY.

--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
@@ -64,13 +66,22 @@
 
     async def _open(self, address: tuple[str, int], wait: float) -> None:
         self.node.limits.counted(1)  # the descriptor is there from the start
+        sock = socket.socket(socket.AF_INET)
+        sock.setblocking(False)
         try:
-            async with asyncio.timeout(wait):
-                await self.node.loop.create_connection(lambda: self, *address)
-        except (OSError, TimeoutError) as error:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self.node.loop.sock_connect(sock, address)
+            # Guards against a pause of our own taken for a server out of reach: it is up or not, and a
+            # line that went out meanwhile had run.
+            sock.getpeername()
+            await self.node.loop.create_connection(lambda: self, sock=sock)
+        except OSError as error:
             self.ended = "refused" if isinstance(error, ConnectionRefusedError) else "unreached"
             self.wake()
         finally:
+            if self.transport is None:
+                sock.close()
             self.node.limits.counted(-1)
 
     def made(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import struct
+import time
 
 import pytest
 from helpers import Peer, World, played, raw_settings
@@ -80,6 +81,24 @@
         assert world.node.counters["leg_no_connection"]
 
 
+@played
+async def test_a_pause_of_our_own_is_not_a_connect_that_failed(monkeypatch):
+    # Guards against 54 connects at a start with little CPU: made and written, then given up for the time-out.
+    opened = servers.Outgoing.open
+
+    def paused(self, *args):
+        opened(self, *args)
+        if self.side == "server":
+            self.node.loop.call_soon(time.sleep, 0.3)  # longer than the connect time-out
+
+    monkeypatch.setattr(servers.Outgoing, "open", paused)
+    async with World() as world:
+        client = await world.call()
+        _, server, _ = await world.leg()
+        server.say("UP 1")
+        assert await client.line() == "UP 1" and world.node.counters["legs"] == 1
+
+
 @played
 async def test_a_call_that_no_server_answers_is_answered_by_its_guard_time():
     async with World() as world:
