Fill calm servers at once to what they surely bear; pace 0.5; ceilings and rejects recover sooner

Rejected calls wait 1.5 s for what is free in a tenth. Ruled out: late servers (no notice), health marks, descriptors, our own time (1 ms to the first leg where nothing is kept). At fault: Cold.sent, Draw.room, Answer.give_up. Changed: no pace to a warm server under what it surely bears while its zone's calm share meets the spillover ratio; GROWTH 0.25 -> 0.5 a second; ceilings grow by 3% of what is usual, not of themselves alone; a rejected call is told a third of the longest wait.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -34,13 +34,14 @@
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
-GROWTH = 0.25  # most legs a second to a warm server, as a share of what it usually holds
+GROWTH = 0.5  # most legs a second to a warm server, as a share of what it usually holds
 LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 8.0  # open connections by listed size, of all balancers, that a server bears for sure
 LOOK = 0.1  # seconds for which what was summed over servers is used again
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEPT_LOOKS = 24  # kept calls that may be tried in vain at one look
+BACK = 1 / 3  # of the longest wait that clients honour, until a rejected one comes again
 KEEP_SHARE = 0.8  # share of the setup target that a call may be kept
 
 
@@ -128,7 +129,7 @@
 
     def give_up(self, call: Call) -> None:
         if self.rack.effect.harmless(call):
-            self.door.reject(call, self.settings.max_open_wait)
+            self.door.reject(call, BACK * self.settings.max_open_wait)
         else:
             self.door.release(call)
 
@@ -146,16 +147,13 @@
         if any(leg.result is None for leg in call.legs):
             return
         call.places = list(self.rack.fleet)
-        risky = self.risky(call)
-        if risky and call.type.effect == model.ONCE_ONLY:
+        risky, kind = self.risky(call), call.type
+        forgotten = risky and self.door.now >= risky[0].sent + kind.key_ttl - self.settings.tick
+        if risky and kind.effect == model.ONCE_ONLY or forgotten and kind.effect == model.REFERENCED:
             self.rack.answer.give_up(call)
             return
-        if risky and call.type.effect == model.REFERENCED:
-            first = risky[0]
-            if self.door.now >= first.sent + call.type.key_ttl - self.settings.tick:
-                self.rack.answer.give_up(call)
-                return
-            call.places = [server for server in call.places if self.same_group(call, server, first.server)]
+        if risky and kind.effect == model.REFERENCED:
+            call.places = [s for s in call.places if self.same_group(call, s, risky[0].server)]
         self.after.take(call)
 
     def risky(self, call: Call) -> list[Leg]:
@@ -220,9 +218,11 @@
         if self.warm(server) < 1.0:
             gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
         else:
-            held = max(server.stand.open, self.usual() * server.size)
+            sure, calm = self.usual() * server.size, self.rack.draw.calm(server.zone)
             # Slower the more servers are late: guards against a fleet that sheds and is filled at once again.
-            gap = 1 / max(GROWTH * held, LEAST_PACE / self.settings.peers) / self.rack.draw.calm(server.zone)
+            gap = 1 / max(GROWTH * max(server.stand.open, sure), LEAST_PACE / self.settings.peers) / calm
+            # Guards against a mass reconnect that is kept and rejected while servers stand empty.
+            gap *= server.stand.open >= sure or calm < SPILLOVER_RATIO
         server.stand.next_leg = self.door.now + gap
 
 
@@ -278,9 +278,10 @@
 
     def room(self, server: Server) -> bool:
         """Not swamped, and under the ceiling found when it last was."""
-        stand = server.stand
-        return (not self.late(server) and stand.open + stand.part < self.rack.cold.warm(server)
-                * stand.ceiling * (1 + CEILING_GROWTH * (self.door.now - stand.cut)))
+        stand, cold = server.stand, self.rack.cold
+        # Grows as what is usual does: guards against a small holder that was cut for what others hold there.
+        grown = CEILING_GROWTH * (self.door.now - stand.cut) * max(stand.ceiling, cold.usual() * server.size)
+        return not self.late(server) and stand.open + stand.part < cold.warm(server) * (stand.ceiling + grown)
 
     def late(self, server: Server) -> bool:
         """Told of late messages lately; where we hold nothing and so are told nothing, as its zone fares."""
@@ -338,8 +339,7 @@
     def pick(self, call: Call, places: list[Server]) -> Server | None:
         """The first lot with room, of few: guards against groups that scatter over what each thinks open."""
         tried = [leg.server for leg in call.legs]
-        places = [s for s in places if s not in tried] or places
-        if not places:
+        if not (places := [s for s in places if s not in tried] or places):
             return None
         now, warm = self.door.now, self.rack.cold.warm
         sizes = [s.size if s.stand.warm_at <= now else s.size * warm(s) for s in places]
