Refuse ids of calls that have ended as well as those of open ones

A trace shows ids of calls that had ended or been rejected moments before; an id is new with every connection. At fault: Limits knew open ids only. Changed: the last 1024 that ended are known too.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -36,7 +36,7 @@
         super().connection_lost(error)
         self.node.clients.pop(self, None)
         if self.call and self.node.limits.ids.get(self.wish.id) is self:
-            del self.node.limits.ids[self.wish.id]
+            self.node.limits.ended(self.wish.id)
 
     def stale(self) -> None:
         """Guards against connections that say nothing, or never end their line, and stay."""
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -16,6 +16,7 @@
 PINGS = 8  # on one connection
 YOUNG = 0.1  # seconds for which a connection without a word stays even if room is needed
 LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
+SEEN = 1024  # ids remembered beside the open ones
 TAKE_UP = 40.0  # seconds after the start in which connections from before it may be taken up
 
 
@@ -25,6 +26,7 @@
         self.descriptors = len(os.listdir("/proc/self/fd"))
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
+        self.seen: dict[str, None] = {}  # of calls that have ended, oldest first
 
     def allow(self, sockets: int) -> None:
         hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -34,6 +36,17 @@
     def counted(self, by: int) -> None:
         self.descriptors += by
 
+    def known(self, mark: str) -> bool:
+        """An id is new with every connection. Guards against another client's: servers refuse it with
+        what looks like a failure of theirs."""
+        return mark in self.ids or mark in self.seen
+
+    def ended(self, mark: str) -> None:
+        del self.ids[mark]
+        self.seen[mark] = None
+        if len(self.seen) > SEEN:
+            del self.seen[next(iter(self.seen))]
+
     def crowded(self, part: int = 1) -> bool:
         """No descriptors but the reserve, or that part of it."""
         return self.descriptors + self.reserve // part >= self.limit
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -171,9 +171,8 @@
             wait = min(wait, limits.TAKE_UP)  # these say that they wait for an hour
         elif wait > limits.LONGEST_WAIT:
             raise lines.LineError("bad-d")
-        if wish.id in self.limits.ids:
-            # Guards against another client's id: servers refuse it, which looked like failures of theirs.
-            raise lines.LineError("id-open")
+        if self.limits.known(wish.id):
+            raise lines.LineError("id-known")
         if "at" in values and (self.dealing or self.now - self.begun > limits.TAKE_UP):
             raise lines.LineError("late-at")
         tenant = self.names.tenants.get(values.get("t", ""), 0)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -177,8 +177,8 @@
         number, peer = await asyncio.wait_for(self.arrived.get(), 5)
         return number, peer, await peer.line()
 
-    async def standing(self, values="c=chat,t=acme,d=2000"):
-        client = await self.call(values)
+    async def standing(self, values="c=chat,t=acme,d=2000", number=None):
+        client = await self.call(values, number)
         _, server, _ = await self.leg()
         server.say("UP 0011")
         assert await client.line() == "UP 0011"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -269,7 +269,7 @@
 
 
 @played
-async def test_an_id_that_is_open_is_refused_and_no_server_hears_of_it():
+async def test_an_id_that_was_taken_is_refused_and_no_server_hears_of_it(monkeypatch):
     # Guards against a bad client with another's id: three servers answered ERR and counted as failing.
     async with World(servers=3) as world:
         client, server = await world.standing()
@@ -280,6 +280,11 @@
         assert await server.line() == "M 1" and world.arrived.empty()
         client.end("fin")
         await world.until(lambda: not world.node.limits.ids)
+        assert await (await world.call(number=1)).line() == "SYNTAX"
+        monkeypatch.setattr(limits, "SEEN", 1)
+        (await world.standing())[0].end("fin")
+        await world.until(lambda: not world.node.limits.ids)
+        await world.standing(number=1)
 
 
 @played
