Move clients later on the way out; after a restart know half warm servers as such

The log: the second balancer is told to end 3 s after the first and has moved all by 2.2 s, while the first is not back until 4.5 s after its own call; those clients have no balancer at all. Ruled out: descriptors (496 of 520, but only silent connections were let go), time (0.4 s of a core at most), ids. At fault: Node.leave (from 0.5 s to three fifths of the time), Balancer.listed (told_start is now, for a first list too). Changed: clients go from a third to four fifths of the time, the rest at 0.85; the way out has its file, leaving.py. Servers of a first list count as told when they started; their pace is as before, so nothing comes at one push.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -387,9 +387,7 @@
 
     def stands(self, leg: Leg) -> None:
         stand = leg.server.stand
-        stand.fails = 0
-        stand.legs[leg] = None
-        stand.weight = min(1.0, stand.weight + REGAIN)
+        stand.fails, stand.legs[leg], stand.weight = 0, None, min(1.0, stand.weight + REGAIN)
         self.before.stands(leg)
 
     def back(self, leg: Leg, result: Result) -> None:
@@ -493,14 +491,16 @@
     def listed(self, servers: list[Server]) -> None:
         self.watch_wait = WATCH_RETRY
         self.zone.looked = -math.inf
+        first = not self.fleet
         for server in servers:
             if server.stand is None:
                 server.stand = Stand(self.chance.draw())
                 self.fleet.append(server)
             if server.since != server.stand.since:  # restarted under the same id
-                server.stand.since, server.stand.told_start = server.since, self.door.now
-                server.stand.fails, server.stand.bad_until, server.stand.weight = 0, 0.0, 1.0
-                server.stand.warm_at = server.since + self.settings.ramp_time
+                # Guards against a restart that takes servers half warm for cold: others knew them before us.
+                server.stand.told_start = server.since if first else self.door.now
+                server.stand.since, server.stand.fails, server.stand.bad_until = server.since, 0, 0.0
+                server.stand.weight, server.stand.warm_at = 1.0, server.since + self.settings.ramp_time
 
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
--- /dev/null
+++ b/bellrack/net/leaving.py
@@ -0,0 +1,45 @@
+"""The way out: from the call to end until the program is empty.
+
+Owns when each standing connection is moved and when the program ends. It takes no call, never cuts off a
+connection without a word, and never waits past the time that is left.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack.net import log
+
+DEALT = 1 / 3  # of the time there is, until the first is moved: the front may still deal it to us again
+SPREAD = 0.8  # of that time, until the last is
+REST = 0.85  # of that time, when all go that have come up meanwhile
+STAY = 1.0  # seconds that we stay at least
+LONGEST, GRACE = 3.0, 0.7  # what is left after that call: the longest guard time, at most, and some more
+MARGIN = 0.2  # seconds before its end that we go, empty or not
+LOOK = 0.05  # seconds between looks for that
+
+
+class Leaving:
+    def __init__(self, node: Any):
+        self.node, self.begun = node, node.now
+        self.allowed = min(LONGEST, max(node.names.guards)) + GRACE
+        standing = [client for client in node.clients if client.other]
+        log.tell("leaving", standing=len(standing), seconds=self.allowed)
+        for index, client in enumerate(standing):
+            # Late, and not at once: guards against clients without a balancer while the one that restarted
+            # before us is not yet back, and against a rush on the others.
+            share = DEALT + (SPREAD - DEALT) * index / len(standing)
+            node.after(share * self.allowed, client.move, "leaving")
+        node.after(REST * self.allowed, self.move_rest)
+        self.empty()
+
+    def move_rest(self) -> None:
+        for client in list(self.node.clients):
+            client.move("leaving")
+
+    def empty(self) -> None:
+        gone = self.node.now - self.begun
+        called = any(client.call for client in self.node.clients)
+        if gone >= self.allowed - MARGIN or not called and gone >= STAY:
+            self.node.over.set()
+        else:
+            self.node.after(LOOK, self.empty)
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -1,8 +1,8 @@
-"""One real balancer: the loop of batches, the Door, timers, limits and the way out.
+"""One real balancer: the loop of batches, the Door and timers.
 
-Owns the clock, the queue of what has happened and of what is to be done, the count of descriptors, and the
-books. Each turn fixes `now`, hands the module all that is queued, list changes first, and then carries out
-what came back. It never chooses a server, and never lets one faulty connection end the program.
+Owns the clock, the queue of what has happened and of what is to be done, and the books. Each turn fixes
+`now`, hands the module all that is queued, list changes first, and then carries out what came back. It never
+chooses a server, and never lets one faulty connection end the program.
 """
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
 from bellrack.net.clients import Client
 from bellrack.net.config import Config, read_config
 from bellrack.net.discovery import Discovery
+from bellrack.net.leaving import Leaving
 from bellrack.net.servers import Place, Probe, ServerLink
 from bellrack.settings import SettingsError
 
@@ -28,9 +29,6 @@
 TOLD_FOR = 1.5  # seconds for which a server's own word on its messages stands before what we timed
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
-DEALT = 0.5  # seconds that the front may still deal connections to us after the call to end
-STAY = 1.0  # seconds that we stay at least
-LONGEST, GRACE = 3.0, 0.7  # what is left after that call: the longest guard time, at most, and some more
 DATAGRAM = 256  # bytes
 
 
@@ -49,7 +47,7 @@
         self.peers: Peers | None = None
         self.limits = limits.Limits(config.sockets)
         self.begun, self.dealing = self.clock(), False  # a new call has come
-        self.leaving = 0.0
+        self.leaving: Leaving | None = None
         self.over = asyncio.Event()
         self.discovery = Discovery(self, config.discovery)
         super().__init__(config.settings, config.seed, self.clock())
@@ -334,29 +332,7 @@
 
     def leave(self) -> None:
         """Asked to end: move what stands, spread over the time there is, and go once empty."""
-        if self.leaving:
-            return
-        self.leaving = self.now
-        allowed = min(LONGEST, max(self.names.guards)) + GRACE
-        standing = [client for client in self.clients if client.other]
-        log.tell("leaving", standing=len(standing), seconds=allowed)
-        for index, client in enumerate(standing):
-            # Not at once: guards against clients that come again while the front still deals them to us.
-            wait = DEALT + (0.6 * allowed - DEALT) * index / len(standing)
-            self.after(wait, client.move, "leaving")
-        self.after(0.8 * allowed, self.move_rest)
-        self.empty(self.now + allowed - 0.2)
-
-    def move_rest(self) -> None:
-        for client in list(self.clients):
-            client.move("leaving")
-
-    def empty(self, last: float) -> None:
-        called = any(client.call for client in self.clients)
-        if self.now >= last or not called and self.now >= self.leaving + STAY:
-            self.over.set()
-        else:
-            self.after(0.05, self.empty, last)
+        self.leaving = self.leaving or Leaving(self)
 
 
 class Peers(asyncio.DatagramProtocol):
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -3,6 +3,7 @@
 from helpers import Bench, settings
 
 from bellrack import model
+from bellrack.model import Server
 
 
 def place(bench, count, **call):
@@ -131,6 +132,19 @@
     assert {leg.server for leg, _ in bench.sent} == {home} and len(bench.sent) == 9
 
 
+def test_after_a_restart_servers_half_warm_are_not_taken_for_cold():
+    # Guards against calls rejected while servers that the others fill stand empty.
+    bench = Bench(settings())
+    known, = bench.fleet(0, since=bench.now - 10)
+    bench.call()
+    assert known.stand.open == 1
+    late = Server(9, 0, since=bench.now - 10)  # told late: this one counts from now
+    bench.rack.listed([late])
+    for _ in range(4):
+        bench.call()
+    assert not late.stand.open
+
+
 def test_a_small_holder_that_was_cut_takes_more_again_as_is_usual():
     # Guards against a fresh balancer that held one connection where others held many: shut for long.
     bench = Bench(settings(peers=2))
