Take no figure that is none from servers or lists: nan, infinite, negative, later than now

Checked by tests against a node on loopback: LOAD nan or infinite reached the decisions as a delay (an infinite one moved clients and cut the ceiling to what was held), a weight of nan or below 0 spoilt the means over all servers, a generation of 1e999 and a list nested 50,000 deep escaped as a fault and left the watch hanging until it was silent for 4.5 s. At fault: Node.told, lines.entry, lines.listing, lines.parsed. Now a load that is no figure says nothing, an odd weight counts as 1, an odd start as long ago, and a broken list fails at once. Other connections and the program went on in each case. Ruled out by tests there already: endless lines of a server (its client is moved), garbage between lines (passed on).

--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+import math
 import re
 from dataclasses import dataclass
 from typing import Any
@@ -105,7 +106,7 @@
     """A list or the changes of one, from its JSON object."""
     try:
         return Listing(int(raw["generation"]), bool(raw["reset"]), [entry(item) for item in raw["instances"]])
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise LineError(f"bad-list: {error!r}") from None
 
 
@@ -115,10 +116,11 @@
     state = STATES.get(item["lifecycle"], model.DRAINING)
     if state == model.GONE:
         item = {"hostPort": "", "zone": ""} | item
+    size, since = float(item.get("weight", 1.0)), float(item.get("startedAtMs", 0)) / 1000
     return Entry(
         item["instanceId"], address(item["hostPort"]) if item["hostPort"] or state != model.GONE else None,
-        item["zone"], (state, int(item.get("cell", 0)), float(item.get("weight", 1.0)) or 1.0,
-                       item.get("startedAtMs", 0) / 1000))
+        item["zone"], (state, int(item.get("cell", 0)), size if 0 < size < math.inf else 1.0,
+                       since if math.isfinite(since) else 0.0))
 
 
 def address(text: str) -> tuple[str, int]:
@@ -215,5 +217,5 @@
 def parsed(text: bytes) -> Any:
     try:
         return json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise LineError("not-json") from None
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import socket
 import time
@@ -233,6 +234,8 @@
             value = float(figure)
         except ValueError:
             return
+        if not 0 <= value < math.inf:
+            return  # what is no figure says nothing of the server
         place: Place = leg.server.host
         if self.names.tells_delay and (not self.names.tells_load or place.beat(self.now, leg.host)):
             place.told = self.now
@@ -260,7 +263,7 @@
             zone = server.zone
             if entry.zone:
                 zone = self.names.zones.setdefault(entry.zone, len(self.names.zones))
-            rows.append((mark, state, cell, zone, size, since))
+            rows.append((mark, state, cell, zone, size, min(since, self.now)))
         self.entries(rows, news.whole)
 
     def unlisted(self) -> None:
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -56,6 +56,7 @@
 
 @pytest.mark.parametrize("raw", [
     [], {}, {"generation": 1, "reset": True, "instances": [{}]},
+    {"generation": float("inf"), "reset": True, "instances": []},
     {"generation": 1, "reset": True, "instances": [
         {"instanceId": "s", "zone": "a", "lifecycle": "in_service"}]}])
 def test_a_list_that_cannot_be_read_is_refused(raw):
@@ -71,6 +72,20 @@
         (model.DRAINING, ("h", 1)), (model.GONE, None)]
 
 
+@pytest.mark.parametrize("weight", [0, -1, float("inf"), float("nan")])
+def test_a_size_or_a_start_that_is_no_figure_spoils_no_sums(weight):
+    # Guards against one odd entry that makes every mean over servers odd.
+    raw = {"instanceId": "s", "hostPort": "h:1", "zone": "a", "lifecycle": "in_service", "weight": weight,
+           "startedAtMs": float("nan")}
+    assert lines.entry(raw).row[2:] == (1.0, 0.0)
+
+
+@pytest.mark.parametrize("text", [b"[" * 100_000, b"{", b"\xff"])
+def test_what_is_not_json_is_refused(text):
+    with pytest.raises(lines.LineError):
+        lines.parsed(text)
+
+
 def test_marks_are_the_same_at_every_start():
     assert lines.mark("s-5be2a07c") == 0x850D21AD14919D0C
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,6 +14,8 @@
 from bellrack import model
 from bellrack.net import discovery, limits, lines, node, servers
 
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 
 @played
 async def test_a_call_stands_and_its_lines_pass_unchanged():
@@ -142,6 +144,33 @@
         assert (stand.delay, next(iter(stand.legs)).load) == (heard, 25.0 if tells else 0.0)
 
 
+@pytest.mark.parametrize("figure", ["nan", "inf", "-inf", "-1", "", "x", "1e999"])
+@played
+async def test_a_load_that_is_no_figure_says_nothing_and_harms_nothing(figure):
+    async with World() as world:
+        client, server = await world.standing()
+        server.say(f"LOAD {figure}")
+        server.say("\x00\x7f  garbage")
+        assert (await client.line()).startswith("LOAD") and (await client.line()).endswith("garbage")
+        stand = next(iter(world.node.servers.values())).stand
+        assert (stand.delay, stand.ceiling, world.node.counters["faults"]) == (0.0, float("inf"), 0)
+        await world.standing()
+
+
+@pytest.mark.parametrize("broken", [b'{"generation":1}', b"[" * 50_000, b'{"generation":1e999,"reset":true}'])
+@played
+async def test_a_broken_list_harms_its_own_connection_alone(broken, monkeypatch):
+    monkeypatch.setattr("bellrack.choice.WATCH_RETRY", 0.05)
+    async with World() as world:
+        watch, _ = await world.question()
+        client, server = await world.standing()
+        watch.writer.write(HEAD + chunk(broken.decode() + "\n"))
+        await world.question()
+        client.say("M 1")
+        assert await server.line() == "M 1" and not world.node.counters["faults"]
+        await world.standing()
+
+
 def test_a_pause_of_our_own_is_not_taken_for_a_late_server():
     place = servers.Place("s-0", ("127.0.0.1", 1))
     place.took = [0.002, 0.8, 0.9]
@@ -462,8 +491,7 @@
         watch, _ = await world.question()
         change = {"generation": 43, "reset": False, "instances": [
             world.entry(0, world.entries[0]["hostPort"], "terminating")]}
-        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        watch.writer.write(head + chunk("\n") + chunk(json.dumps(change) + "\n"))
+        watch.writer.write(HEAD + chunk("\n") + chunk(json.dumps(change) + "\n"))
         one, other = world.node.servers.values()
         await world.until(lambda: one.state == model.DRAINING)
         unanswered, target = await world.question()  # the one before fell silent
@@ -472,7 +500,7 @@
         watch, _ = await world.question()  # and so did this one, which had not begun
         assert world.node.counters["list_failures"] == 2
         whole = {"generation": 50, "reset": True, "instances": [world.entries[0]]}
-        watch.writer.write(head + chunk(json.dumps(whole) + "\n"))
+        watch.writer.write(HEAD + chunk(json.dumps(whole) + "\n"))
         await world.until(lambda: (one.state, other.state) == (model.READY, model.GONE))
         watch.end("rst")
         await world.question()
@@ -491,9 +519,8 @@
     # Guards against ending on SIGHUP, versions that start lower, and the old watch's end taken for a failure.
     async with World(servers=2) as world:
         old, _ = await world.question()
-        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         whole = {"generation": 90, "reset": True, "instances": world.entries}
-        old.writer.write(head + chunk(json.dumps(whole) + "\n"))
+        old.writer.write(HEAD + chunk(json.dumps(whole) + "\n"))
         await world.until(lambda: world.node.version == 90)
         client, server = await world.standing()
         file = tmp_path / "config.json"
@@ -522,7 +549,7 @@
         one, other = world.node.servers.values()
         await world.until(lambda: one.state == model.DRAINING)
         assert world.node.version == 0
-        new.writer.write(head + chunk(json.dumps(whole | {"generation": 3}) + "\n"))
+        new.writer.write(HEAD + chunk(json.dumps(whole | {"generation": 3}) + "\n"))
         await world.until(lambda: (one.state, world.node.version) == (model.READY, 3))
         assert await old.line() in ("fin", "rst") and not world.node.counters["list_failures"]
         client.say("M 1")
