--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -2,7 +2,7 @@
 import pytest
 from helpers import Bench, settings
 
-from bellrack import model
+from bellrack import choice, model
 from bellrack.model import Server
 
 
@@ -124,12 +124,12 @@
 def test_a_rush_waits_for_its_server_instead_of_crossing():
     bench = Bench(settings())
     home, _ = bench.fleet(0, 1)
-    for _ in range(12):
+    for _ in range(16):
         bench.call()
     # What it surely bears goes at once: guards against a mass reconnect rejected while servers stand empty.
-    assert len(bench.sent) == 8
+    assert len(bench.sent) == choice.FIRST_FILL
     bench.run(bench.now + 0.24)
-    assert {leg.server for leg, _ in bench.sent} == {home} and len(bench.sent) == 9
+    assert {leg.server for leg, _ in bench.sent} == {home} and len(bench.sent) == choice.FIRST_FILL + 1
 
 
 def test_after_a_restart_servers_half_warm_are_not_taken_for_cold():
