End a watch in one place, turn a connection away in one place; one look at what a client sent

Read over: Discovery ended its watch in three places by the same three lines, twin to what Question.fail does; Client.busy and spared wrote the same BUSY; Client.ready asked twice whether it was over.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -45,8 +45,7 @@
 
     def spared(self) -> None:
         if not self.over:
-            self.write(lines.busy(self.node.settings.max_open_wait))
-            self.finish("no-descriptors", "now")
+            self.turned_away("now")
         super().spared()
 
     def ready(self) -> None:
@@ -58,12 +57,10 @@
             return
         if self.other:
             self.pass_on()
-        elif self.call and self.ring.held:
+        if self.call and not self.other and self.ring.held:
             # Guards against hundreds of commands at once: whoever waits for UP as agreed says nothing before.
             self.refuse("not-awaited")
-        if self.over:
-            return
-        if self.ring.stuck:
+        elif self.ring.stuck:
             self.refuse("line-too-long")
         elif self.done():
             self.gone()
@@ -86,9 +83,13 @@
             self.refuse(str(error))
 
     def busy(self) -> None:
-        """Nothing has been sent for it, so trying again is harmless."""
         self.node.counters["crowded"] += 1
-        self.answer(lines.busy(self.node.settings.max_open_wait), "no-descriptors")
+        self.turned_away()
+
+    def turned_away(self, how: str = "fin") -> None:
+        """Nothing has been sent for it, so trying again is harmless."""
+        self.write(lines.busy(self.node.settings.max_open_wait))
+        self.finish("no-descriptors", how)
 
     def passing(self, line: bytes) -> None:
         self.other.asked.append(self.node.now)
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -63,10 +63,14 @@
 
     def fail(self, reason: str) -> None:
         if not self.over:
-            self.drop()
-            self.finish(reason, "rst")
+            self.stop(reason)
             self.node.discovery.failed(self)
 
+    def stop(self, reason: str) -> None:
+        """No longer wanted."""
+        self.drop()
+        self.finish(reason, "rst")
+
 
 class Discovery:
     """The watch, while one stands or is asked for, and fetches."""
@@ -79,13 +83,14 @@
     def watch(self, on: bool = True) -> None:
         if on and self.standing:
             return  # guards against a late retry that ends the watch which a change of address has brought
-        self.end(self.standing, "watch-ended")
-        self.standing = Question(self.node, self.address, True) if on else None
+        self.end("watch-ended")
+        if on:
+            self.standing = Question(self.node, self.address, True)
 
-    def end(self, question: Question | None, reason: str) -> None:
-        if question:
-            question.drop()
-            question.finish(reason, "rst")
+    def end(self, reason: str) -> None:
+        if self.standing:
+            self.standing.stop(reason)
+            self.standing = None
 
     def fetch(self) -> None:
         Question(self.node, self.address, False)
@@ -96,14 +101,13 @@
         self.address, self.node.version = address, 0
         if self.standing and self.standing.reply.status:
             self.former, self.standing = self.standing, self.former
-        self.end(self.standing, "watch-replaced")
-        self.standing = None
+        self.end("watch-replaced")
         self.watch()
 
     def told(self, question: Question) -> None:
         """A watch brings news. The first of a new address replaces the old one's."""
         if question is self.standing and self.former:
-            self.end(self.former, "watch-replaced")
+            self.former.stop("watch-replaced")
             self.former = None
 
     def failed(self, question: Question) -> None:
@@ -124,8 +128,7 @@
             self.former.fail("watch-silent")
         if self.standing and self.node.now - self.standing.heard > SILENT:
             if self.standing.reply.status:
-                self.end(self.standing, "watch-silent")
-                self.standing = None
+                self.end("watch-silent")
                 self.watch()
             else:
                 self.standing.fail("watch-silent")
