Keep nominal size and live weight apart; ask a call's lots by probe before one is chosen

And nothing was read from probes, so with over 100 balancers most placements were blind. Change: the list's weight is kept beside the size, which is the most that a machine kind was ever listed at. Where reports come to probes, the first lot is asked before it is chosen, the next only if that is full (0.8 of what it can do); an answer stands for 1 s, one that is not back within 0.1 s proves nothing.

--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -40,12 +40,13 @@
         leg.call.done = leg.call.done or final
         self.balancer.back(leg, result)
 
-    def entries(self, rows: Iterable[tuple[int, str, int, int, float, float]], whole: bool) -> None:
-        """Entries as mark, state, cell, zone, size, start; whoever a whole list lacks has been removed."""
+    def entries(self, rows: Iterable[tuple[int, str, int, int, float, float, int]], whole: bool) -> None:
+        """Entries as mark, state, cell, zone, weight, start, machine; whoever a whole list lacks is gone."""
         changed = []
-        for mark, state, cell, zone, size, since in rows:
+        for mark, state, cell, zone, weight, since, machine in rows:
             server = self.servers.setdefault(mark, Server(mark))
-            server.state, server.cell, server.zone, server.size, server.since = state, cell, zone, size, since
+            server.state, server.cell, server.zone, server.since = state, cell, zone, since
+            server.weight, server.kind = weight, machine
             changed.append(server)
         if whole:
             named = set(changed)
--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -38,6 +38,9 @@
 LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
+FRESH = 1.0  # seconds for which what a probe told is gone by
+ASKED_FOR = 0.1  # seconds that a call waits for a probe
+FULL = 0.8  # of what a server can do: it takes nothing new
 LOOK = 0.1  # seconds for which what was summed over servers is used again
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEPT_LOOKS = 24  # kept calls that may be tried in vain at one look
@@ -75,6 +78,8 @@
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
         self.told = -math.inf
+        self.asked = self.read = -math.inf  # when it last was probed, and when that brought a report
+        self.full = 0.0  # load asked of it over what it can do, as last reported
         self.ceiling = math.inf
         self.cut = -math.inf
 
@@ -233,11 +238,12 @@
     ceiling, cut = math.inf, 0.0
 
     def take(self, call: Call) -> None:
-        now, pick, server = self.door.now, self.rack.draw.pick, None
+        now, pick, server, call.asks = self.door.now, self.rack.draw.pick, None, False
         home = [s for s in call.places if s.zone == self.settings.zone]
         if self.share() >= SPILLOVER_RATIO:
             server = pick(call, [s for s in home if s.stand.bad_until <= now])
-        if not server and self.rack.held < self.ceiling * (1 + CEILING_GROWTH * (now - self.cut)) - 0.5:
+        most = self.ceiling * (1 + CEILING_GROWTH * (now - self.cut)) - 0.5
+        if not server and not call.asks and self.rack.held < most:
             # Guards against a zone whose servers stand but drown: what finds no room in it leaves; and what
             # finds no room anywhere is kept, lest it be shed and come again.
             server = pick(call, [s for s in call.places if s.stand.bad_until <= now] or home or call.places)
@@ -281,11 +287,15 @@
         stand, cold = server.stand, self.rack.cold
         # Grows as what is usual does: guards against a small holder that was cut for what others hold there.
         grown = CEILING_GROWTH * (self.door.now - stand.cut) * max(stand.ceiling, cold.usual() * server.size)
+        if self.door.now - stand.read <= FRESH and stand.full >= FULL:
+            return False
         return not self.late(server) and stand.open + stand.part < cold.warm(server) * (stand.ceiling + grown)
 
     def late(self, server: Server) -> bool:
         """Told of late messages lately; where we hold nothing and so are told nothing, as its zone fares."""
         stand = server.stand
+        if self.door.now - stand.read <= FRESH:
+            return self.told_late(server) or stand.full >= 1.0
         return self.told_late(server) or (
             not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone))
 
@@ -351,7 +361,23 @@
                 call.lots[server] = self.lot(call, server)
         lots = sorted(held or low, key=call.lots.__getitem__)[:LOTS]
         call.waits += lots
-        return next((s for s in lots if self.room(s)), None)
+        for server in lots:
+            if call.asks or self.ask(server):
+                call.asks = True
+                return None
+            if self.room(server):
+                return server
+        return None
+
+    def ask(self, server: Server) -> bool:
+        """Is a report of it still to be waited for? Guards against placing blindly where we hold nothing."""
+        stand, now = server.stand, self.door.now
+        if not self.settings.report or now - stand.read <= FRESH:
+            return False
+        if now - stand.asked > FRESH:
+            stand.asked = now
+            self.door.probe(server)
+        return now - stand.asked < ASKED_FOR
 
     def take(self, call: Call) -> None:
         server = call.places[0]
@@ -420,6 +446,9 @@
         self.fleet: list[Server] = []
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
+        self.looks = False  # a look at them is due
+        self.fullness = settings.report.index(model.FULLNESS) if model.FULLNESS in settings.report else 0
+        self.sizes: dict[int, float] = {}  # by kind of machine, where listed weights are live
         self.held = 0  # own connections and legs out, everywhere
         self.watch_wait = WATCH_RETRY
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
@@ -452,7 +481,15 @@
     def delayed(self, leg: Leg, delay: float) -> None:
         self.draw.delayed(leg.server, delay / self.quickest)
 
-    def probed(self, server: Server, result: Result) -> None: ...
+    def probed(self, server: Server, result: Result) -> None:
+        if result.kind == model.COMPLETED and len(result.report) == len(self.settings.report):
+            server.stand.full = result.report[self.fullness]
+            server.stand.read = self.door.now
+        ready = [call for call in self.kept if server in call.waits]
+        self.kept = [call for call in self.kept if server not in call.waits]
+        for call in ready:
+            call.waits = []
+            self.answer.take(call)
 
     def heard(self, peer: int, data: bytes) -> None: ...
 
@@ -460,7 +497,7 @@
         if isinstance(what, Call):
             self.answer.due(what)
         elif what == "kept":
-            waiting, self.kept = self.kept, []
+            waiting, self.kept, self.looks = self.kept, [], False
             for call in waiting:
                 # Guards against a long queue, and looking everywhere while none it waits for has room.
                 if len(self.kept) < KEPT_LOOKS and (not call.waits or any(
@@ -484,7 +521,8 @@
         if self.door.now >= call.arrived + KEEP_SHARE * call.type.setup_target:
             self.answer.give_up(call)
             return
-        if not self.kept:
+        if not self.looks:
+            self.looks = True
             self.door.wake(self.door.now + KEEP_STEP, "kept")
         self.kept.append(call)
 
@@ -496,12 +534,23 @@
             if server.stand is None:
                 server.stand = Stand(self.chance.draw())
                 self.fleet.append(server)
+            self.sized(server)
             if server.since != server.stand.since:  # restarted under the same id
                 # Guards against a restart that takes servers half warm for cold: others knew them before us.
                 server.stand.told_start = server.since if first else self.door.now
                 server.stand.since, server.stand.fails, server.stand.bad_until = server.since, 0, 0.0
                 server.stand.weight, server.stand.warm_at = 1.0, server.since + self.settings.ramp_time
 
+    def sized(self, server: Server) -> None:
+        """A live weight falls with what a server holds: its size is the most its kind was ever listed at."""
+        known = self.sizes.get(server.kind, 0.0) if self.settings.live else 0.0
+        server.size = max(server.weight, known)
+        if server.weight > known and self.settings.live:
+            self.sizes[server.kind] = server.weight
+            for other in self.fleet:
+                if other.kind == server.kind:
+                    other.size = server.weight
+
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
         if self.settings.asks:
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -138,10 +138,10 @@
         if roster not in pools:
             raise WireError(f"Members.rosterId: no list {roster}")
         rows = []
-        for status, pack, area, hint, since, _, number in pools[roster]:
+        for status, pack, area, hint, since, machine, number in pools[roster]:
             if status not in STATES:
                 raise WireError(f"Pool.membersList: unknown status {status}")
-            rows.append((number, STATES[status], pack, area, hint or 1.0, since / 1e6))
+            rows.append((number, STATES[status], pack, area, hint or 1.0, since / 1e6, machine))
         self.entries(rows, kind != DELTA)
 
     def _book(self, xid, affinity, remaining, group, customer, bits, priority) -> Call:
--- a/bellrack/lab/node.py
+++ b/bellrack/lab/node.py
@@ -252,7 +252,7 @@
             marks = self.world.marks
             for machine, _, _ in rows:
                 self.machines[marks[machine]] = machine
-            self.turn(self.entries, [(marks[m], state, m.cell, m.zone, m.kind.listed, since)
+            self.turn(self.entries, [(marks[m], state, m.cell, m.zone, m.kind.listed, since, 0)
                                      for m, state, since in rows], whole)
 
     def unheard(self) -> None:
--- a/bellrack/lab/world.py
+++ b/bellrack/lab/world.py
@@ -83,8 +83,8 @@
                  for kind in scenario.type]
         return Settings(
             types=types, zone=zone, peers=sum(zone.balancers for zone in scenario.zone),
-            asks=scenario.listing.asks, max_legs=rules.max_legs, max_open_wait=rules.max_open_wait,
-            tick=rules.tick, answer_slack=rules.answer_slack,
+            asks=scenario.listing.asks, live=False, report=(), max_legs=rules.max_legs,
+            max_open_wait=rules.max_open_wait, tick=rules.tick, answer_slack=rules.answer_slack,
             cold_share=min((kind.cold_share for kind in scenario.kind), default=1.0),
             ramp_time=max((kind.warm_up for kind in scenario.kind), default=0.0))
 
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -26,6 +26,9 @@
 
 COMPLETED, ERROR, FULL, TIMEOUT = "completed", "error", "full", "timeout"
 NO_CONN, RESET, CANCELLED, MOOT = "no connection", "reset", "cancelled", "moot"
+# Values of a report: load over what the server can do, seconds piled up, errors a second, cores in use,
+# calls held.
+FULLNESS, BACKLOG, ERRORS, BUSY, HELD = "fullness", "backlog", "errors", "busy", "held"
 NEVER_RAN = (FULL, NO_CONN, MOOT)  # results that prove the leg had no effect
 
 
@@ -48,6 +51,8 @@
     zone: int
     peers: int
     asks: bool  # the list must be asked for
+    live: bool  # listed weights fall with the calls that a server holds
+    report: tuple[str, ...]  # what a probe tells, in this order; empty where none may be sent or tells
     max_legs: int
     max_open_wait: float  # the longest wait that a client honours; 0 where clients get none
     tick: float
@@ -64,7 +69,9 @@
     zone: int = 0
     cell: int = 0
     state: str = READY
-    size: float = 1.0  # listed capacity, for comparison
+    size: float = 1.0  # nominal capacity, for comparison
+    weight: float = 1.0  # as last listed: the size, or the size lowered by what the server holds
+    kind: int = 0  # of machine
     since: float = 0.0  # its last start; 0 for long ago
     stand: Any = None
     host: Any = None  # the host's own record of it
@@ -87,6 +94,7 @@
     done: bool = False  # answered for good, or nothing is owed any more
     places: list[Server] = field(default_factory=list)  # where the chain may still put it
     lots: dict[Server, float] = field(default_factory=dict)  # by server, while it has no leg out
+    asks: bool = False  # a probe that was sent for it is still out
     waits: list[Server] = field(default_factory=list)  # those that it waits for while it is kept
     host: Any = None  # the host's own record of it
 
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -92,7 +92,8 @@
     name: str
     address: tuple[str, int] | None  # a server that is gone needs none
     zone: str
-    row: tuple[str, int, float, float]  # state, cell, size, start
+    row: tuple[str, int, float, float]  # state, cell, weight, start
+    machine: str
 
 
 @dataclass
@@ -116,11 +117,11 @@
     state = STATES.get(item["lifecycle"], model.DRAINING)
     if state == model.GONE:
         item = {"hostPort": "", "zone": ""} | item
-    size, since = float(item.get("weight", 1.0)), float(item.get("startedAtMs", 0)) / 1000
+    weight, since = float(item.get("weight", 1.0)), float(item.get("startedAtMs", 0)) / 1000
     return Entry(
         item["instanceId"], address(item["hostPort"]) if item["hostPort"] or state != model.GONE else None,
-        item["zone"], (state, int(item.get("cell", 0)), size if 0 < size < math.inf else 1.0,
-                       since if math.isfinite(since) else 0.0))
+        item["zone"], (state, int(item.get("cell", 0)), weight if 0 < weight < math.inf else 1.0,
+                       since if math.isfinite(since) else 0.0), str(item.get("machineType", "")))
 
 
 def address(text: str) -> tuple[str, int]:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -45,6 +45,7 @@
         self.counters = log.Counters()
         self.clients: dict[Client, None] = {}
         self.version = 0
+        self.machines: dict[str, int] = {}  # kinds by name, as the list brings them
         self.peers: Peers | None = None
         self.limits = limits.Limits(config.sockets)
         self.begun, self.dealing = self.clock(), False  # a new call has come
@@ -253,7 +254,7 @@
         self.counters["list_lines"] += 1
         rows = []
         for entry in news.entries:
-            state, cell, size, since = entry.row
+            state, cell, weight, since = entry.row
             mark = lines.mark(entry.name)
             if entry.address is None and mark not in self.servers:
                 continue
@@ -263,7 +264,8 @@
             zone = server.zone
             if entry.zone:
                 zone = self.names.zones.setdefault(entry.zone, len(self.names.zones))
-            rows.append((mark, state, cell, zone, size, min(since, self.now)))
+            kind = self.machines.setdefault(entry.machine, len(self.machines))
+            rows.append((mark, state, cell, zone, weight, min(since, self.now), kind))
         self.entries(rows, news.whole)
 
     def unlisted(self) -> None:
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -12,6 +12,10 @@
 EFFECTS = {"retryable": model.REPEATABLE, "dedup": model.REFERENCED, "fragile": model.ONCE_ONLY}
 
 
+REPORT = {"x0": model.FULLNESS, "x1": model.BACKLOG, "errors_per_s": model.ERRORS, "utilization": model.BUSY,
+          "outstanding": model.HELD}
+
+
 class SettingsError(ValueError):
     """Settings that lack what is needed; the text names the place."""
 
@@ -56,12 +60,21 @@
             raise SettingsError("no traffic types" if not types else f"peersTotal is {peers}")
         return Settings(
             types=types, zone=int(raw["az"]), peers=peers, asks=raw["discovery"] == "ask",
+            live=raw.get("weights") == "live", report=probes_tell(raw),
             max_legs=int(caps["maxLegs"]),
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
             tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
             cold_share=float(rules["coldShare"]), ramp_time=rules["rampTimeUs"] / 1e6)
 
 
+def probes_tell(raw: Any) -> tuple[str, ...]:
+    """What a probe's report brings, in its order, by the names of the decisions; others keep theirs."""
+    report = raw.get("report", {})
+    if report.get("how") != "on_probe" or not raw["caps"].get("probes"):
+        return ()
+    return tuple(REPORT.get(field, field) for field in report["fields"])
+
+
 def parse_names(raw: Any) -> Names:
     """What a host on sockets needs besides."""
     with named_errors():
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,8 +15,8 @@
 def settings(**changes) -> Settings:
     base = {
         "types": [TrafficType(model.REPEATABLE, "all", 0.0, 0.3, 0.1)], "zone": 0, "peers": 1, "asks": True,
-        "max_legs": 3, "max_open_wait": 1.5, "tick": 0.004, "answer_slack": 0.016, "cold_share": 0.2,
-        "ramp_time": 20.0}
+        "live": False, "report": (), "max_legs": 3, "max_open_wait": 1.5, "tick": 0.004,
+        "answer_slack": 0.016, "cold_share": 0.2, "ramp_time": 20.0}
     return Settings(**(base | changes))
 
 
@@ -25,7 +25,7 @@
 
     def __init__(self, rules: Settings, seed: int = 7):
         self.now, self.rules, self.wakes, self.done, self.logs = 100.0, rules, [], [], []
-        self.sent, self.moved, self.watched = [], [], 0
+        self.sent, self.moved, self.watched, self.probes = [], [], 0, []
         self.rack = Balancer(rules, seed, self)
 
     def send(self, call, server, until):
@@ -51,6 +51,14 @@
     def watch(self, on=True):
         self.watched += 1
 
+    def probe(self, server):
+        self.probes.append(server)
+
+    def answer(self, server, *report, kind=model.COMPLETED):
+        """A probe of it is answered."""
+        self.probes.remove(server)
+        self.rack.probed(server, Result(kind, 0.001, report))
+
     def wake(self, when, what):
         self.wakes.append((when, what))
 
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,79 @@
+"""Live weights and reports that come to probes alone."""
+import pytest
+from helpers import Bench, settings
+
+from bellrack import model
+from bellrack.model import Server
+
+PROBED = {"asks": False, "live": True, "report": (model.BUSY, model.FULLNESS)}
+
+
+def test_a_live_weight_leaves_sizes_and_the_order_of_lots_as_they_are():
+    bench = Bench(settings(asks=False, live=True))
+    fleet = [Server(mark * 77 + 5, kind=mark % 2, weight=[8.5, 5.0][mark % 2]) for mark in range(6)]
+    bench.rack.listed(fleet)
+    call = bench.call(group=9)
+
+    def order():
+        return sorted(fleet, key=lambda server: bench.rack.draw.lot(call, server))
+
+    before = order()
+    for server in fleet:
+        server.weight = server.weight / (2 + server.mark % 5)
+    late = Server(4000, kind=0, weight=1.2)  # comes while it is full: its kind tells its size
+    bench.rack.listed([*fleet, late])
+    assert [server.size for server in [*fleet, late]] == [8.5, 5.0, 8.5, 5.0, 8.5, 5.0, 8.5]
+    assert order() == before
+
+
+def test_a_size_known_too_small_grows_with_the_first_empty_server_of_its_kind():
+    bench = Bench(settings(asks=False, live=True))
+    full, other = Server(1, kind=0, weight=0.4), Server(2, kind=1, weight=0.5)
+    bench.rack.listed([full, other])
+    bench.rack.listed([Server(3, kind=0, weight=3.5)])
+    assert (full.size, other.size) == (3.5, 0.5)
+
+
+def test_a_call_waits_for_the_report_of_its_first_lot_and_passes_over_a_full_one():
+    bench = Bench(settings(**PROBED))
+    bench.fleet(0, 0, 0)
+    bench.call(group=9)
+    first, = bench.probes
+    bench.answer(first, 1.0, 0.95)
+    second, = bench.probes
+    assert second is not first and not bench.sent
+    bench.answer(second, 0.5, 0.4)
+    assert [leg.server for leg, _ in bench.sent] == [second]
+    bench.call(group=9)  # what was told stands for a while: no second probe
+    assert not bench.probes and bench.sent[-1][0].server is second
+
+
+def test_a_full_zone_is_left_only_once_its_lots_have_told():
+    bench = Bench(settings(**PROBED))
+    home, away = bench.fleet(0, 1)
+    bench.call()
+    bench.answer(home, 1.0, 1.2)
+    assert bench.probes == [away] and not bench.sent
+    bench.answer(away, 0.1, 0.1)
+    assert [leg.server for leg, _ in bench.sent] == [away]
+
+
+@pytest.mark.parametrize("answer", [{"kind": model.TIMEOUT}, {"kind": model.NO_CONN}, None])
+def test_a_probe_that_fails_proves_nothing_and_holds_no_call_for_long(answer):
+    bench = Bench(settings(**PROBED))
+    server, = bench.fleet(0)
+    bench.call()
+    if answer:
+        bench.answer(server, **answer)
+    assert not bench.sent
+    bench.run(bench.now + 0.16)
+    assert [leg.server for leg, _ in bench.sent] == [server]
+    assert server.stand.weight == 1.0 and not server.stand.fails
+
+
+def test_without_reports_no_probe_is_sent():
+    bench = Bench(settings())
+    bench.fleet(0, 0, 1)
+    for _ in range(20):
+        bench.call()
+    assert bench.sent and not bench.probes
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,9 +1,12 @@
 """The frame codec and the worked examples of the wire's page."""
 import io
+import json
 import struct
 
 import pytest
+from helpers import raw_settings
 
+from bellrack import model
 from bellrack.drill import wire
 from bellrack.drill.adapter import Adapter
 from bellrack.settings import parse_settings
@@ -68,3 +71,17 @@
                            "fallUs": 1e6}}
     settings = parse_settings(raw)
     assert (settings.zone, settings.asks, settings.types[0].message_aim) == (2, False, 5e-6)
+
+
+def test_a_change_of_one_server_leaves_the_others_listed_whatever_its_machine():
+    settings = json.dumps(raw_settings(discovery="push", weights="live")).encode()
+    entry = "01 0000 00 3f800000 0000000000000000 {} 0000000{}"
+    tail = settings + bytes.fromhex((entry.format("00", 1) + entry.format("01", 2) + entry.format("01", 2))
+                                    .replace(" ", ""))
+    adapter = Adapter()
+    adapter.answer(wire.read_batch(io.BytesIO(frame(
+        "0105 0003", f"0106 0000000000000001 00000000 {len(settings):08x}",
+        f"0109 00000000 {len(settings):08x} 00000002", "0103 02 00000000 00000001",
+        f"0109 00000001 {len(settings) + 42:08x} 00000001", "0103 00 00000001 00000002", tail=tail))))
+    servers = adapter._instances[3].servers.values()
+    assert [(server.state, server.kind) for server in servers] == [(model.READY, 0), (model.READY, 1)]
