A further lot must be emptier: full at 0.9 for the first, 0.2 less at each next one

Change: the bound on a reported load falls along a call's lots, so a group leaves its first server last.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -40,7 +40,8 @@
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
 FRESH = 1.0  # seconds for which what a probe told is gone by
 ASKED_FOR = 0.1  # seconds that a call waits for a probe
-FULL = 0.8  # of what a server can do: it takes nothing new
+FULL = 0.9  # of what a server can do: it takes nothing new
+STEEP = 0.2  # less at each further lot
 LOOK = 0.1  # seconds for which what was summed over servers is used again
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
 KEPT_LOOKS = 24  # kept calls that may be tried in vain at one look
@@ -289,12 +290,12 @@
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
 
-    def room(self, server: Server) -> bool:
+    def room(self, server: Server, full: float = 1.0) -> bool:
         """Not swamped, and under the ceiling found when it last was."""
         stand, cold = server.stand, self.rack.cold
         # Grows as what is usual does: guards against a small holder that was cut for what others hold there.
         grown = CEILING_GROWTH * (self.door.now - stand.cut) * max(stand.ceiling, cold.usual() * server.size)
-        if self.door.now - stand.read <= FRESH and stand.full >= FULL:
+        if self.door.now - stand.read <= FRESH and stand.full >= full:
             return False
         return not self.late(server) and stand.open + stand.part < cold.warm(server) * (stand.ceiling + grown)
 
@@ -368,11 +369,11 @@
                 call.lots[server] = self.lot(call, server)
         lots = sorted(held or low, key=call.lots.__getitem__)[:LOTS]
         call.waits += lots
-        for server in lots:
+        for number, server in enumerate(lots):
             if call.asks or self.ask(server):
                 call.asks = True
                 return None
-            if self.room(server):
+            if self.room(server, FULL - number * STEEP):
                 return server
         return None
 
