A probe without connection passes a server over; cold ones that report are filled sooner

Change: a probe that finds no connection is no failure, but passes the server over for as long as a report stands; a reset or failed connect asks again. A cold server is given 0.7 of what it surely can do at once, paced as before, where a report of its load stands or may come; without one the even fill holds.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -41,6 +41,7 @@
 FRESH = 1.0  # seconds for which what a probe told is gone by
 ASKED_FOR = 0.1  # seconds that a call waits for a probe
 FULL = 0.9  # of what a server can do: it takes nothing new
+EARLY = 0.7  # of what a cold server surely can do, filled at once where its load is reported
 STEEP = 0.2  # less at each further lot
 LOOK = 0.1  # seconds for which what was summed over servers is used again
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
@@ -221,6 +222,8 @@
         # Filled evenly over its warm-up; the first by a lot drawn once, lest each balancer start with one.
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
+        if self.rack.draw.tells(server):
+            fill = max(fill, EARLY * self.warm(server))
         under = server.stand.open + server.stand.part < self.usual() * server.size * fill
         return under and self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
 
@@ -377,15 +380,21 @@
                 return server
         return None
 
+    def tells(self, server: Server) -> bool:
+        """Does a report of it stand, or may one still come?"""
+        stand, now = server.stand, self.door.now
+        return bool(self.settings.report) and (
+            now - stand.read <= FRESH or now - stand.asked < ASKED_FOR or now - stand.asked > FRESH)
+
     def ask(self, server: Server) -> bool:
         """Is a report of it still to be waited for? Guards against placing blindly where we hold nothing."""
         stand, now = server.stand, self.door.now
-        if not self.settings.report or now - stand.read <= FRESH:
+        if now - stand.read <= FRESH or not self.tells(server):
             return False
         if now - stand.asked > FRESH:
             stand.asked = now
             self.door.probe(server)
-        return now - stand.asked < ASKED_FOR
+        return True
 
     def take(self, call: Call) -> None:
         server = call.places[0]
@@ -425,6 +434,8 @@
         self.before.stands(leg)
 
     def back(self, leg: Leg, result: Result) -> None:
+        if result.kind in (model.RESET, model.NO_CONN):
+            leg.server.stand.read = min(leg.server.stand.read, self.door.now - FRESH - 1)  # ask again
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
         self.count(leg.call, leg.server, -1)
@@ -491,8 +502,9 @@
 
     def probed(self, server: Server, result: Result) -> None:
         if result.kind == model.COMPLETED and len(result.report) == len(self.settings.report):
-            server.stand.full = result.report[self.fullness]
-            server.stand.read = self.door.now
+            server.stand.full, server.stand.read = result.report[self.fullness], self.door.now
+        elif result.kind == model.NO_CONN:  # no failure of it, but no call is sent after it for a while
+            server.stand.full, server.stand.read = math.inf, self.door.now
         ready = [call for call in self.kept if server in call.waits]
         self.kept = [call for call in self.kept if server not in call.waits]
         for call in ready:
