The program serves both shapes by settings alone; a start check refuses a mix, naming the key

Cause: the program read neither the weights' nor the reports' settings; a probe's answer `PONG` with values was taken for an error, any number of probes could be out, and a weight of none cost the whole list while nought, infinity and no number became 1.0, a fifth of a size where weights are live. Change: check_shape (settings.py), asked by serve and check only, refuses mixes and unknown words with one line; defaults leave the old shape as it is. Reports are read as the fields name them; what is none changes a counter. At most 32 probes are out, fewer when descriptors are short.

--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -11,7 +11,7 @@
 
 from bellrack.model import Settings
 from bellrack.net.lines import Listing, address, listing
-from bellrack.settings import Names, SettingsError, parse_names, parse_settings
+from bellrack.settings import Names, SettingsError, check_shape, parse_names, parse_settings
 
 
 @dataclass(eq=False)
@@ -50,7 +50,7 @@
         return Config(
             name=str(raw.get("name", "")), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
             seed=int(str(raw.get("seed", "0")), 16), sockets=int(raw.get("limits", {}).get("sockets", 1024)),
-            settings=parse_settings(raw["settings"]), names=parse_names(raw["settings"]),
+            settings=parse_settings(check_shape(raw["settings"])), names=parse_names(raw["settings"]),
             known=listing(raw["known"]) if raw.get("known") else None,
             peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
             peers=[address(peer) for peer in raw.get("peers", [])],
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -17,12 +17,14 @@
 YOUNG = 0.1  # seconds for which a connection without a word stays even if room is needed
 LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
 SEEN = 1024  # ids remembered beside the open ones
+PROBES = 32  # that are out at once: more are not sent, and what they were for goes on without
 TAKE_UP = 40.0  # seconds after the start in which connections from before it may be taken up
 
 
 class Limits:
     def __init__(self, sockets: int):
         self.allow(sockets)
+        self.probes = 0  # that are out
         self.descriptors = len(os.listdir("/proc/self/fd"))
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
@@ -36,6 +38,10 @@
     def counted(self, by: int) -> None:
         self.descriptors += by
 
+    def probe(self) -> bool:
+        """May one more probe go out? A call's own connection comes first."""
+        return self.probes < PROBES and not self.crowded()
+
     def known(self, mark: str) -> bool:
         """An id is new with every connection. Guards against another client's: servers refuse it with
         what looks like a failure of theirs."""
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -92,7 +92,7 @@
     name: str
     address: tuple[str, int] | None  # a server that is gone needs none
     zone: str
-    row: tuple[str, int, float, float]  # state, cell, weight, start
+    row: tuple[str, int, float | None, float]  # state, cell, weight (none if it is no figure), start
     machine: str
 
 
@@ -117,13 +117,28 @@
     state = STATES.get(item["lifecycle"], model.DRAINING)
     if state == model.GONE:
         item = {"hostPort": "", "zone": ""} | item
-    weight, since = float(item.get("weight", 1.0)), float(item.get("startedAtMs", 0)) / 1000
+    since = float(item.get("startedAtMs", 0)) / 1000
     return Entry(
         item["instanceId"], address(item["hostPort"]) if item["hostPort"] or state != model.GONE else None,
-        item["zone"], (state, int(item.get("cell", 0)), weight if 0 < weight < math.inf else 1.0,
+        item["zone"], (state, int(item.get("cell", 0)), size(item.get("weight", 1.0)),
                        since if math.isfinite(since) else 0.0), str(item.get("machineType", "")))
 
 
+def size(figure: Any) -> float | None:
+    """A weight. None, nought, infinity and what is no number cost no list, nor are they taken for a size."""
+    usable = isinstance(figure, int | float) and not isinstance(figure, bool) and 0 < figure < math.inf
+    return float(figure) if usable else None
+
+
+def report(line: bytes, count: int) -> tuple[float, ...] | None:
+    """The values of a load report, `PONG` before them or not; nothing if one is missing or no figure."""
+    try:
+        values = tuple(float(word) for word in line.removeprefix(b"PONG").split())
+    except ValueError:
+        return None
+    return values if len(values) == count and all(0 <= value < math.inf for value in values) else None
+
+
 def address(text: str) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
     if not host or not port.isdigit() or int(port) > 65535:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -123,7 +123,7 @@
         self.acts.append((self.discovery.fetch, ()))
 
     def probe(self, server: Server) -> None:
-        self.acts.append((Probe, (self, server)))
+        self.acts.append((self.probing, (server,)))
 
     def tell(self, peer: int | None, data: bytes) -> None:
         if self.peers and len(data) <= DATAGRAM:
@@ -153,6 +153,13 @@
             self.counters["legs"] += 1
             ServerLink(self, leg, client, until)
 
+    def probing(self, server: Server) -> None:
+        if server.host and self.limits.probe():
+            self.counters["probes"] += 1
+            Probe(self, server)
+        else:
+            self.counters["probes_held_back"] += 1
+
     def cancelled(self, leg: Leg) -> None:
         if leg.host and not leg.standing:
             leg.host.end(model.CANCELLED, "cancelled")
@@ -255,6 +262,7 @@
         rows = []
         for entry in news.entries:
             state, cell, weight, since = entry.row
+            self.counters["bad_weights"] += weight is None
             mark = lines.mark(entry.name)
             if entry.address is None and mark not in self.servers:
                 continue
@@ -265,7 +273,7 @@
             if entry.zone:
                 zone = self.names.zones.setdefault(entry.zone, len(self.names.zones))
             kind = self.machines.setdefault(entry.machine, len(self.machines))
-            rows.append((mark, state, cell, zone, weight, min(since, self.now), kind))
+            rows.append((mark, state, cell, zone, weight or server.weight, min(since, self.now), kind))
         self.entries(rows, news.whole)
 
     def unlisted(self) -> None:
@@ -311,7 +319,8 @@
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
         self.address = place.getsockname()
         log.tell("serving", name=self.config.name, listen=lines.written(self.address),
-                 servers=len(self.servers))
+                 servers=len(self.servers), weights="live" if self.settings.live else "nominal",
+                 report=",".join(self.settings.report) or "none")
         await self.over.wait()
         listener.close()
         self.counters.show()
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -203,27 +203,32 @@
     def __init__(self, node: Any, server: Server):
         super().__init__(node)
         self.server, self.begun, self.asked = server, node.now, False
+        self.fields = len(node.settings.report)
+        node.limits.probes += 1
         self.node.after(PROBE_WAIT, self.over_with, model.TIMEOUT)
         self.open(server.host.address, PROBE_WAIT)
 
     def ready(self) -> None:
         if not self.asked and not self.ended:
             self.asked = True
-            self.write(b"STATS\r\n" if self.node.names.report else b"PING\r\n")
-        line = self.ring.line()
-        word = line.split() if line else []
-        if word == [b"PONG"] and not self.node.names.report:
+            self.write(b"STATS\r\n" if self.fields else b"PING\r\n")
+        line = (self.ring.line() or b"").strip()
+        if line == b"PONG" and self.fields:
+            line = (self.ring.line() or b"").strip()  # the report may stand on a line of its own
+        if line == b"PONG" and not self.fields:
             self.over_with(model.COMPLETED)
-        elif word and word != [b"PONG"]:
-            try:
-                self.over_with(model.COMPLETED, tuple(float(value) for value in word))
-            except ValueError:
-                self.over_with(model.ERROR)
+        elif self.fields and (values := lines.report(line, self.fields)):
+            self.over_with(model.COMPLETED, values)
+        elif line:
+            self.node.counters["bad_reports"] += bool(self.fields)
+            self.over_with(model.ERROR)
         elif self.ended:
             self.over_with(model.RESET if self.asked else model.NO_CONN)
 
     def over_with(self, kind: str, report: tuple[float, ...] = ()) -> None:
         if not self.over:
             self.drop()
+            self.node.limits.probes -= 1
+            self.node.counters[f"probe_{kind.replace(' ', '_')}"] += 1
             self.finish(kind, server=self.server.host.name)
             self.node.balancer.probed(self.server, Result(kind, self.node.now - self.begun, report))
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -14,6 +14,9 @@
 
 REPORT = {"x0": model.FULLNESS, "x1": model.BACKLOG, "errors_per_s": model.ERRORS, "utilization": model.BUSY,
           "outstanding": model.HELD}
+FIELDS = (*REPORT, "backlog", "recent_ms", "throughput")
+MOST_FIELDS = 4
+WEIGHTS = ("nominal", "rough", "off", "live")
 
 
 class SettingsError(ValueError):
@@ -31,7 +34,6 @@
     connect_timeout: float
     tells_delay: bool
     tells_load: bool
-    report: list[str]  # the values of a load report, where a probe brings one
 
 
 @contextmanager
@@ -67,6 +69,42 @@
             cold_share=float(rules["coldShare"]), ramp_time=rules["rampTimeUs"] / 1e6)
 
 
+def check_shape(raw: Any) -> Any:
+    """Refuse settings that mix the two shapes of a deployment, or values that neither knows; the text
+    names the key, and give them back. Only a host that serves asks this: the simulator may play any mix.
+
+    Nominal: the list is asked for, weights stand still, no report is read. Live: the list comes unasked,
+    weights fall with what a server holds, and reports come to probes."""
+    with named_errors():
+        discovery, weights = raw["discovery"], raw.get("weights", "nominal")
+        report, probes = raw.get("report", {"how": "off"}), raw["caps"].get("probes", False)
+        if not isinstance(report, dict):
+            raise SettingsError("report is no object")
+        how, fields = report.get("how", "off"), report.get("fields", [])
+        for key, value, known in (("discovery", discovery, ("ask", "push")), ("weights", weights, WEIGHTS),
+                                  ("report.how", how, ("off", "inline", "on_probe")),
+                                  ("caps.probes", probes, (True, False))):
+            if not isinstance(value, type(known[0])) or value not in known:
+                raise SettingsError(f"{key} is {value!r}, not one of {', '.join(map(str, known))}")
+        live = weights == "live"
+        if live != (discovery == "push"):
+            raise SettingsError(f"discovery {discovery!r} does not go with weights {weights!r}")
+        if live != (how == "on_probe"):
+            raise SettingsError(f"report.how {how!r} does not go with weights {weights!r}")
+        if not live:
+            return raw
+        if not probes:
+            raise SettingsError("caps.probes is off, but report.how is 'on_probe'")
+        if not isinstance(fields, list) or not 1 <= len(fields) <= MOST_FIELDS:
+            raise SettingsError(f"report.fields holds no list of 1 to {MOST_FIELDS} names")
+        for field in fields:
+            if field not in FIELDS or fields.count(field) > 1:
+                raise SettingsError(f"report.fields: {field!r} is unknown or named twice")
+        if "x0" not in fields:
+            raise SettingsError("report.fields lacks 'x0', by which servers are chosen")
+        return raw
+
+
 def probes_tell(raw: Any) -> tuple[str, ...]:
     """What a probe's report brings, in its order, by the names of the decisions; others keep theirs."""
     report = raw.get("report", {})
@@ -78,12 +116,11 @@
 def parse_names(raw: Any) -> Names:
     """What a host on sockets needs besides."""
     with named_errors():
-        special, report = raw["specifics"], raw.get("report", {})
+        special = raw["specifics"]
         return Names(
             types={row["name"]: index for index, row in enumerate(raw["trafficTypes"])},
             tenants={row["name"]: index for index, row in enumerate(raw.get("accounts", []))},
             zones={name: index for index, name in enumerate(raw["areas"])},
             guards=[row["guardTimeUs"] / 1e6 for row in raw["trafficTypes"]],
             connect_timeout=raw["caps"]["connectTimeoutUs"] / 1e6,
-            tells_delay=bool(special.get("tellsDelay")), tells_load=bool(special.get("tellsLoad")),
-            report=report["fields"] if report.get("how", "off") != "off" else [])
+            tells_delay=bool(special.get("tellsDelay")), tells_load=bool(special.get("tellsLoad")))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -107,6 +107,13 @@
         "tickUs": 4000} | changes
 
 
+CAPS = {"maxLegs": 3, "retryAfter": True, "maxRetryAfterUs": 1500000, "connectTimeoutUs": 200000,
+        "probes": True}
+# What a deployment of the newer shape tells in other words than raw_settings does.
+LIVE = {"discovery": "push", "weights": "live", "caps": CAPS,
+        "report": {"how": "on_probe", "fields": ["utilization", "x0"]}}
+
+
 class Peer:
     """The far side of a connection in the tests."""
 
--- /dev/null
+++ b/tests/test_shapes.py
@@ -0,0 +1,145 @@
+"""One build, two shapes of deployment: what the configuration is asked, what the program does in each."""
+import json
+
+import pytest
+from helpers import LIVE, Peer, World, played, raw_settings
+
+from bellrack import __main__ as program
+from bellrack import model
+from bellrack.net import limits, lines
+from bellrack.net.config import parse_config
+from bellrack.settings import SettingsError
+
+
+def configured(**changes):
+    place = "127.0.0.1:1"
+    return {"listen": place, "discovery": place, "settings": raw_settings(**changes)}
+
+
+def test_both_shapes_are_usable_and_the_old_one_is_what_nothing_says():
+    old, new = parse_config(configured()).settings, parse_config(configured(**LIVE)).settings
+    assert (old.asks, old.live, old.report) == (True, False, ())
+    assert (new.asks, new.live, new.report) == (False, True, (model.BUSY, model.FULLNESS))
+    said = {"weights": "nominal", "report": {"how": "off", "fields": []}}
+    assert vars(parse_config(configured(**said)).settings) | {"types": 0} == vars(old) | {"types": 0}
+
+
+def fields(*names):
+    return LIVE | {"report": {"how": "on_probe", "fields": list(names)}}
+
+
+@pytest.mark.parametrize("changes, key", [
+    (LIVE | {"discovery": "ask"}, "discovery"), ({"discovery": "push"}, "discovery"),
+    ({"discovery": "often"}, "discovery"), ({"discovery": None}, "discovery"),
+    ({"weights": "heavy"}, "weights"), ({"weights": 3}, "weights"),
+    (LIVE | {"weights": "nominal"}, "weights"),
+    (LIVE | {"report": {"how": "off", "fields": []}}, "report.how"),
+    ({"report": {"how": "on_probe", "fields": ["x0"]}}, "report.how"),
+    ({"report": {"how": "never"}}, "report.how"), ({"report": []}, "report is no object"),
+    (LIVE | {"caps": LIVE["caps"] | {"probes": False}}, "caps.probes"),
+    ({"caps": LIVE["caps"] | {"probes": "yes"}}, "caps.probes"),
+    (fields(), "report.fields"), (fields("x0", "x0"), "report.fields"),
+    (fields("x0", "mood"), "report.fields"),
+    (fields("x0", 7), "report.fields"), (fields("utilization"), "report.fields"),
+    (fields("x0", "x1", "utilization", "outstanding", "backlog"), "report.fields"),
+    (LIVE | {"report": {"how": "on_probe", "fields": "x0"}}, "report.fields"),
+    (LIVE | {"report": {"how": ["on_probe"], "fields": ["x0"]}}, "report.how")])
+def test_a_mix_of_shapes_or_an_unknown_value_is_one_line_that_names_the_key(
+        tmp_path, capsys, monkeypatch, changes, key):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configured(**changes)))
+    monkeypatch.setattr("sys.argv", ["bellrack", "check", str(path)])
+    assert program.main() == 2
+    said = capsys.readouterr()
+    assert key in said.err and said.err.count("\n") == 1 and not said.out
+    with pytest.raises(SettingsError):
+        parse_config(configured(**changes))
+
+
+@pytest.mark.parametrize("weight", [None, 0, -1, "many", float("nan"), float("inf"), True])
+def test_a_weight_that_is_no_figure_costs_neither_the_list_nor_the_size(weight):
+    raw = {"instanceId": "s-1", "hostPort": "127.0.0.1:9", "zone": "a", "lifecycle": "in_service"}
+    raw |= {"weight": weight}
+    assert lines.entry(raw).row[2] is None and lines.entry(raw | {"weight": 3.5}).row[2] == 3.5
+
+
+@played
+async def test_live_weights_are_followed_and_an_unusable_one_leaves_the_last():
+    async with World(**LIVE) as world:
+        server, = world.node.servers.values()
+        listing, _ = await world.question()
+        listing.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
+        for number, (weight, seen) in enumerate([(0.4, 0.4), (None, 0.4), (2.5, 2.5)]):
+            entry = world.entries[0] | {"weight": weight}
+            text = json.dumps({"generation": 50 + number, "reset": False, "instances": [entry]}) + "\n"
+            listing.say(f"{len(text):x}\r\n{text}")
+            await world.until(lambda number=number: world.node.version == 50 + number)
+            assert server.weight == seen
+        assert server.size == 2.5 and world.node.counters["bad_weights"] == 1
+
+
+async def probed(world) -> Peer:
+    _, server, line = await world.leg()
+    assert line == "STATS"
+    return server
+
+
+@played
+async def test_a_call_waits_for_the_report_and_passes_over_a_full_server():
+    async with World(servers=2, **LIVE) as world:
+        client = await world.call("c=chat,t=acme,d=2000,g=9")
+        (await probed(world)).say("PONG 1.0 1.4")
+        (await probed(world)).say("PONG 0.2 0.1")
+        number, server, line = await world.leg()
+        assert line.startswith("OPEN")
+        server.say("UP 0011")
+        assert await client.line() == "UP 0011"
+        full = [one for one in world.node.servers.values() if one.stand.full == 1.4]
+        assert len(full) == 1 and full[0].host.name != f"s-{number}"
+        assert world.node.counters["probes"] == world.node.counters["probe_completed"] == 2
+
+
+@pytest.mark.parametrize("answer", [
+    "PONG", "PONG 0.5", "PONG 0.5 nan", "PONG 0.5 inf", "PONG -1 0.5", "PONG a b", "ERR", "NO", "PONG 1 2 3"])
+@played
+async def test_a_report_that_is_none_changes_nothing_and_the_call_goes_on(answer):
+    async with World(**LIVE) as world:
+        client = await world.call()  # kept: a client that is let go has left
+        asked = await probed(world)
+        asked.say(answer)
+        if answer != "PONG":  # that one waits for its second line
+            assert await asked.line() == "fin"
+            assert world.node.counters["bad_reports"] == 1
+        assert (await world.leg())[2].startswith("OPEN") and client
+        server, = world.node.servers.values()
+        assert server.stand.full == 0.0 and server.stand.weight == 1.0 and not server.stand.fails
+
+
+@played
+async def test_probes_that_are_out_are_bounded_and_a_call_does_without(monkeypatch):
+    monkeypatch.setattr(limits, "PROBES", 0)
+    async with World(**LIVE) as world:
+        client = await world.call()  # kept: a client that is let go has left
+        assert (await world.leg())[2].startswith("OPEN") and client
+        assert world.node.counters["probes_held_back"] == 1 and not world.node.counters["probes"]
+
+
+@played
+async def test_a_probe_that_is_never_answered_is_counted_and_leaves_no_trace():
+    async with World(**LIVE) as world:
+        client = await world.call()  # kept: a client that is let go has left
+        silent = await probed(world)
+        assert (await world.leg())[2].startswith("OPEN") and client
+        assert await silent.line() == "fin"
+        await world.until(lambda: world.node.counters["probe_timeout"] == 1)
+        assert world.node.limits.probes == 0
+
+
+@pytest.mark.parametrize("shape, first", [({}, "OPEN"), (LIVE, "STATS"), ({}, "OPEN")])
+@played
+async def test_rolled_forward_and_back_on_one_build(shape, first):
+    async with World(**shape) as world:
+        assert (await world.question())[1].startswith("/v1/endpoints?watch=1")
+        client = await world.call()  # kept: a client that is let go has left
+        assert (await world.leg())[2].startswith(first) and client
+        assert bool(world.node.counters["probes"]) == bool(shape)
