--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -234,7 +234,7 @@
             link.client.finish("completed")
 
     def told(self, leg: Leg, figure: str) -> None:
-        """A LOAD line: the load of its connection or, where that is told, the milliseconds a message takes.
+        """A LOAD line: where delays are told and no loads, the milliseconds a message takes; else a load.
 
         Measured: the latter come once a second on one connection a server while over a third of the shortest
         aim and once when back under, while lines are answered within 3 ms all the time."""
@@ -245,7 +245,7 @@
         if not 0 <= value < math.inf:
             return  # what is no figure says nothing of the server
         place: Place = leg.server.host
-        if self.names.tells_delay and (not self.names.tells_load or place.beat(self.now, leg.host)):
+        if self.names.tells_delay and not self.names.tells_load:
             place.told = self.now
             self.balancer.delayed(leg, value / 1000)
         else:
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -21,7 +21,6 @@
     from bellrack.net.clients import Client
 
 PROBE_WAIT = 0.25  # seconds that a probe may take
-BEAT, BEAT_SLACK = 1.0, 0.004  # seconds between notices of delay, measured to a thousandth
 SILENT = 2.5  # an unanswered line this old: clients send every 2 s, looks come each second, 7 s are too long
 
 
@@ -35,20 +34,6 @@
         self.late = False  # by those, as last told
         self.used = 0.0  # when it last was listed or stood for anything
         self.told = 0.0  # when the server itself last told how long messages take
-        self.figures: list[tuple[float, ServerLink]] = []  # LOAD lines of the last second
-
-    def beat(self, now: float, link: ServerLink) -> bool:
-        """Does this LOAD line follow another by a second, on its connection or as the server's last notice?
-
-        Guards against taking loads for delays where both are told in the same form: loads come when they
-        change, notices of delay once a second on one connection."""
-        def second(at: float) -> bool:
-            return abs(now - at - BEAT) < BEAT_SLACK
-
-        self.figures = [(at, one) for at, one in self.figures if now - at < BEAT + BEAT_SLACK]
-        found = second(self.told) or any(one is link and second(at) for at, one in self.figures)
-        self.figures.append((now, link))
-        return found
 
     def look(self, now: float) -> float:
         """What a line takes here now: by the answers since the last look, else by the lines still out.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -224,19 +224,6 @@
     assert place.look(102.0) == 0.0
 
 
-def test_a_figure_a_second_after_another_is_a_delay_where_loads_look_the_same():
-    place = servers.Place("s-0", ("127.0.0.1", 1))
-    one, other = object(), object()
-    told = [(0.0, one), (0.3, other), (0.999, other), (1.301, other), (2.3, one), (3.0, one), (3.3015, other),
-            (5.0, one), (5.5, one)]
-    heard = []
-    for now, link in told:
-        if place.beat(100 + now, link):
-            heard.append(now)
-            place.told = 100 + now
-    assert heard == [1.301, 2.3, 3.3015]  # begun on one connection, gone on with on any
-
-
 @played
 async def test_a_reset_not_yet_told_of_does_not_fail_the_end():
     # Guards against a fault in the turn that left a connection without its end.
