--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -298,14 +298,14 @@
         stand, cold = server.stand, self.rack.cold
         # Grows as what is usual does: guards against a small holder that was cut for what others hold there.
         grown = CEILING_GROWTH * (self.door.now - stand.cut) * max(stand.ceiling, cold.usual() * server.size)
-        if self.door.now - stand.read <= FRESH and stand.full >= full:
+        if self.reported(server) and stand.full >= full:
             return False
         return not self.late(server) and stand.open + stand.part < cold.warm(server) * (stand.ceiling + grown)
 
     def late(self, server: Server) -> bool:
         """Told of late messages lately; where we hold nothing and so are told nothing, as its zone fares."""
         stand = server.stand
-        if self.door.now - stand.read <= FRESH:
+        if self.reported(server):
             return self.told_late(server) or stand.full >= 1.0
         return self.told_late(server) or (
             not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone))
@@ -380,16 +380,21 @@
                 return server
         return None
 
+    def reported(self, server: Server) -> bool:
+        """Does a report of it stand? A full one does longer: guards against asking in vain in a jam."""
+        stand = server.stand
+        return self.door.now - stand.read <= FRESH * (1 + (stand.full >= FULL))
+
     def tells(self, server: Server) -> bool:
         """Does a report of it stand, or may one still come?"""
         stand, now = server.stand, self.door.now
         return bool(self.settings.report) and (
-            now - stand.read <= FRESH or now - stand.asked < ASKED_FOR or now - stand.asked > FRESH)
+            self.reported(server) or now - stand.asked < ASKED_FOR or now - stand.asked > FRESH)
 
     def ask(self, server: Server) -> bool:
         """Is a report of it still to be waited for? Guards against placing blindly where we hold nothing."""
         stand, now = server.stand, self.door.now
-        if now - stand.read <= FRESH or not self.tells(server):
+        if self.reported(server) or not self.tells(server):
             return False
         if now - stand.asked > FRESH:
             stand.asked = now
@@ -435,7 +440,7 @@
 
     def back(self, leg: Leg, result: Result) -> None:
         if result.kind in (model.RESET, model.NO_CONN):
-            leg.server.stand.read = min(leg.server.stand.read, self.door.now - FRESH - 1)  # ask again
+            leg.server.stand.read = min(leg.server.stand.read, self.door.now - 2 * FRESH - 1)  # ask again
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
         self.count(leg.call, leg.server, -1)
