--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -41,7 +41,6 @@
 FRESH = 1.0  # seconds for which what a probe told is gone by
 ASKED_FOR = 0.1  # seconds that a call waits for a probe
 FULL = 0.9  # of what a server can do: it takes nothing new
-EARLY = 0.7  # of what a cold server surely can do, filled at once where its load is reported
 STEEP = 0.2  # less at each further lot
 LOOK = 0.1  # seconds for which what was summed over servers is used again
 KEEP_STEP = 0.05  # seconds between looks at calls that no server may take yet
@@ -222,8 +221,6 @@
         # Filled evenly over its warm-up; the first by a lot drawn once, lest each balancer start with one.
         # From when we were told: the list is seconds late, and a late start would come as one push.
         fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
-        if self.rack.draw.tells(server):
-            fill = max(fill, EARLY * self.warm(server))
         under = server.stand.open + server.stand.part < self.usual() * server.size * fill
         return under and self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
 
@@ -385,21 +382,15 @@
         stand = server.stand
         return self.door.now - stand.read <= FRESH * (1 + (stand.full >= FULL))
 
-    def tells(self, server: Server) -> bool:
-        """Does a report of it stand, or may one still come?"""
-        stand, now = server.stand, self.door.now
-        return bool(self.settings.report) and (
-            self.reported(server) or now - stand.asked < ASKED_FOR or now - stand.asked > FRESH)
-
     def ask(self, server: Server) -> bool:
         """Is a report of it still to be waited for? Guards against placing blindly where we hold nothing."""
         stand, now = server.stand, self.door.now
-        if self.reported(server) or not self.tells(server):
+        if not self.settings.report or self.reported(server):
             return False
         if now - stand.asked > FRESH:
             stand.asked = now
             self.door.probe(server)
-        return True
+        return now - stand.asked < ASKED_FOR
 
     def take(self, call: Call) -> None:
         server = call.places[0]
