--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -370,8 +370,8 @@
         lots = sorted(held or low, key=call.lots.__getitem__)[:LOTS]
         call.waits += lots
         for number, server in enumerate(lots):
-            if call.asks or self.ask(server):
-                call.asks = True
+            call.asks = self.ask(server)
+            if call.asks:
                 return None
             if self.room(server, FULL - number * STEEP):
                 return server
@@ -385,7 +385,7 @@
     def ask(self, server: Server) -> bool:
         """Is a report of it still to be waited for? Guards against placing blindly where we hold nothing."""
         stand, now = server.stand, self.door.now
-        if not self.settings.report or self.reported(server):
+        if self.rack.fullness is None or self.reported(server):
             return False
         if now - stand.asked > FRESH:
             stand.asked = now
@@ -462,7 +462,8 @@
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
         self.looks = False  # a look at them is due
-        self.fullness = settings.report.index(model.FULLNESS) if model.FULLNESS in settings.report else 0
+        tells = [settings.report.index(one) for one in (model.FULLNESS, model.BUSY) if one in settings.report]
+        self.fullness = tells[0] if tells else None  # where a report tells how full a server is
         self.sizes: dict[int, float] = {}  # by kind of machine, where listed weights are live
         self.held = 0  # own connections and legs out, everywhere
         self.watch_wait = WATCH_RETRY
@@ -497,8 +498,9 @@
         self.draw.delayed(leg.server, delay / self.quickest)
 
     def probed(self, server: Server, result: Result) -> None:
-        if result.kind == model.COMPLETED and len(result.report) == len(self.settings.report):
-            server.stand.full, server.stand.read = result.report[self.fullness], self.door.now
+        if result.kind == model.COMPLETED:
+            if self.fullness is not None and len(result.report) == len(self.settings.report):
+                server.stand.full, server.stand.read = result.report[self.fullness], self.door.now
         elif result.kind == model.NO_CONN:  # no failure of it, but no call is sent after it for a while
             server.stand.full, server.stand.read = math.inf, self.door.now
         ready = [call for call in self.kept if server in call.waits]
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -3,7 +3,7 @@
 from helpers import Bench, settings
 
 from bellrack import model
-from bellrack.model import Server
+from bellrack.model import Result, Server
 
 PROBED = {"asks": False, "live": True, "report": (model.BUSY, model.FULLNESS)}
 
@@ -140,3 +140,14 @@
     bench.run(bench.now + 1.0)
     bench.call()
     assert bench.probes == [server]
+
+
+@pytest.mark.parametrize("report, asked", [
+    ((model.BACKLOG, model.BUSY), 1), ((model.ERRORS, model.HELD), 0), ((), 0)])
+def test_fullness_is_read_from_what_a_report_holds_or_nothing_is_asked(report, asked):
+    bench = Bench(settings(**PROBED | {"report": report}))
+    server, = bench.fleet(0)
+    bench.call()
+    assert len(bench.probes) == asked
+    bench.rack.probed(server, Result(model.COMPLETED, 0.001, (7.0, 0.95)[:len(report)]))
+    assert server.stand.full == 0.95 * asked and len(bench.sent) == 1 - asked
