--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -2,8 +2,8 @@
 
 A host makes one Balancer(settings, seed, door) for each instance and tells it what happens through the
 methods named in bellrack/model.py, where the interface and the types are; the balancer acts through the Door
-it was given. A call runs down the chain Answer, Effect, Listed, Cold, Zone, Draw; what becomes of its leg
-runs back up.
+it was given. A call runs down the chain Answer, Effect, Listed, Zone, Draw; what becomes of its leg runs back
+up. Cold is asked by Zone which servers may take one more.
 """
 from __future__ import annotations
 
@@ -191,11 +191,14 @@
         self.pass_on(call)
 
 
-class Cold(Stage):
+class Cold:
     """Rule 4: this instance's part of what a cold server may bear."""
 
     borne, looked = 0.0, -math.inf
 
+    def __init__(self, rack: Balancer):
+        self.rack, self.settings, self.door = rack, rack.settings, rack.door
+
     def bearing(self, places: list[Server]) -> list[Server]:
         """Those that are warm or may take one more; asked for as few as may be, as it is dear."""
         now = self.door.now
@@ -470,7 +473,7 @@
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
         self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
-        chain = [self.answer, self.effect, self.listing, self.cold, self.zone, self.draw]
+        chain = [self.answer, self.effect, self.listing, self.zone, self.draw]
         for one, other in zip(chain, chain[1:]):
             one.after, other.before = other, one
         door.wake(door.now + TIDY_EVERY * (1 + self.chance.draw()), "tidy")
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -136,6 +136,7 @@
 
 @pytest.mark.parametrize("changes, reason", [
     ({"zone": [{"name": "a", "balancers": 999}, {"name": "b"}]}, "1000 balancers, more than"),
+    ({"listing": {"asks": False}}, "the list must be asked for"),
     ({"clients": {"rate": 5e5}}, "new connections a second, more than"),
     ({"clients": {"standing": 3000}}, "descriptors a balancer, more than limits.sockets = 1024"),
     ({"clients": {"standing": 2_000_000}, "limits": {"sockets": 65536}}, "descriptors")])
