--- a/bellrack/lab/live.py
+++ b/bellrack/lab/live.py
@@ -627,7 +627,7 @@
 def refuse_if_too_large(scenario: Scenario) -> None:
     """Raises ScenarioError before anything starts that this machine or the daemon could not play."""
     if not scenario.listing.asks:  # the daemon takes a pushed list for the shape with live weights
-        raise ScenarioError(f"{scenario.name}: listing.asks is false, but on loopback the list must be asked for")
+        raise ScenarioError(f"{scenario.name}: listing.asks is false: on loopback the list must be asked for")
     cores, clients = len(os.sched_getaffinity(0)), scenario.clients
     balancers = len(forms.balancer_names(scenario))
     if balancers > BALANCERS_A_CORE * cores:
