Listed comes first in the chain; a report is kept with how long it stands

Found in reading the change over: Listed told a whole fleet from a part of it by object identity, as Effect handed it the fleet; ready servers were sifted again in three places though they are kept now; "ask again" was done by dating a report back, and a full report's longer time by adding a truth value to a factor; Call held whether a probe is out, which the servers that it waits for tell; Balancer.probed held what belongs to Draw. Change: Answer, Listed, Effect, Zone, Draw. Effect narrows what Listed gives and keeps a call that has nowhere to go, as Listed did. matched, usual and look read the ready ones. Stand.full_until in place of read; Draw.awaited in place of Call.asks; FULL_FRESH named. The lab's mutant and a test double that bypassed the list share lists_all.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -2,7 +2,7 @@
 
 A host makes one Balancer(settings, seed, door) for each instance and tells it what happens through the
 methods named in bellrack/model.py, where the interface and the types are; the balancer acts through the Door
-it was given. A call runs down the chain Answer, Effect, Listed, Zone, Draw; what becomes of its leg runs back
+it was given. A call runs down the chain Answer, Listed, Effect, Zone, Draw; what becomes of its leg runs back
 up. Cold is asked by Zone which servers may take one more.
 """
 from __future__ import annotations
@@ -38,7 +38,8 @@
 LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
 PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
-FRESH = 1.0  # seconds for which what a probe told is gone by
+FRESH = 1.0  # seconds for which what a probe told is gone by, and until the next
+FULL_FRESH = 2.0  # the same if it told that the server is full
 ASKED_FOR = 0.1  # seconds that a call waits for a probe
 FULL = 0.9  # of what a server can do: it takes nothing new
 STEEP = 0.2  # less at each further lot
@@ -79,8 +80,9 @@
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
         self.told = -math.inf
-        self.asked = self.read = -math.inf  # when it last was probed, and when that brought a report
+        self.asked = -math.inf  # when it last was probed
         self.full = 0.0  # load asked of it over what it can do, as last reported
+        self.full_until = -math.inf  # how long that stands
         self.ceiling = math.inf
         self.cut = -math.inf
 
@@ -152,7 +154,6 @@
     def take(self, call: Call) -> None:
         if any(leg.result is None for leg in call.legs):
             return
-        call.places = self.rack.fleet
         risky, kind = self.risky(call), call.type
         forgotten = risky and self.door.now >= risky[0].sent + kind.key_ttl - self.settings.tick
         if risky and kind.effect == model.ONCE_ONLY or forgotten and kind.effect == model.REFERENCED:
@@ -160,7 +161,7 @@
             return
         if risky and kind.effect == model.REFERENCED:
             call.places = [s for s in call.places if self.same_group(call, s, risky[0].server)]
-        self.after.take(call)
+        self.pass_on(call)
 
     def risky(self, call: Call) -> list[Leg]:
         """Legs that are not known never to have run."""
@@ -181,14 +182,13 @@
 class Listed(Stage):
     """Rule 3: nothing new to a draining or gone server, from the moment we hear of it."""
 
-    ready: list[Server] = []  # as of the last change of the list
+    def __init__(self, rack: Balancer):
+        super().__init__(rack)
+        self.ready: list[Server] = []  # as of the last change of the list
 
     def take(self, call: Call) -> None:
-        if call.places is self.rack.fleet:
-            call.places = self.ready
-        else:
-            call.places = [s for s in call.places if s.state == model.READY]
-        self.pass_on(call)
+        call.places = self.ready
+        self.after.take(call)
 
 
 class Cold:
@@ -213,7 +213,7 @@
         """Own open connections by size on warm servers: what a server is known to bear."""
         if self.door.now >= self.looked + LOOK:
             self.looked = now = self.door.now
-            warm = [s for s in self.rack.fleet if s.state == model.READY and s.stand.warm_at <= now]
+            warm = [s for s in self.rack.listing.ready if s.stand.warm_at <= now]
             size = sum(s.size for s in warm)
             self.borne = max(self.borne, sum(s.stand.open for s in warm) / size if size else 0.0)
         return max(self.borne, FIRST_FILL / self.settings.peers)
@@ -247,17 +247,17 @@
     ceiling, cut = math.inf, 0.0
 
     def take(self, call: Call) -> None:
-        now, pick, server, call.asks = self.door.now, self.rack.draw.pick, None, False
+        now, draw, server = self.door.now, self.rack.draw, None
         bearing, zone = self.rack.cold.bearing, self.settings.zone
         home = bearing([s for s in call.places if s.zone == zone])
         if self.share() >= SPILLOVER_RATIO:
-            server = pick(call, [s for s in home if s.stand.bad_until <= now])
+            server = draw.pick(call, [s for s in home if s.stand.bad_until <= now])
         most = self.ceiling * (1 + CEILING_GROWTH * (now - self.cut)) - 0.5
-        if not server and not call.asks and self.rack.held < most:
+        if not server and self.rack.held < most and not any(map(draw.awaited, call.waits)):
             # Guards against a zone whose servers stand but drown: what finds no room in it leaves; and what
             # finds no room anywhere is kept, lest it be shed and come again.
             places = bearing(call.places)
-            server = pick(call, [s for s in places if s.stand.bad_until <= now] or home or places)
+            server = draw.pick(call, [s for s in places if s.stand.bad_until <= now] or home or places)
         call.places = [server] if server else []
         self.pass_on(call)
 
@@ -276,7 +276,7 @@
             draw.move(away, TIDY_SHARE)
 
     def matched(self) -> list[Server]:
-        return [s for s in self.rack.fleet if s.state == model.READY and s.zone == self.settings.zone]
+        return [s for s in self.rack.listing.ready if s.zone == self.settings.zone]
 
     def share(self) -> float:
         """Healthy matched over all matched; a cold server counts as far as it is warm."""
@@ -290,6 +290,12 @@
 class Draw(Stage):
     """The pick within the set, by failure-driven weight, and the sending."""
 
+    def __init__(self, rack: Balancer):
+        super().__init__(rack)
+        report, tell = self.settings.report, (model.FULLNESS, model.BUSY)
+        # Where a report tells how full a server is; without it nothing is asked.
+        self.fullness = next((report.index(one) for one in tell if one in report), None)
+
     def healthy(self, server: Server) -> bool:
         return server.stand.bad_until <= self.door.now
 
@@ -317,9 +323,9 @@
         """Count, by zone, the servers of which we would be told: those with late messages and all."""
         for seen in self.rack.seen.values():
             seen[0], seen[1] = seen[0] / 2, seen[1] / 2
-        for server in self.rack.fleet:
+        for server in self.rack.listing.ready:
             stand = server.stand
-            if server.state == model.READY and (stand.legs or self.door.now - stand.told <= SWAMPED_FOR):
+            if stand.legs or self.door.now - stand.told <= SWAMPED_FOR:
                 seen = self.rack.seen.setdefault(server.zone, [0.0, 0.0])
                 seen[0] += self.told_late(server)
                 seen[1] += 1
@@ -373,27 +379,38 @@
         lots = sorted(held or low, key=call.lots.__getitem__)[:LOTS]
         call.waits += lots
         for number, server in enumerate(lots):
-            call.asks = self.ask(server)
-            if call.asks:
+            self.ask(server)
+            if self.awaited(server):
                 return None
             if self.room(server, FULL - number * STEEP):
                 return server
         return None
 
     def reported(self, server: Server) -> bool:
-        """Does a report of it stand? A full one does longer: guards against asking in vain in a jam."""
-        stand = server.stand
-        return self.door.now - stand.read <= FRESH * (1 + (stand.full >= FULL))
+        return self.door.now <= server.stand.full_until
 
-    def ask(self, server: Server) -> bool:
-        """Is a report of it still to be waited for? Guards against placing blindly where we hold nothing."""
+    def ask(self, server: Server) -> None:
+        """Guards against placing blindly where we hold nothing, and so are told nothing."""
         stand, now = server.stand, self.door.now
-        if self.rack.fullness is None or self.reported(server):
-            return False
-        if now - stand.asked > FRESH:
+        if self.fullness is not None and not self.reported(server) and now - stand.asked > FRESH:
             stand.asked = now
             self.door.probe(server)
-        return now - stand.asked < ASKED_FOR
+
+    def awaited(self, server: Server) -> bool:
+        """Was it asked, and may the answer still come in time?"""
+        return not self.reported(server) and self.door.now - server.stand.asked < ASKED_FOR
+
+    def probed(self, server: Server, result: Result) -> None:
+        """What it found. No connection is no failure of the server, but no call is sent there for a while."""
+        stand, whole = server.stand, len(result.report) == len(self.settings.report)
+        if result.kind == model.COMPLETED and whole and self.fullness is not None:
+            stand.full = result.report[self.fullness]
+        elif result.kind == model.NO_CONN:
+            stand.full = math.inf
+        else:
+            return
+        # That it is full stands longer: guards against asking in vain at each try of a client in a jam.
+        stand.full_until = self.door.now + (FULL_FRESH if stand.full >= FULL else FRESH)
 
     def take(self, call: Call) -> None:
         server = call.places[0]
@@ -434,7 +451,7 @@
 
     def back(self, leg: Leg, result: Result) -> None:
         if result.kind in (model.RESET, model.NO_CONN):
-            leg.server.stand.read = min(leg.server.stand.read, self.door.now - 2 * FRESH - 1)  # ask again
+            leg.server.stand.full_until = -math.inf  # guards against a report from before it broke
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
         self.count(leg.call, leg.server, -1)
@@ -465,15 +482,13 @@
         self.quickest = min(kind.message_aim for kind in settings.types)
         self.kept: list[Call] = []
         self.looks = False  # a look at them is due
-        tells = [settings.report.index(one) for one in (model.FULLNESS, model.BUSY) if one in settings.report]
-        self.fullness = tells[0] if tells else None  # where a report tells how full a server is
         self.sizes: dict[int, float] = {}  # by kind of machine, where listed weights are live
         self.held = 0  # own connections and legs out, everywhere
         self.watch_wait = WATCH_RETRY
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
-        self.answer, self.effect, self.listing = Answer(self), Effect(self), Listed(self)
+        self.answer, self.listing, self.effect = Answer(self), Listed(self), Effect(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
-        chain = [self.answer, self.effect, self.listing, self.zone, self.draw]
+        chain = [self.answer, self.listing, self.effect, self.zone, self.draw]
         for one, other in zip(chain, chain[1:]):
             one.after, other.before = other, one
         door.wake(door.now + TIDY_EVERY * (1 + self.chance.draw()), "tidy")
@@ -501,16 +516,11 @@
         self.draw.delayed(leg.server, delay / self.quickest)
 
     def probed(self, server: Server, result: Result) -> None:
-        if result.kind == model.COMPLETED:
-            if self.fullness is not None and len(result.report) == len(self.settings.report):
-                server.stand.full, server.stand.read = result.report[self.fullness], self.door.now
-        elif result.kind == model.NO_CONN:  # no failure of it, but no call is sent after it for a while
-            server.stand.full, server.stand.read = math.inf, self.door.now
+        self.draw.probed(server, result)
         ready = [call for call in self.kept if server in call.waits]
         self.kept = [call for call in self.kept if server not in call.waits]
         for call in ready:
-            call.waits = []
-            self.answer.take(call)
+            self.again(call)
 
     def heard(self, peer: int, data: bytes) -> None: ...
 
@@ -523,8 +533,7 @@
                 # Guards against a long queue, and looking everywhere while none it waits for has room.
                 if len(self.kept) < KEPT_LOOKS and (not call.waits or any(
                         self.door.now >= s.stand.next_leg and self.draw.room(s) for s in call.waits)):
-                    call.waits = []
-                    self.answer.take(call)
+                    self.again(call)
                 else:
                     self.keep(call)
         elif what == "tidy":
@@ -535,6 +544,10 @@
         elif what == "watch":
             self.door.watch()
 
+    def again(self, call: Call) -> None:
+        call.waits = []
+        self.answer.take(call)
+
     def keep(self, call: Call) -> None:
         """No server may take the call yet: hold it while it is worth something, then answer at once."""
         if call.done:
--- a/bellrack/lab/mutants.py
+++ b/bellrack/lab/mutants.py
@@ -77,8 +77,9 @@
     return True
 
 
-def _passes_all(stage: choice.Stage, call: Call) -> None:
-    stage.pass_on(call)
+def lists_all(stage: choice.Listed, call: Call) -> None:
+    call.places = stage.rack.fleet
+    stage.after.take(call)
 
 
 def _warm_at_once(stage: choice.Cold, server: Server) -> float:
@@ -149,7 +150,7 @@
     "leaves-the-group": (2, _of("LeavesTheGroup", effect={"same_group": _any_group})),
     "remembers-too-long": (2, RemembersTooLong),
     "legs-without-end": (2, LegsWithoutEnd),
-    "sends-to-drained": (3, _of("SendsToDrained", listing={"take": _passes_all})),
+    "sends-to-drained": (3, _of("SendsToDrained", listing={"take": lists_all})),
     "never-asks": (3, NeverAsks),
     "fills-cold": (4, _of("FillsCold", cold={"bearing": _all_bear, "warm": _warm_at_once, "sent": _unpaced},
                           draw={"room": _room_at_once})),
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -94,7 +94,6 @@
     done: bool = False  # answered for good, or nothing is owed any more
     places: list[Server] = field(default_factory=list)  # where the chain may still put it
     lots: dict[Server, float] = field(default_factory=dict)  # by server, while it has no leg out
-    asks: bool = False  # a probe that was sent for it is still out
     waits: list[Server] = field(default_factory=list)  # those that it waits for while it is kept
     host: Any = None  # the host's own record of it
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,7 +15,7 @@
 from bellrack.lab import baselines, cli, experiment, run
 from bellrack.lab.agenda import ARRIVAL, GUARD, NEWS, RESULT, START, TIMER, TROUBLE, Agenda
 from bellrack.lab.clients import Clients
-from bellrack.lab.mutants import MUTANTS
+from bellrack.lab.mutants import MUTANTS, lists_all
 from bellrack.lab.referee import Referee
 from bellrack.lab.scenario import ScenarioError, changed, parse_scenario
 from bellrack.lab.world import World
@@ -126,7 +126,7 @@
 
     def __init__(self, settings, seed, door):
         super().__init__(settings, seed, door)
-        self.listing.take = self.listing.pass_on
+        self.listing.take = lists_all.__get__(self.listing)
 
 
 def test_a_restart_under_the_same_id_told_with_an_older_start():
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -126,7 +126,7 @@
     bench.answer(first, 0.1, 0.1)
     leg = bench.sent[-1][0]
     bench.back(leg, kind)  # this time at once
-    assert bench.now - first.stand.read > 1.0
+    assert not bench.rack.draw.reported(first)
 
 
 def test_a_full_report_stands_longer_than_others():
