--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -488,13 +488,15 @@
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
         self.answer, self.listing, self.effect = Answer(self), Listed(self), Effect(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
-        chain = [self.answer, self.listing, self.effect, self.zone, self.draw]
-        for one, other in zip(chain, chain[1:]):
-            one.after, other.before = other, one
+        self.chain(self.answer, self.listing, self.effect, self.zone, self.draw)
         door.wake(door.now + TIDY_EVERY * (1 + self.chance.draw()), "tidy")
         if settings.asks:
             door.wake(door.now + WATCH_SPREAD * self.chance.draw(), "watch")
 
+    def chain(self, *stages: Stage) -> None:
+        for one, other in zip(stages, stages[1:]):
+            one.after, other.before = other, one
+
     def arrived(self, call: Call) -> None:
         self.answer.arrived(call)
 
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -3,10 +3,12 @@
 
 import json
 import traceback
+from collections.abc import Callable
 from typing import Any
 
 from bellrack import model
 from bellrack.books import Books
+from bellrack.choice import Balancer
 from bellrack.drill import wire
 from bellrack.drill.wire import WireError
 from bellrack.model import Call, Leg, Result, Server, Settings
@@ -21,13 +23,14 @@
 class Instance(Books):
     """One balancer and its Door."""
 
-    def __init__(self, who: int, seed: int, settings: Settings, clock: int, reply: wire.Reply):
+    def __init__(self, who: int, seed: int, settings: Settings, clock: int, reply: wire.Reply,
+                 decides: Callable[..., Any] = Balancer):
         self.who, self.reply = who, reply
         self._open: dict[int, Call] = {}
         self._numbers: dict[Call, int] = {}  # the same the other way
         self._wakes: dict[int, Any] = {}
         self._nonce = 0
-        super().__init__(settings, seed, clock / 1e6)
+        super().__init__(settings, seed, clock / 1e6, decides)
 
     # What the balancer may do.
 
@@ -172,8 +175,9 @@
 class Adapter:
     """All instances of this process."""
 
-    def __init__(self) -> None:
-        self._instances: dict[int, Instance] = {}
+    def __init__(self, decides: Callable[..., Any] = Balancer) -> None:
+        self.instances: dict[int, Instance] = {}
+        self._decides = decides
         self._pools: dict[int, list[tuple]] = {}
         self._last: tuple[int, int] | None = None
 
@@ -191,7 +195,7 @@
             elif who is None:
                 raise WireError(f"batch {batch.number}, record {index}: {name} before any On")
             elif name == "Exit":
-                self._instances.pop(who, None)
+                self.instances.pop(who, None)
             else:
                 try:
                     self._event(who, name, values, batch.clock, reply)
@@ -208,9 +212,9 @@
                 settings = parse_settings(json.loads(values[1]))
             except ValueError as error:
                 raise WireError(f"Launch.setup: {error}") from error
-            self._instances[who] = Instance(who, values[0], settings, clock, reply)
+            self.instances[who] = Instance(who, values[0], settings, clock, reply, self._decides)
             return
-        instance = self._instances.get(who)
+        instance = self.instances.get(who)
         if instance is None:
             raise WireError(f"{name} for instance {who}, which has not been launched")
         instance.now, instance.reply = clock / 1e6, reply
--- a/bellrack/lab/baselines.py
+++ b/bellrack/lab/baselines.py
@@ -124,9 +124,7 @@
     def __init__(self, settings: Any, seed: int, door: Any):
         super().__init__(settings, seed, door)
         self.draw = self.pick(self)
-        chain = [self.answer, self.listing, self.effect, self.draw]
-        for one, other in zip(chain, chain[1:]):
-            one.after, other.before = other, one
+        self.chain(self.answer, self.listing, self.effect, self.draw)
 
     def delayed(self, leg: Leg, delay: float) -> None: ...
 
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -50,7 +50,7 @@
         """UP for a first line, then each line said back."""
         first = await reader.readline()
         print(f"{name}: {first.decode().strip()}")
-        answers = {b"OPEN": b"UP toy\r\n", b"PING": b"PONG\r\n"}
+        answers = {b"OPEN": b"UP toy\r\n", b"PING": b"PONG\r\n", b"STATS": b"PONG 0.5 0.4\r\n"}
         writer.write(answers.get(first.split()[0] if first.strip() else b"", b"NO\r\n"))
         self.clients[name].add(writer)
         try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,9 +2,11 @@
 import asyncio
 import functools
 import itertools
+import json
 import socket
 import struct
 
+from bellrack import __main__ as program
 from bellrack import model
 from bellrack.choice import Balancer
 from bellrack.model import Call, Leg, Result, Server, Settings, TrafficType
@@ -114,6 +116,24 @@
         "report": {"how": "on_probe", "fields": ["utilization", "x0"]}}
 
 
+def configured(**changes) -> str:
+    """A configuration file's text."""
+    place = "127.0.0.1:1"
+    return json.dumps({"listen": place, "discovery": place, "settings": raw_settings(**changes)})
+
+
+def refused(tmp_path, capsys, monkeypatch, text) -> str:
+    """What `bellrack check` says of an unusable file with this text, or of none: one plain line, exit 2."""
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setattr("sys.argv", ["bellrack", "check", str(path)])
+    assert program.main() == 2
+    said = capsys.readouterr()
+    assert said.err.count("\n") == 1 and not said.out
+    return said.err
+
+
 class Peer:
     """The far side of a connection in the tests."""
 
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -248,3 +248,38 @@
     assert place(bench, 3) == []
     bench.run(bench.now + 60)
     assert place(bench, 1)
+
+
+def test_without_live_weights_and_reports_a_fixed_seed_chooses_as_before_them():
+    # The servers that commit 671a1ed chose on this story of cold, late and failing ones.
+    bench = Bench(settings(peers=3, ramp_time=6.0, cold_share=0.12), seed=25)
+    fleet = [Server(mark * 77 + 5, mark % 2, weight=[3.5, 2.0][mark % 3 > 0]) for mark in range(9)]
+    bench.rack.listed(fleet)
+    for number in range(160):
+        bench.run(bench.now + 0.11)
+        bench.call(group=number * number % 13)
+        out = [leg for leg, _ in bench.sent if leg.result is None]
+        if out and not out[-1].standing:
+            bench.stand(out[-1])
+        if number % 9 == 4:
+            bench.rack.delayed(out[number % len(out)], [0.04, 0.07, 0.25][number % 3])
+        if number % 7 == 3:
+            bench.back(out[number * 5 % len(out)], [model.COMPLETED, model.RESET][number % 2])
+        if number in (40, 60):
+            fleet[4].state, fleet[4].since = [model.DRAINING, model.READY][number > 40], bench.now
+            bench.rack.listed([fleet[4]])
+    chosen = "".join(str(fleet.index(leg.server)) for leg, _ in bench.sent)
+    assert chosen == "00268422486842486103308407217337641307332175216711311320243814548012175057868"
+    assert not bench.probes
+
+
+def test_a_call_placed_at_home_asks_no_cold_server_of_another_zone():
+    # Guards against a decision whose cost grows with all that is cold in a fleet that grows.
+    bench = Bench(settings())
+    home, *away = bench.fleet(0, 1, 1, 1)
+    for server in away:
+        server.since = bench.now
+    bench.rack.listed(away)
+    looked, room = [], bench.rack.cold.room
+    bench.rack.cold.room = lambda server: looked.append(server) or room(server)
+    assert place(bench, 5) == [home] * 5 and not looked
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,9 +8,8 @@
 import time
 
 import pytest
-from helpers import LIVE, Peer, World, played, raw_settings
+from helpers import LIVE, Peer, World, configured, played, refused
 
-from bellrack import __main__ as program
 from bellrack import model
 from bellrack.net import discovery, limits, lines, node, servers
 
@@ -656,11 +655,6 @@
         assert await server.line() == "M 1" and world.node.counters["faults"] == 1
 
 
-def configured(**changes):
-    place = "127.0.0.1:1"
-    return json.dumps({"listen": place, "discovery": place, "settings": raw_settings(**changes)})
-
-
 @pytest.mark.parametrize("text, told", [
     (None, "No such file"), ("{", "Expecting"), ("[]", "not an object"), ("{}", "'listen'"),
     ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'"),
@@ -668,10 +662,4 @@
     (configured(peersTotal=0), "peersTotal is 0"), (configured(az="x"), "invalid literal"),
     (configured(caps={}), "'maxLegs'")])
 def test_an_unusable_configuration_is_one_plain_line(tmp_path, capsys, monkeypatch, text, told):
-    path = tmp_path / "config.json"
-    if text is not None:
-        path.write_text(text)
-    monkeypatch.setattr("sys.argv", ["bellrack", "check", str(path)])
-    assert program.main() == 2
-    said = capsys.readouterr()
-    assert told in said.err and said.err.count("\n") == 1 and not said.out
+    assert told in refused(tmp_path, capsys, monkeypatch, text)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -34,120 +34,109 @@
     assert (full.size, other.size) == (3.5, 0.5)
 
 
+def asked(bench, *loads) -> list[Server]:
+    """A call whose lots are asked one after the other, each with the load that it reports; those asked."""
+    bench.call(group=9)
+    servers, before = [], len(bench.sent)
+    for load in loads:
+        server, = bench.probes
+        assert len(bench.sent) == before  # it waits
+        bench.answer(server, 0.5, load)
+        servers.append(server)
+    return servers
+
+
+def sent(bench) -> list[Server]:
+    return [leg.server for leg, _ in bench.sent]
+
+
 def test_a_call_waits_for_the_report_of_its_first_lot_and_passes_over_a_full_one():
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0, 0)
-    bench.call(group=9)
-    first, = bench.probes
-    bench.answer(first, 1.0, 0.95)
-    second, = bench.probes
-    assert second is not first and not bench.sent
-    bench.answer(second, 0.5, 0.4)
-    assert [leg.server for leg, _ in bench.sent] == [second]
-    bench.call(group=9)  # what was told stands for a while: no second probe
-    assert not bench.probes and bench.sent[-1][0].server is second
+    first, second = asked(bench, 0.95, 0.4)
+    assert second is not first and sent(bench) == [second]
+    asked(bench)  # what was told stands for a while: no second probe
+    assert not bench.probes and sent(bench) == [second, second]
 
 
 def test_a_full_zone_is_left_only_once_its_lots_have_told():
     bench = Bench(settings(**PROBED))
     home, away = bench.fleet(0, 1)
-    bench.call()
-    bench.answer(home, 1.0, 1.2)
+    asked(bench, 1.2)
     assert bench.probes == [away] and not bench.sent
+    assert [what for _, what in bench.wakes].count("kept") == 1  # guards against a look more for each answer
     bench.answer(away, 0.1, 0.1)
-    assert [leg.server for leg, _ in bench.sent] == [away]
+    assert sent(bench) == [away]
 
 
 @pytest.mark.parametrize("answer", [{"kind": model.TIMEOUT}, {"kind": model.FULL}, None])
 def test_a_probe_that_fails_proves_nothing_and_holds_no_call_for_long(answer):
     bench = Bench(settings(**PROBED))
     server, = bench.fleet(0)
-    bench.call()
+    asked(bench)
     if answer:
         bench.answer(server, **answer)
     assert not bench.sent
     bench.run(bench.now + 0.16)
-    assert [leg.server for leg, _ in bench.sent] == [server]
-    assert server.stand.weight == 1.0 and not server.stand.fails
-
-
-def test_without_reports_no_probe_is_sent():
-    bench = Bench(settings())
-    bench.fleet(0, 0, 1)
-    for _ in range(20):
-        bench.call()
-    assert bench.sent and not bench.probes
+    assert sent(bench) == [server] and server.stand.weight == 1.0 and not server.stand.fails
 
 
 def test_a_group_leaves_its_first_server_last():
     # Guards against groups that open ever new servers, each at the group's price.
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0, 0)
-    bench.call(group=9)
-    first, = bench.probes
-    bench.answer(first, 0.9, 0.85)
-    assert [leg.server for leg, _ in bench.sent] == [first]
+    first, = asked(bench, 0.85)
+    assert sent(bench) == [first]
     bench.run(bench.now + 1.2)
-    bench.call(group=9)
-    bench.answer(first, 1.0, 0.92)
-    second, = bench.probes
-    bench.answer(second, 0.9, 0.85)  # as full as the first was when it took one
-    third, = bench.probes
-    bench.answer(third, 0.4, 0.3)
-    assert [leg.server for leg, _ in bench.sent] == [first, third]
+    _, _, third = asked(bench, 0.92, 0.85, 0.3)  # the second is as full as the first was when it took one
+    assert sent(bench) == [first, third]
 
 
 def test_a_probe_that_finds_no_connection_passes_a_server_over_and_marks_nothing():
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0)
-    bench.call(group=9)
+    asked(bench)
     gone, = bench.probes
     bench.answer(gone, kind=model.NO_CONN)
     other, = bench.probes
     bench.answer(other, 0.1, 0.1)
-    assert [leg.server for leg, _ in bench.sent] == [other] and gone.stand.bad_until == 0.0
+    assert sent(bench) == [other] and gone.stand.bad_until == 0.0
     bench.run(bench.now + 2.2)
-    bench.call(group=9)
+    asked(bench)
     assert gone in bench.probes  # asked again: it may be back
 
 
 @pytest.mark.parametrize("kind", [model.RESET, model.NO_CONN])
-def test_after_a_reset_or_failed_connect_the_server_is_asked_again(kind):
+def test_after_a_reset_or_failed_connect_no_earlier_report_stands(kind):
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0)
-    bench.call(group=9)
-    first, = bench.probes
-    bench.answer(first, 0.1, 0.1)
+    first, = asked(bench, 0.1)
     bench.stand(bench.sent[0][0])
+    assert bench.rack.draw.reported(first)
     bench.back(bench.sent[0][0], kind)
-    bench.run(bench.now + 1.1)
-    bench.call(group=9)
-    assert bench.probes == [first]
-    bench.answer(first, 0.1, 0.1)
-    leg = bench.sent[-1][0]
-    bench.back(leg, kind)  # this time at once
     assert not bench.rack.draw.reported(first)
+    bench.run(bench.now + 1.1)
+    asked(bench, 0.1)
+    bench.back(bench.sent[-1][0], kind)  # this one while it is set up
+    assert sent(bench) == [first, first] and not bench.rack.draw.reported(first)
 
 
 def test_a_full_report_stands_longer_than_others():
     bench = Bench(settings(**PROBED))
     server, = bench.fleet(0)
-    bench.call()
-    bench.answer(server, 1.0, 1.5)
-    bench.run(bench.now + 1.5)
-    bench.call()
-    assert not bench.probes
-    bench.run(bench.now + 1.0)
-    bench.call()
-    assert bench.probes == [server]
+    asked(bench, 1.5)
+    for wait, probes in ((1.5, []), (1.0, [server])):
+        bench.run(bench.now + wait)
+        asked(bench)
+        assert bench.probes == probes
 
 
-@pytest.mark.parametrize("report, asked", [
+@pytest.mark.parametrize("report, probes", [
     ((model.BACKLOG, model.BUSY), 1), ((model.ERRORS, model.HELD), 0), ((), 0)])
-def test_fullness_is_read_from_what_a_report_holds_or_nothing_is_asked(report, asked):
+def test_fullness_is_read_from_what_a_report_holds_or_nothing_is_asked(report, probes):
     bench = Bench(settings(**PROBED | {"report": report}))
     server, = bench.fleet(0)
     bench.call()
-    assert len(bench.probes) == asked
+    assert len(bench.probes) == probes
     bench.rack.probed(server, Result(model.COMPLETED, 0.001, (7.0, 0.95)[:len(report)]))
-    assert server.stand.full == 0.95 * asked and len(bench.sent) == 1 - asked
+    assert server.stand.full == 0.95 * probes and len(bench.sent) == 1 - probes
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """A slow, plain model of the four rules beside the module, on generated events."""
+import pytest
 from helpers import Bench, settings
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
@@ -106,9 +107,11 @@
     assert all(when <= call.guard + bench.rules.answer_slack for call, _, when in bench.done)
 
 
-def test_cold_server_fills_evenly():
-    """Rule 4: one balancer's part stays under an even fill over the warm-up, however the calls come."""
-    bench = Bench(settings())
+@pytest.mark.parametrize("live", [False, True])
+def test_cold_server_fills_evenly(live):
+    """Rule 4: one balancer's part stays under an even fill over the warm-up, however the calls come; also
+    where the listed weights of warm servers fall with what they hold, and a cold one's stands at its size."""
+    bench = Bench(settings(live=live))
     cold, *warm = bench.fleet(0, 0, 0)
     for _ in range(40):
         bench.run(bench.now + 0.13)
@@ -117,7 +120,9 @@
     for leg in [leg for leg, _ in bench.sent if leg.server is cold]:
         bench.back(leg, model.RESET)
     cold.since = start = bench.now
-    bench.rack.listed([cold])
+    for server in warm if live else []:
+        server.weight /= 1 + server.stand.open
+    bench.rack.listed([cold, *warm])
     for step in range(100):
         bench.run(start + max(0, step - 50) * 0.2)  # half of them at once
         bench.call()
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -2,26 +2,23 @@
 import json
 
 import pytest
-from helpers import LIVE, Peer, World, played, raw_settings
+from helpers import CAPS, LIVE, Peer, World, configured, played, refused
 
-from bellrack import __main__ as program
 from bellrack import model
 from bellrack.net import limits
-from bellrack.net.config import parse_config
+from bellrack.net.config import parse_config, read_config
 from bellrack.settings import SettingsError
 
 
-def configured(**changes):
-    place = "127.0.0.1:1"
-    return {"listen": place, "discovery": place, "settings": raw_settings(**changes)}
-
-
 def test_both_shapes_are_usable_and_the_old_one_is_what_nothing_says():
-    old, new = parse_config(configured()).settings, parse_config(configured(**LIVE)).settings
+    def parsed(**changes):
+        return parse_config(json.loads(configured(**changes))).settings
+
+    old, new = parsed(), parsed(**LIVE)
     assert (old.asks, old.live, old.report) == (True, False, ())
     assert (new.asks, new.live, new.report) == (False, True, (model.BUSY, model.FULLNESS))
     said = {"weights": "nominal", "report": {"how": "off", "fields": []}}
-    assert vars(parse_config(configured(**said)).settings) | {"types": 0} == vars(old) | {"types": 0}
+    assert vars(parsed(**said)) | {"types": 0} == vars(old) | {"types": 0}
 
 
 def fields(*names):
@@ -36,24 +33,26 @@
     (LIVE | {"report": {"how": "off", "fields": []}}, "report.how"),
     ({"report": {"how": "on_probe", "fields": ["x0"]}}, "report.how"),
     ({"report": {"how": "never"}}, "report.how"), ({"report": []}, "report is no object"),
-    (LIVE | {"caps": LIVE["caps"] | {"probes": False}}, "caps.probes"),
-    ({"caps": LIVE["caps"] | {"probes": "yes"}}, "caps.probes"),
+    (LIVE | {"caps": CAPS | {"probes": False}}, "caps.probes"),
+    ({"caps": CAPS | {"probes": "yes"}}, "caps.probes"),
     (fields(), "report.fields"), (fields("x0", "x0"), "report.fields"),
     (fields("x0", "mood"), "report.fields"),
     (fields("x0", 7), "report.fields"), (fields("utilization"), "report.fields"),
     (fields("x0", "x1", "utilization", "outstanding", "backlog"), "report.fields"),
     (LIVE | {"report": {"how": "on_probe", "fields": "x0"}}, "report.fields"),
+    (LIVE | {"report": {"how": "on_probe"}}, "report.fields"),
+    (LIVE | {"caps": {key: value for key, value in CAPS.items() if key != "probes"}}, "caps.probes"),
     (LIVE | {"report": {"how": ["on_probe"], "fields": ["x0"]}}, "report.how")])
 def test_a_mix_of_shapes_or_an_unknown_value_is_one_line_that_names_the_key(
         tmp_path, capsys, monkeypatch, changes, key):
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(configured(**changes)))
-    monkeypatch.setattr("sys.argv", ["bellrack", "check", str(path)])
-    assert program.main() == 2
-    said = capsys.readouterr()
-    assert key in said.err and said.err.count("\n") == 1 and not said.out
+    assert key in refused(tmp_path, capsys, monkeypatch, configured(**changes))
     with pytest.raises(SettingsError):
-        parse_config(configured(**changes))
+        parse_config(json.loads(configured(**changes)))
+
+
+@pytest.mark.parametrize("name, live", [("config", False), ("live", True)])
+def test_the_examples_are_usable(name, live):
+    assert read_config(f"examples/{name}.json").settings.live == live
 
 
 @played
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,10 +4,10 @@
 import struct
 
 import pytest
-from helpers import raw_settings
+from helpers import LIVE, raw_settings
 
 from bellrack import model
-from bellrack.drill import wire
+from bellrack.drill import tally, wire
 from bellrack.drill.adapter import Adapter
 from bellrack.settings import parse_settings
 
@@ -73,15 +73,42 @@
     assert (settings.zone, settings.asks, settings.types[0].message_aim) == (2, False, 5e-6)
 
 
+def entry(machine: int, server: int) -> str:
+    return f"01 0000 00 40600000 0000000000000000 {machine:02x} {server:08x}"
+
+
+def launch(raw: dict, *listed: str, more: tuple[str, ...] = (), tail: str = "") -> bytes:
+    """A frame in which instance 3 starts with these entries; `more` may point at the tail's end."""
+    told, known = json.dumps(raw).encode(), bytes.fromhex("".join(listed).replace(" ", ""))
+    end = f"{len(told) + len(known):08x}"
+    return frame("0105 0003", f"0106 0000000000000001 00000000 {len(told):08x}",
+                 f"0109 00000000 {len(told):08x} {len(listed):08x}", "0103 02 00000000 00000001",
+                 *(record.replace("end", end) for record in more),
+                 tail=told + known + bytes.fromhex(tail.replace(" ", "")), clock=10**8)
+
+
 def test_a_change_of_one_server_leaves_the_others_listed_whatever_its_machine():
-    settings = json.dumps(raw_settings(discovery="push", weights="live")).encode()
-    entry = "01 0000 00 3f800000 0000000000000000 {} 0000000{}"
-    tail = settings + bytes.fromhex((entry.format("00", 1) + entry.format("01", 2) + entry.format("01", 2))
-                                    .replace(" ", ""))
     adapter = Adapter()
-    adapter.answer(wire.read_batch(io.BytesIO(frame(
-        "0105 0003", f"0106 0000000000000001 00000000 {len(settings):08x}",
-        f"0109 00000000 {len(settings):08x} 00000002", "0103 02 00000000 00000001",
-        f"0109 00000001 {len(settings) + 42:08x} 00000001", "0103 00 00000001 00000002", tail=tail))))
-    servers = adapter._instances[3].servers.values()
+    adapter.answer(wire.read_batch(io.BytesIO(launch(
+        raw_settings(discovery="push", weights="live"), entry(0, 1), entry(1, 2), tail=entry(1, 2),
+        more=("0109 00000001 end 00000001", "0103 00 00000001 00000002")))))
+    servers = adapter.instances[3].servers.values()
     assert [(server.state, server.kind) for server in servers] == [(model.READY, 0), (model.READY, 1)]
+
+
+def test_a_tally_counts_what_a_recorded_run_decided(tmp_path, capsys, monkeypatch):
+    raw = raw_settings(**LIVE | {"report": {"how": "on_probe", "fields": ["x0"]}})
+    call = "010b 0000000000000001 0000000000000000 001e8480 0000000000000009 00000000 00000000 00 0000"
+    frames = [launch(raw, entry(0, 1)), frame("0105 0003", call, number=2, clock=10**8 + 10),
+              frame("0105 0003", "0107 00000001 0a 00000064 01 3f733333", number=3, clock=10**8 + 20)]
+    tap = tmp_path / "tap"
+    tap.write_text("".join(f">> process 0, {len(one)} bytes\n{one.hex()}\n<< process 0, 12 bytes\n00\n"
+                           for one in frames))
+    monkeypatch.setattr("sys.argv", ["tally", str(tap)])
+    assert tally.main() == 0
+    said = capsys.readouterr().out
+    assert "lots without room: {'load': 2}" in said  # at home, then anywhere
+    assert "failures 0, marks 0" in said and "probes 1; most in a second to one server 1, to a cold" in said
+    assert "machine 0: calls a core 0.0" in said
+    tap.write_text(">> process 0, 2 bytes\nzz\n")
+    assert tally.main() == 2 and capsys.readouterr().err.count("\n") == 1
