--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -36,7 +36,8 @@
 WATCH_RETRY = 1.0  # first wait after it failed; doubles up to 8
 GROWTH = 0.5  # most legs a second to a warm server, as a share of what it usually holds
 LEAST_PACE = 8.0  # legs a second to a warm server, by all balancers, that are never held back
-PACE = 2.0  # legs to a cold server, at most this many times as fast as an even fill needs
+AHEAD = 2.0  # a cold server is filled at most this many times as fast as evenly over its warm-up
+PACE = 2.0  # legs to a cold server, at most this many times as fast as that fill needs
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
 FRESH = 1.0  # seconds for which what a probe told is gone by, and until the next
 FULL_FRESH = 2.0  # the same if it told that the server is full
@@ -221,16 +222,16 @@
     def room(self, server: Server) -> bool:
         if self.door.now < server.stand.next_leg:
             return False
-        # Filled evenly over its warm-up; the first by a lot drawn once, lest each balancer start with one.
+        # Evenly over part of its warm-up; the first by a lot drawn once, lest each balancer start with one.
         # From when we were told: the list is seconds late, and a late start would come as one push.
-        fill = (self.door.now - server.stand.told_start) / self.settings.ramp_time
+        fill = min(1.0, AHEAD * (self.door.now - server.stand.told_start) / self.settings.ramp_time)
         under = server.stand.open + server.stand.part < self.usual() * server.size * fill
         return under and self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
 
     def sent(self, server: Server) -> None:
         """Guards against churn: connections that end at once free their place, but each set-up is work."""
         if self.warm(server) < 1.0:
-            gap = self.settings.ramp_time / (PACE * self.usual() * server.size)
+            gap = self.settings.ramp_time / (AHEAD * PACE * self.usual() * server.size)
         else:
             sure, calm = self.usual() * server.size, self.rack.draw.calm(server.zone)
             # Slower the more servers are late: guards against a fleet that sheds and is filled at once again.
