Draw a group's lots over cold servers without room too: groups scatter less

The lines at fault: Zone.take left out, before lots were drawn, each cold server that this balancer's own part of the fill closed just then (Cold.bearing). One balancer leaves out the same ones for all calls; forty leave out forty different sets, so a group's first three lots were others at each, and it came to stand on every cold server.

Change: lots are drawn over all, and room is asked of the first three; a cold one that may take none is passed over.

The fixed story of choices changes by it, once lots have met cold servers.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -200,10 +200,9 @@
     def __init__(self, rack: Balancer):
         self.rack, self.settings, self.door = rack, rack.settings, rack.door
 
-    def bearing(self, places: list[Server]) -> list[Server]:
-        """Those that are warm or may take one more; asked for as few as may be, as it is dear."""
-        now = self.door.now
-        return [s for s in places if s.stand.warm_at <= now or self.room(s)]
+    def bears(self, server: Server) -> bool:
+        """Is it warm, or may it take one more?"""
+        return server.stand.warm_at <= self.door.now or self.room(server)
 
     def warm(self, server: Server) -> float:
         """The share of its capacity that a server surely has by now."""
@@ -249,16 +248,15 @@
 
     def take(self, call: Call) -> None:
         now, draw, server = self.door.now, self.rack.draw, None
-        bearing, zone = self.rack.cold.bearing, self.settings.zone
-        home = bearing([s for s in call.places if s.zone == zone])
+        home = [s for s in call.places if s.zone == self.settings.zone]
         if self.share() >= SPILLOVER_RATIO:
             server = draw.pick(call, [s for s in home if s.stand.bad_until <= now])
         most = self.ceiling * (1 + CEILING_GROWTH * (now - self.cut)) - 0.5
         if not server and self.rack.held < most and not any(map(draw.awaited, call.waits)):
             # Guards against a zone whose servers stand but drown: what finds no room in it leaves; and what
             # finds no room anywhere is kept, lest it be shed and come again.
-            places = bearing(call.places)
-            server = draw.pick(call, [s for s in places if s.stand.bad_until <= now] or home or places)
+            healthy = [s for s in call.places if s.stand.bad_until <= now]
+            server = draw.pick(call, healthy or home or call.places)
         call.places = [server] if server else []
         self.pass_on(call)
 
@@ -365,7 +363,8 @@
             stand.cut = self.door.now
 
     def pick(self, call: Call, places: list[Server]) -> Server | None:
-        """The first lot with room, of few: guards against groups that scatter over what each thinks open."""
+        """The first lot with room, of few: guards against groups that scatter over what each thinks open.
+        Lots fall on cold servers that may take none too: each balancer's part of those is another one."""
         tried = [leg.server for leg in call.legs]
         if not (places := [s for s in places if s not in tried] or places):
             return None
@@ -380,6 +379,8 @@
         lots = sorted(held or low, key=call.lots.__getitem__)[:LOTS]
         call.waits += lots
         for number, server in enumerate(lots):
+            if not self.rack.cold.bears(server):
+                continue
             self.ask(server)
             if self.awaited(server):
                 return None
@@ -535,7 +536,8 @@
             for call in waiting:
                 # Guards against a long queue, and looking everywhere while none it waits for has room.
                 if len(self.kept) < KEPT_LOOKS and (not call.waits or any(
-                        self.door.now >= s.stand.next_leg and self.draw.room(s) for s in call.waits)):
+                        self.door.now >= s.stand.next_leg and self.draw.room(s) and self.cold.bears(s)
+                        for s in call.waits)):
                     self.again(call)
                 else:
                     self.keep(call)
--- a/bellrack/lab/mutants.py
+++ b/bellrack/lab/mutants.py
@@ -89,8 +89,8 @@
 def _unpaced(stage: choice.Cold, server: Server) -> None: ...
 
 
-def _all_bear(stage: choice.Cold, places: list[Server]) -> list[Server]:
-    return places
+def _all_bear(stage: choice.Cold, server: Server) -> bool:
+    return True
 
 
 def _room_at_once(stage: choice.Draw, server: Server, full: float = 1.0) -> bool:
@@ -152,6 +152,6 @@
     "legs-without-end": (2, LegsWithoutEnd),
     "sends-to-drained": (3, _of("SendsToDrained", listing={"take": lists_all})),
     "never-asks": (3, NeverAsks),
-    "fills-cold": (4, _of("FillsCold", cold={"bearing": _all_bear, "warm": _warm_at_once, "sent": _unpaced},
+    "fills-cold": (4, _of("FillsCold", cold={"bears": _all_bear, "warm": _warm_at_once, "sent": _unpaced},
                           draw={"room": _room_at_once})),
 }
