--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -342,7 +342,12 @@
             # Guards against connections that stay where their messages are late: the paper's rule is for new
             # ones, so a few are asked to come again, those first whose group's lots belong here least.
             rest = sorted(server.stand.legs, key=lambda leg: -self.lot(leg.call, server))
-            self.move(rest, MOVE_SHARE * min(delay, MOVE_MOST))
+            share = MOVE_SHARE * min(delay, MOVE_MOST)
+            # What is moved lowers the ceiling with it: guards against many balancers with a connection each,
+            # which hear no more of the server once theirs is moved, and together fill it up again.
+            held = server.stand.open / self.rack.cold.warm(server)
+            server.stand.ceiling = min(server.stand.ceiling, CEILING * (1 - share) * held)
+            self.move(rest, share)
         server.stand.delay, server.stand.told = delay, self.door.now
 
     def move(self, legs: list[Leg], share: float) -> None:
