Fleet counts: read values as the log quotes them; a test's name says what it checks

Seen on reading the change again: the counts had a parser of their own for key=value pairs, which cut a value at an escaped quote and took the rest for further keys. shlex reads what net/log.py writes; a test over both fails without it.

--- a/bellrack/drill/fleet.py
+++ b/bellrack/drill/fleet.py
@@ -10,6 +10,7 @@
 """
 from __future__ import annotations
 
+import shlex
 import sys
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
@@ -54,13 +55,8 @@
 
 
 def pairs(text: str) -> dict[str, str]:
-    """key=value pairs; a value with spaces stands in quotes."""
-    found, rest = {}, text.strip()
-    while rest:
-        key, _, rest = rest.partition("=")
-        value, _, rest = rest[1:].partition('"') if rest.startswith('"') else rest.partition(" ")
-        found[key.strip()], rest = value, rest.lstrip()
-    return found
+    """key=value pairs, quoted as `bellrack.net.log` does."""
+    return {key: value for key, _, value in (part.partition("=") for part in shlex.split(text))}
 
 
 def told(fleet: Fleet) -> Iterator[str]:
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -251,7 +251,7 @@
     assert place(bench, 1)
 
 
-def test_without_live_weights_and_reports_a_fixed_seed_chooses_as_before_them():
+def test_without_live_weights_and_reports_a_fixed_seed_chooses_the_same_and_asks_nothing():
     # The servers chosen on this story since lots fall on cold ones without room too.
     bench = Bench(settings(peers=3, ramp_time=6.0, cold_share=0.12), seed=25)
     fleet = [Server(mark * 77 + 5, mark % 2, weight=[3.5, 2.0][mark % 3 > 0]) for mark in range(9)]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 import sys
 
 from bellrack.drill import fleet
+from bellrack.net import log
 
 ONE = '''\
 0.150 time=1.0 level=info event=serving name=n0 listen=10.0.0.1:3000 servers=9
@@ -35,3 +36,9 @@
     monkeypatch.setattr(sys, "argv", ["fleet", str(tmp_path)])
     assert fleet.main() == 2
     assert capsys.readouterr().err == f"bellrack: {tmp_path}: no logs\n"
+
+
+def test_values_are_read_as_the_log_quotes_them():
+    text = 'said "no" to a = b'
+    read = fleet.pairs(f"event=mode text={log.quoted(text)} name=n0")
+    assert read == {"event": "mode", "text": text, "name": "n0"}
