A door for operators: readiness and figures over HTTP at the control address

Calls that are not whole are bounded (32, the oldest goes, 6 s each). A connection has one outcome by traffic type, counted where it is answered; the module says which servers it avoids. Not ready until the list service has spoken since the start, or for 2 s. Rejected: starlette on a server of its own. It needs an ASGI server beside it, a third-party loop in the daemon's turn, and imports more memory than the door needs; and its answers would wait behind the turn's clients. Rejected too: sums kept at each change, as a scrape a second reads some hundred connections.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -596,6 +596,10 @@
                 if other.kind == server.kind:
                     other.size = server.weight
 
+    def avoids(self, server: Server) -> bool:
+        """Is this listed server kept from new calls now, by the list or by failures?"""
+        return server not in self.listing.ready or not self.draw.healthy(server)
+
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
         if self.settings.asks:
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -65,6 +65,10 @@
         elif self.done():
             self.gone()
 
+    def counted_as(self, outcome: str) -> None:
+        """Its one outcome, by traffic type as the line names it."""
+        self.node.counters[f"{outcome}.{self.wish.values['c']}"] += 1
+
     def first(self, line: bytes) -> None:
         if line.strip() == b"PING":
             self.pings += 1
@@ -76,6 +80,8 @@
         try:
             self.wish = lines.wish(line)
             if not self.node.limits.room(self.node.now):
+                if self.wish.values.get("c") in self.node.names.types:
+                    self.counted_as("rejected")
                 self.busy()
             else:
                 self.node.arrive(self)
@@ -97,6 +103,8 @@
     def refuse(self, code: str) -> None:
         """Malformed: one failing answer and the end."""
         self.node.counters["malformed"] += 1
+        if self.call and not self.call.done and not self.other:
+            self.counted_as("failed")
         self.answer(b"SYNTAX\r\n", code)
         self.forgotten(model.CANCELLED)
 
--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import os
 from dataclasses import dataclass
 from typing import Any
 
@@ -27,13 +28,17 @@
     peer_listen: tuple[str, int] | None
     peers: list[tuple[str, int]]
     peers_all: tuple[str, int] | None
+    control: tuple[str, int] | None  # where operators call
     path: str = ""  # read again on request
 
 
 def read_config(path: str) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
-            config = parse_config(json.load(file))
+            raw = json.load(file)
+        if isinstance(raw, dict) and (place := os.environ.get("BALANCER_CONTROL")):
+            raw.setdefault("control", place)
+        config = parse_config(raw)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except ValueError as error:
@@ -54,7 +59,8 @@
             known=listing(raw["known"]) if raw.get("known") else None,
             peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
             peers=[address(peer) for peer in raw.get("peers", [])],
-            peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None)
+            peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None,
+            control=address(raw["control"]) if raw.get("control") else None)
     except KeyError as error:
         raise SettingsError(f"no value at {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
--- /dev/null
+++ b/bellrack/net/control.py
@@ -0,0 +1,73 @@
+"""The door for operators: who calls at the control address, and what is answered.
+
+Owns the calls and their one answer each. It never decides which server is used, never waits for anything
+before it answers, and never takes a descriptor that calls of clients need beyond its few.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack.net import figures, limits
+from bellrack.net.http import CONTINUE, HttpError, Request, answer
+from bellrack.net.ring import Link
+
+
+class Caller(Link):
+    """One call of an operator."""
+
+    side = "control"
+    leads = True  # guards against answers that wait behind a rush of clients
+
+    def made(self) -> None:
+        self.request, callers = Request(), self.node.callers
+        callers[self] = None
+        if len(callers) > limits.CALLERS:
+            # Guards against callers that hold connections with no whole call: the oldest of them goes.
+            next(iter(callers)).reply(503, "too many callers\n", "many-callers")
+        self.lasts(limits.CALL, self.stale)
+        self.wake()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
+        self.node.callers.pop(self, None)
+
+    def stale(self) -> None:
+        self.reply(408, "no whole call came\n", "no-whole-call")
+
+    def ready(self) -> None:
+        try:
+            waited = self.request.method
+            self.request.feed(self.ring.take(self.ring.held) if self.ring.held else b"")
+            if self.request.done:
+                self.called()
+            elif self.request.waits and not waited:
+                self.write(CONTINUE)
+            elif self.ended:
+                self.finish(f"caller-{self.ended}", self.ended)
+        except HttpError as error:
+            self.reply(error.status, f"{error}\n", f"status-{error.status}")
+
+    def called(self) -> None:
+        path, method = self.request.path, self.request.method
+        if path not in CALLS:
+            self.reply(404, "no such call\n", "unknown-call")
+        elif method != CALLS[path][0]:
+            self.reply(405, f"this is a {CALLS[path][0]}\n", "other-method")
+        else:
+            self.reply(*CALLS[path][1](self.node, self.request), path)
+
+    def reply(self, status: int, text: str, reason: str) -> None:
+        self.node.callers.pop(self, None)
+        self.write(answer(status, text))
+        self.finish(reason, status=status)
+
+
+def ready(node: Any, request: Request) -> tuple[int, str]:
+    return (200, "ready\n") if node.can_serve() else (503, "not ready\n")
+
+
+def shown(node: Any, request: Request) -> tuple[int, str]:
+    return 200, figures.text(figures.told(node))
+
+
+CALLS = {"/_ready": ("GET", ready), "/_vars": ("GET", shown)}
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -18,6 +18,8 @@
 LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
 SEEN = 1024  # ids remembered beside the open ones
 PROBES = 32  # that are out at once: more are not sent, and what they were for goes on without
+CALLERS = 32  # operators' calls that are under way at once
+CALL = 6.0  # seconds from connecting in which an operator's call must be whole
 TAKE_UP = 40.0  # seconds after the start in which connections from before it may be taken up
 
 
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -19,6 +19,7 @@
 from bellrack.net import limits, lines, log
 from bellrack.net.clients import Client
 from bellrack.net.config import Config, read_config
+from bellrack.net.control import Caller
 from bellrack.net.discovery import Discovery
 from bellrack.net.leaving import Leaving
 from bellrack.net.servers import Place, Probe, ServerLink
@@ -30,6 +31,7 @@
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
 DATAGRAM = 256  # bytes
+LISTED = 2.0  # seconds after the start for which we are not ready without a word of the list service
 
 
 class Node(Books):
@@ -43,7 +45,9 @@
         self.turning = False
         self.counters = log.Counters()
         self.clients: dict[Client, None] = {}
+        self.callers: dict[Caller, None] = {}  # operators whose call is not whole, oldest first
         self.version = 0
+        self.heard = False  # from the list service, since the start
         self.machines: dict[str, int] = {}  # kinds by name, as the list brings them
         self.peers: Peers | None = None
         self.limits = limits.Limits(config.sockets)
@@ -140,6 +144,7 @@
     def answer(self, call: Call, line: bytes, how: str) -> None:
         call.done = True
         self.counters[how] += 1
+        call.host.counted_as("rejected" if how == "rejected" else "failed")
         self.acts.append((call.host.answer, (line, how)))
 
     def connect(self, leg: Leg, until: float) -> None:
@@ -218,6 +223,7 @@
             leg.call.legs.append(leg)
             self.resume(leg)
         else:
+            leg.call.host.counted_as("completed")
             self.stand(leg)
         if self.leaving:
             self.move(leg.call)
@@ -255,6 +261,7 @@
         if counts:
             self.version = news.version
         self.counters["list_lines"] += 1
+        self.heard = True
         rows = []
         for entry in news.entries:
             state, cell, weight, since = entry.row
@@ -301,6 +308,7 @@
     async def serve(self) -> None:
         if self.config.known:
             self.learn(self.config.known)
+            self.heard = False  # that list may be old
         if not self.settings.asks:
             self.watch()
         self.queue(self.look)
@@ -313,14 +321,30 @@
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.queue, self.reload)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
+        door = await self.open_control()
         self.address = place.getsockname()
         log.tell("serving", name=self.config.name, listen=lines.written(self.address),
                  servers=len(self.servers), weights="live" if self.settings.live else "nominal",
                  report=",".join(self.settings.report) or "none")
         await self.over.wait()
         listener.close()
+        if door:
+            door.close()
         self.counters.show()
 
+    async def open_control(self) -> asyncio.Server | None:
+        if not self.config.control:
+            return None
+        self.limits.counted(1)
+        door = await self.loop.create_server(lambda: Caller(self), *self.config.control)
+        self.desk = door.sockets[0].getsockname()
+        return door
+
+    def can_serve(self) -> bool:
+        """It takes calls and knows servers, by the list service or, if that says nothing, from before."""
+        listed = self.heard or bool(self.servers) and self.clock() - self.begun > LISTED
+        return listed and not self.leaving
+
     async def open_peers(self) -> None:
         if self.config.peer_listen:
             _, self.peers = await self.loop.create_datagram_endpoint(
@@ -334,8 +358,10 @@
         except SettingsError as error:
             # Guards against a file that is bad or half written: what was told before holds.
             log.tell("reload", taken="nothing", error=error)
+            self.counters["config_reload_errors"] += 1
             return
         log.tell("reload", discovery=lines.written(config.discovery), sockets=config.sockets)
+        self.counters["config_reloads"] += 1
         self.limits.allow(config.sockets)
         if config.discovery != self.discovery.address:
             self.discovery.move(config.discovery)
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -122,6 +122,7 @@
             self.end(model.NO_CONN, "drain-heard")
         else:
             self.written = True
+            self.node.counters["upstream_requests"] += 1
             self.write(lines.with_wait(self.client.wish, self.until - self.node.now))
 
     def answered(self, line: bytes) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -163,10 +163,10 @@
 class World:
     """A node on loopback between a list service and servers, whose sides the test plays."""
 
-    def __init__(self, servers=1, effect="retryable", sockets=256, known=True, **changes):
+    def __init__(self, servers=1, effect="retryable", sockets=256, known=True, control=False, **changes):
         self.raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
                     "limits": {"sockets": sockets}, "settings": raw_settings(effect, **changes)}
-        self.count, self.known, self.entries = servers, known, []
+        self.count, self.known, self.entries, self.control = servers, known, [], control
         self.numbers = itertools.count(1)
         self.arrived, self.questions = asyncio.Queue(), asyncio.Queue()
 
@@ -178,6 +178,8 @@
         places = ["{}:{}".format(*one.sockets[0].getsockname()) for one in self.listeners]
         self.entries = [self.entry(number, places[number]) for number in range(self.count)]
         self.raw |= {"discovery": places[-1]}
+        if self.control:
+            self.raw["control"] = "127.0.0.1:0"
         if self.known:
             self.raw["known"] = {"generation": 41, "reset": True, "instances": self.entries}
         self.node = Node(parse_config(self.raw), asyncio.get_running_loop())
@@ -227,6 +229,24 @@
             pass
         return peer, target
 
+    async def ask(self, path, body="", method=None):
+        """What an operator is answered: status and text, or 0 for none."""
+        peer = Peer(*await asyncio.open_connection(*self.node.desk))
+        method = method or ("POST" if body else "GET")
+        peer.writer.write(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        return await self.said(peer)
+
+    async def said(self, peer):
+        got = await asyncio.wait_for(peer.reader.read(), 5)
+        peer.end("fin")
+        head, _, text = got.decode().partition("\r\n\r\n")
+        return int(head.split()[1]) if head else 0, text
+
+    async def figures(self):
+        status, text = await self.ask("/_vars")
+        assert status == 200
+        return {name: int(value) for name, value in (line.split("=") for line in text.splitlines())}
+
     async def until(self, true, seconds=5.0):
         end = self.node.loop.time() + seconds
         while not true():
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,96 @@
+"""The operators' door: its form, its figures and its promise to answer beside whoever holds it."""
+import asyncio
+
+import pytest
+from helpers import Peer, World, played
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bellrack.net import limits
+from bellrack.net.http import HttpError, Request
+
+
+@given(st.lists(st.integers(1, 40)), st.binary(max_size=30))
+def test_a_request_reads_the_same_in_pieces_of_any_size(cuts, body):
+    text = b"\r\nPOST /_x?y=1 HTTP/1.1\r\nHost: a\r\ncontent-LENGTH: %d\r\n\r\n" % len(body) + body
+    request, rest = Request(), text
+    for cut in [*cuts, len(text)]:
+        assert not request.done or not rest
+        request.feed(rest[:cut])
+        rest = rest[cut:]
+    assert (request.done, request.method, request.path, request.body) == (True, "POST", "/_x", body)
+
+
+@pytest.mark.parametrize("text, status", [
+    ("GET\r\n\r\n", 400), ("GET /  HTTP/1.1\r\n\r\n", 400), ("OPEN 1 2\r\n\r\n", 400),
+    ("GET / HTTP/1.1\r\nno field\r\n\r\n", 400), ("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+    ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
+    ("POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", 413),
+    ("POST / HTTP/1.1\r\nContent-Length: " + "9" * 4000 + "\r\n\r\n", 413), ("G" * 5000, 431)])
+def test_a_bad_request_has_one_status(text, status):
+    with pytest.raises(HttpError) as raised:
+        Request().feed(text.encode())
+    assert raised.value.status == status
+
+
+@played
+async def test_calls_and_what_is_said_to_bad_ones():
+    async with World(control=True) as world:
+        question, _ = await world.question()
+        assert (await world.ask("/_ready"))[0] == 503  # nothing was heard of the list service yet
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        news = '{"generation":42,"reset":false,"instances":[]}\n'
+        question.writer.write(f"{head}{len(news):x}\r\n{news}\r\n".encode())
+        await world.until(lambda: world.node.heard)
+        assert await world.ask("/_ready") == (200, "ready\n")
+        assert (await world.ask("/_none"))[0] == 404
+        assert (await world.ask("/_vars", "s-0"))[0] == 405
+        assert (await world.ask("no path\r\n"))[0] == 400
+        assert not world.node.callers and not world.node.counters["faults"]
+
+
+@played
+async def test_figures_are_what_peers_saw():
+    async with World(servers=2, control=True, effect="fragile") as world:
+        assert await world.figures() == {
+            "completed.chat": 0, "rejected.chat": 0, "failed.chat": 0, "upstream_requests": 0, "pending": 0,
+            "config_reloads": 0, "config_reload_errors": 0, "members": 2, "members_unavailable": 0}
+        client, server = await world.standing()
+        failing = await world.call()
+        (await world.leg())[1].say("ERR")
+        assert await failing.line() == "ERR"
+        told = await world.figures()
+        assert (told["completed.chat"], told["failed.chat"], told["upstream_requests"]) == (1, 1, 2)
+        assert told["pending"] == 1
+        world.node.leave()
+        refused = await world.call()
+        assert (await refused.line()).startswith("BUSY")
+        told = await world.figures()
+        assert told["rejected.chat"] == 1 and (await world.ask("/_ready"))[0] == 503
+        client.end("fin")
+        assert await server.line() == "fin"
+        assert (await world.figures())["pending"] == 0
+
+
+@played
+async def test_holders_of_the_door_keep_nobody_out(monkeypatch):
+    monkeypatch.setattr(limits, "CALLERS", 4)
+    async with World(control=True) as world:
+        held = [Peer(*await asyncio.open_connection(*world.node.desk)) for _ in range(9)]
+        for peer in held[::2]:
+            peer.writer.write(b"GET /_va")
+        assert "pending" in await world.figures()
+        assert (await world.said(held[0]))[0] == 503 and len(world.node.callers) <= 4
+        held[-1].writer.write(b"GET /_vars HTTP/1.1\r\n\r\n"[8:])
+        assert (await world.said(held[-1]))[0] == 200  # the youngest may still finish its call
+
+
+@played
+async def test_a_call_that_never_becomes_whole_is_ended(monkeypatch):
+    monkeypatch.setattr(limits, "CALL", 0.05)
+    async with World(control=True) as world:
+        peer = Peer(*await asyncio.open_connection(*world.node.desk))
+        peer.writer.write(b"GET /_vars HT")
+        assert (await world.said(peer))[0] == 408
+        await world.until(lambda: not world.node.callers)
