A new version under load: the second process is handed the first one's listening socket

Design: `net/handover.py` is a Unix socket in $TMPDIR, found by name and address, for the same user only. The process that starts asks for the listening socket (SCM_RIGHTS) and the list as the first one knows it, waits for a word of the list service (2 s at most), then accepts at that very socket and says so; the first closes its copy, serves on who has come in, and at SIGTERM moves what stands over the time there is. Descriptors of both are told each quarter of a second and count as one. If the second dies before SIGTERM, the first opens its door again. All of it only where `control` is set. Rejected: two sockets with SO_REUSEPORT and nothing passed. A connection that the kernel has dealt to the first one's queue between its last accept and its close is reset, and each costs. It stays as the fallback, where $TMPDIR is not set or nobody answers there. Rejected too: handing over the connections that stand. It would spare the moves, but needs both rings, half lines and the books of each leg to go over in one piece; to be measured first.

--- /dev/null
+++ b/bellrack/net/handover.py
@@ -0,0 +1,159 @@
+"""Two processes that are one balancer for a while: a new version is started beside the one that serves.
+
+Owns the Unix socket between them, the passing of the listening socket, and what each tells the other until
+one is gone. It never decides, never moves a connection that stands, and takes a process of another user for
+nobody. Without the other process all is as if there were none.
+"""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import socket
+import struct
+from typing import Any
+
+from bellrack.net import log
+
+PATIENCE = 1.0  # seconds that the one that starts waits for the one that serves
+TELL_EVERY = 0.25  # seconds between figures told to the other
+LONGEST = 1 << 20  # bytes of one message
+PART = 65536  # bytes read at one go
+
+
+def place(name: str, listen: tuple[str, int]) -> str | None:
+    """Where the two meet: common to both processes, and short enough for the kernel; None for nowhere."""
+    folder = os.environ.get("TMPDIR")
+    if not folder:
+        return None
+    mark = hashlib.blake2b(f"{name} {listen}".encode(), digest_size=8).hexdigest()
+    path = os.path.join(folder, f"bellrack-{mark}")
+    return path if len(path.encode()) < 100 else None
+
+
+def same_user(sock: socket.socket) -> bool:
+    """Guards against whoever else can write to the folder and would be handed our door."""
+    _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+    return user == os.geteuid()
+
+
+class Former:
+    """The process that serves, as the one that starts finds it: its door and what it told."""
+
+    def __init__(self, sock: socket.socket, door: socket.socket, told: dict):
+        self.sock, self.door, self.told = sock, door, told
+
+
+def meet(path: str | None) -> Former | None:
+    """Ask the process that serves for its door; None if there is none, or it does not answer in time."""
+    if path is None:
+        return None
+    sock = socket.socket(socket.AF_UNIX)
+    fds: list[int] = []
+    try:
+        sock.settimeout(PATIENCE)
+        sock.connect(path)
+        if not same_user(sock):
+            raise OSError("another user's")
+        text = b""
+        while not text.endswith(b"\n"):
+            part, got, _, _ = socket.recv_fds(sock, PART, 1)
+            fds += got
+            text += part
+            if not part or len(text) > LONGEST:
+                raise OSError("cut off")
+        told = json.loads(text)
+        if len(fds) != 1 or not isinstance(told, dict):
+            raise OSError("no door came")
+        return Former(sock, socket.socket(fileno=fds[0]), told)
+    except (OSError, ValueError) as error:
+        if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
+            log.tell("handover", taken="nothing", error=repr(error))
+        sock.close()
+        for fd in fds:
+            os.close(fd)
+        return None
+
+
+class Other(asyncio.Protocol):
+    """The other process of this balancer, while there is one: a message is a line, one JSON object."""
+
+    def __init__(self, node: Any, elder: bool):
+        self.node, self.elder, self.rest = node, elder, b""  # elder: the other was there before us
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.node.limits.counted(1)
+        self.held()
+
+    def data_received(self, data: bytes) -> None:
+        *whole, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > LONGEST:
+            self.transport.abort()
+        for line in whole:
+            try:
+                said = json.loads(line)
+            except ValueError:
+                said = None
+            if isinstance(said, dict):
+                self.node.queue(self.node.told_beside, said, first=True)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.node.limits.counted(-1)
+        self.node.queue(self.node.alone, self)
+
+    def say(self, **words: Any) -> None:
+        if self.transport and not self.transport.is_closing():
+            self.transport.write(json.dumps(words).encode() + b"\n")
+
+    def held(self) -> None:
+        """Descriptors count together, so each knows what the other holds."""
+        if not self.transport.is_closing():
+            self.say(held=self.node.limits.descriptors)
+            self.node.loop.call_later(TELL_EVERY, self.held)
+
+
+class Meeting:
+    """The place where the process that comes after us finds us."""
+
+    def __init__(self, node: Any, path: str):
+        self.node, self.path = node, path
+        # What lies there is of a process that is gone or has handed over: bound aside and moved in its place.
+        aside = f"{path}.{os.getpid()}"
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(aside)
+        self.sock = socket.socket(socket.AF_UNIX)
+        self.sock.setblocking(False)
+        self.sock.bind(aside)
+        os.chmod(aside, 0o600)
+        self.sock.listen(1)
+        os.rename(aside, path)
+        node.limits.counted(1)
+        node.loop.add_reader(self.sock.fileno(), self.met)
+
+    def met(self) -> None:
+        try:
+            sock, _ = self.sock.accept()
+        except OSError:
+            return
+        try:
+            if self.node.other or not same_user(sock):
+                raise OSError("another is met already, or is of another user")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LONGEST)
+            text = json.dumps(self.node.tells()).encode() + b"\n"
+            if socket.send_fds(sock, [text], [self.node.doors.socket.fileno()]) != len(text):
+                raise OSError("not taken whole")
+        except OSError as error:
+            log.tell("handover", given="nothing", error=error)
+            sock.close()
+            return
+        sock.setblocking(False)
+        self.node.join(sock, elder=False)
+
+    def close(self) -> None:
+        self.node.loop.remove_reader(self.sock.fileno())
+        self.sock.close()
+        self.node.limits.counted(-1)
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/leaving.py
@@ -10,6 +10,7 @@
 from bellrack.net import log
 
 DEALT = 1 / 3  # of the time there is, until the first is moved: the front may still deal it to us again
+FOLLOWED = 0.05  # the same where the process after us has the door: nothing is dealt to us any more
 SPREAD = 0.8  # of that time, until the last is
 REST = 0.85  # of that time, when all go that have come up meanwhile
 STAY = 1.0  # seconds that we stay at least
@@ -23,11 +24,12 @@
         self.node, self.begun = node, node.now
         self.allowed = min(LONGEST, max(node.names.guards)) + GRACE
         standing = [client for client in node.clients if client.other]
+        first = FOLLOWED if node.followed else DEALT
         log.tell("leaving", standing=len(standing), seconds=self.allowed)
         for index, client in enumerate(standing):
             # Late, and not at once: guards against clients without a balancer while the one that restarted
             # before us is not yet back, and against a rush on the others.
-            share = DEALT + (SPREAD - DEALT) * index / len(standing)
+            share = first + (SPREAD - first) * index / len(standing)
             node.after(share * self.allowed, client.move, "leaving")
         node.after(REST * self.allowed, self.move_rest)
         self.empty()
@@ -38,7 +40,8 @@
 
     def empty(self) -> None:
         gone = self.node.now - self.begun
-        called = any(client.call for client in self.node.clients)
+        # Whoever came in and has not yet said what it wants is owed a place too, if nobody else takes it.
+        called = any(client.call or self.node.followed for client in self.node.clients)
         if gone >= self.allowed - MARGIN or not called and gone >= STAY:
             self.node.over.set()
         else:
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -27,6 +27,7 @@
     def __init__(self, sockets: int):
         self.allow(sockets)
         self.probes = 0  # that are out
+        self.beside = 0  # descriptors of our other process: the two are counted as one
         self.descriptors = len(os.listdir("/proc/self/fd"))
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
@@ -57,7 +58,11 @@
 
     def crowded(self, part: int = 1) -> bool:
         """No descriptors but the reserve, or that part of it."""
-        return self.descriptors + self.reserve // part >= self.limit
+        return self.descriptors + self.beside + self.reserve // part >= self.limit
+
+    def full(self, more: int) -> bool:
+        """Not even that many more by the reserve."""
+        return self.descriptors + self.beside + more > self.limit
 
     def room(self, now: float, part: int = 1) -> bool:
         """Is there any? Guards against calls told BUSY for the sake of connections that say nothing."""
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -9,6 +9,7 @@
 import json
 import math
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -111,6 +112,15 @@
         raise LineError(f"bad-list: {error!r}") from None
 
 
+def told(rows: Iterable[tuple]) -> dict[str, Any]:
+    """A whole list in the form that `listing` reads, from rows of what an entry has."""
+    states = {state: word for word, state in STATES.items()}
+    return {"generation": 0, "reset": True, "instances": [
+        {"instanceId": name, "hostPort": written(place), "zone": zone, "lifecycle": states[state],
+         "cell": cell, "weight": weight, "startedAtMs": since * 1000, "machineType": kind}
+        for name, place, zone, state, cell, weight, since, kind in rows]}
+
+
 def entry(item: Any) -> Entry:
     """One server. Guards against a list lost for one entry: in a state that we do not know it gets nothing
     new, and one that is gone needs no address."""
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import socket
 import time
@@ -16,11 +17,12 @@
 from bellrack import model
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
-from bellrack.net import limits, lines, log
+from bellrack.net import handover, limits, lines, log
 from bellrack.net.clients import Client
 from bellrack.net.config import Config, read_config
 from bellrack.net.control import Caller
 from bellrack.net.discovery import Discovery
+from bellrack.net.doors import Doors
 from bellrack.net.leaving import Leaving
 from bellrack.net.servers import Place, Probe, ServerLink
 from bellrack.settings import SettingsError
@@ -32,6 +34,7 @@
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
 DATAGRAM = 256  # bytes
 LISTED = 2.0  # seconds after the start for which we are not ready without a word of the list service
+WAIT = 0.02  # seconds between looks for that
 
 
 class Node(Books):
@@ -55,6 +58,9 @@
         self.leaving: Leaving | None = None
         self.over = asyncio.Event()
         self.discovery = Discovery(self, config.discovery)
+        self.doors = Doors(self)
+        self.other: handover.Other | None = None  # our other process, before or after us
+        self.followed = False  # it came after us and has our door
         super().__init__(config.settings, config.seed, self.clock())
 
     def clock(self) -> float:
@@ -151,7 +157,7 @@
         client: Client = leg.call.host
         if leg.call.done:
             self.ended(leg, Result(model.MOOT), True)
-        elif self.limits.descriptors + 2 > self.limits.limit:  # never sent: that proves it has not run
+        elif self.limits.full(2):  # never sent: that proves it has not run
             self.ended(leg, Result(model.MOOT), False)
         else:
             self.counters["legs"] += 1
@@ -199,7 +205,7 @@
         self.dealing = self.dealing or "at" not in values
         if "at" in values:
             self.reopen(client, self.now + wait)
-        elif self.leaving:
+        elif self.leaving and not self.followed:
             # Nothing was sent, so trying again is harmless; the front deals it to another balancer.
             self.reject(call)
         else:
@@ -314,41 +320,85 @@
         self.queue(self.look)
         self.queue(self.discovery.look)
         await self.open_peers()
-        place = socket.create_server(self.config.listen)
-        listener = await self.loop.create_server(lambda: Client(self), sock=place, backlog=limits.ACCEPTS)
-        place.listen(limits.BACKLOG)  # after asyncio, which takes one figure for both
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.queue, self.reload)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
-        door = await self.open_control()
-        self.address = place.getsockname()
+        await self.doors.open_desk()
+        former = await asyncio.to_thread(handover.meet, self.doors.path) if self.doors.path else None
+        if former:
+            await self.follow(former)
+        await self.doors.open(former.door if former else None)
+        self.tell_beside(took=True)
+        self.address = self.doors.socket.getsockname()
         log.tell("serving", name=self.config.name, listen=lines.written(self.address),
                  servers=len(self.servers), weights="live" if self.settings.live else "nominal",
-                 report=",".join(self.settings.report) or "none")
+                 report=",".join(self.settings.report) or "none", after=former is not None)
         await self.over.wait()
-        listener.close()
-        if door:
-            door.close()
+        self.doors.close()
+        if self.other and self.other.transport:
+            self.other.transport.close()
         self.counters.show()
 
-    async def open_control(self) -> asyncio.Server | None:
-        if not self.config.control:
-            return None
-        self.limits.counted(1)
-        door = await self.loop.create_server(lambda: Caller(self), *self.config.control)
-        self.desk = door.sockets[0].getsockname()
-        return door
+    async def follow(self, former: handover.Former) -> None:
+        """Start beside the process that serves; its door is ours once we know the servers."""
+        with contextlib.suppress(lines.LineError):
+            self.learn(lines.listing(former.told.get("list")), counts=False)
+            self.heard = False  # only by way of the other
+        self.join(former.sock, elder=True)
+        await self.joining
+        end = self.begun + LISTED
+        while not self.heard and self.clock() < end:
+            await asyncio.sleep(WAIT)
+
+    # The other process of this balancer, while there is one.
+
+    def join(self, sock: socket.socket, elder: bool) -> None:
+        self.other = handover.Other(self, elder)
+        self.joining = self.loop.create_task(
+            self.loop.create_unix_connection(lambda: self.other, sock=sock))
+
+    def tells(self) -> dict[str, Any]:
+        """What the process that comes after us is given with the door."""
+        zones = {index: name for name, index in self.names.zones.items()}
+        kinds = {index: name for name, index in self.machines.items()}
+        return {"list": lines.told(
+            (server.host.name, server.host.address, zones.get(server.zone, ""), server.state, server.cell,
+             server.weight, server.since, kinds.get(server.kind, ""))
+            for server in self.servers.values() if server.host and server.state != model.GONE)}
+
+    def tell_beside(self, **words: Any) -> None:
+        if self.other:
+            self.other.say(**words)
+
+    def told_beside(self, said: dict[str, Any]) -> None:
+        if "held" in said:
+            self.limits.beside = int(said["held"])
+            self.limits.room(self.now)
+        if "took" in said:
+            self.followed = True
+            self.doors.shut()
+            log.tell("followed")
+
+    def alone(self, other: handover.Other) -> None:
+        """The other process is gone."""
+        if other is not self.other:
+            return
+        self.other, self.limits.beside = None, 0
+        if self.followed and not self.leaving:
+            self.followed = False
+            self.reopening = self.loop.create_task(self.doors.reopen())
 
     def can_serve(self) -> bool:
         """It takes calls and knows servers, by the list service or, if that says nothing, from before."""
         listed = self.heard or bool(self.servers) and self.clock() - self.begun > LISTED
-        return listed and not self.leaving
+        return listed and self.doors.listener is not None and not self.leaving
 
     async def open_peers(self) -> None:
         if self.config.peer_listen:
             _, self.peers = await self.loop.create_datagram_endpoint(
-                lambda: Peers(self), local_addr=self.config.peer_listen)
+                lambda: Peers(self), local_addr=self.config.peer_listen,
+                reuse_port=self.doors.shared or None)
             self.limits.counted(1)
 
     def reload(self) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -163,8 +163,9 @@
 class World:
     """A node on loopback between a list service and servers, whose sides the test plays."""
 
-    def __init__(self, servers=1, effect="retryable", sockets=256, known=True, control=False, **changes):
-        self.raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+    def __init__(self, servers=1, effect="retryable", sockets=256, known=True, control=False,
+                 listen="127.0.0.1:0", **changes):
+        self.raw = {"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964",
                     "limits": {"sockets": sockets}, "settings": raw_settings(effect, **changes)}
         self.count, self.known, self.entries, self.control = servers, known, [], control
         self.numbers = itertools.count(1)
@@ -182,12 +183,18 @@
             self.raw["control"] = "127.0.0.1:0"
         if self.known:
             self.raw["known"] = {"generation": 41, "reset": True, "instances": self.entries}
-        self.node = Node(parse_config(self.raw), asyncio.get_running_loop())
-        self.serving = asyncio.create_task(self.node.serve())
-        while not hasattr(self.node, "address"):
-            await asyncio.sleep(0.001)
+        self.node, self.serving = await self.start()
         return self
 
+    async def start(self, **changes):
+        """A process that serves, beside those that do already."""
+        node = Node(parse_config(self.raw | changes), asyncio.get_running_loop())
+        serving = asyncio.create_task(node.serve())
+        while not hasattr(node, "address"):
+            assert not serving.done() or await serving
+            await asyncio.sleep(0.001)
+        return node, serving
+
     async def __aexit__(self, *error):
         self.node.over.set()
         await asyncio.wait_for(self.serving, 5)
@@ -229,9 +236,12 @@
             pass
         return peer, target
 
+    def desk(self):
+        return self.node.doors.desk.sockets[0].getsockname()
+
     async def ask(self, path, body="", method=None):
         """What an operator is answered: status and text, or 0 for none."""
-        peer = Peer(*await asyncio.open_connection(*self.node.desk))
+        peer = Peer(*await asyncio.open_connection(*self.desk()))
         method = method or ("POST" if body else "GET")
         peer.writer.write(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         return await self.said(peer)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -77,7 +77,7 @@
 async def test_holders_of_the_door_keep_nobody_out(monkeypatch):
     monkeypatch.setattr(limits, "CALLERS", 4)
     async with World(control=True) as world:
-        held = [Peer(*await asyncio.open_connection(*world.node.desk)) for _ in range(9)]
+        held = [Peer(*await asyncio.open_connection(*world.desk())) for _ in range(9)]
         for peer in held[::2]:
             peer.writer.write(b"GET /_va")
         assert "pending" in await world.figures()
@@ -90,7 +90,7 @@
 async def test_a_call_that_never_becomes_whole_is_ended(monkeypatch):
     monkeypatch.setattr(limits, "CALL", 0.05)
     async with World(control=True) as world:
-        peer = Peer(*await asyncio.open_connection(*world.node.desk))
+        peer = Peer(*await asyncio.open_connection(*world.desk()))
         peer.writer.write(b"GET /_vars HT")
         assert (await world.said(peer))[0] == 408
         await world.until(lambda: not world.node.callers)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,134 @@
+"""Two processes that are one balancer: the door goes over whole, and nothing is lost on the way."""
+import asyncio
+import json
+import os
+import socket
+
+import pytest
+from helpers import Peer, World, played
+
+from bellrack.net import handover, node
+from bellrack.net.limits import Limits
+
+
+def free():
+    """An address that both processes are told."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return "{}:{}".format(*sock.getsockname())
+
+
+@pytest.fixture
+def folder(tmp_path, monkeypatch):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    monkeypatch.setattr(node, "LISTED", 0.05)
+    return tmp_path
+
+
+@played
+async def test_the_door_goes_over_with_whoever_waits_in_it(folder):
+    async with World(control=True, listen=free()) as world:
+        old, (client, _) = world.node, await world.standing()
+        world.node, serving = await world.start()
+        waiting = await world.call()
+        await world.until(lambda: old.followed and old.doors.listener is None)
+        assert old.can_serve() is False and world.node.can_serve()
+        assert (await world.leg())[2].startswith("OPEN 0000000000000002") and waiting
+        old.leave()
+        assert [await client.line(), await client.line()] == ["MOVE", "fin"]
+        again, _ = await world.standing()
+        await asyncio.wait_for(world.serving, 5)
+        assert not old.clients and not old.doors.listener
+        assert len(world.node.clients) == 2 and again
+        await world.until(lambda: world.node.other is None and world.node.limits.beside == 0)
+        world.serving = serving
+
+
+@played
+async def test_who_has_come_in_and_said_nothing_is_still_placed_by_the_first(folder):
+    async with World(control=True, listen=free()) as world:
+        old, silent = world.node, await world.dial()
+        await world.until(lambda: old.clients)
+        world.node, serving = await world.start()
+        await world.until(lambda: old.followed)
+        old.leave()
+        silent.say("OPEN 0000000000000007 7f3a9c21e0b4d655 c=chat,t=acme,d=2000")
+        _, server, line = await world.leg()
+        server.say("UP 1")
+        assert line.startswith("OPEN 0000000000000007") and await silent.line() == "UP 1"
+        assert await silent.line() == "MOVE"
+        await asyncio.wait_for(world.serving, 5)
+        world.serving = serving
+
+
+@played
+async def test_if_the_second_dies_the_first_opens_its_door_again(folder):
+    async with World(control=True, listen=free()) as world:
+        second, serving = await world.start()
+        await world.until(lambda: world.node.followed)
+        second.over.set()
+        await serving
+        await world.until(lambda: world.node.doors.listener)
+        await world.standing()
+        third, serving = await world.start()  # and can hand it over once more
+        await world.until(lambda: world.node.followed)
+        third.over.set()
+        await serving
+
+
+@played
+async def test_the_second_knows_the_servers_that_the_first_knew(folder):
+    async with World(servers=2, control=True, listen=free()) as world:
+        world.raw["known"] = {"generation": 3, "reset": True, "instances": []}  # as old as its configuration
+        second, serving = await world.start()
+        here, there = (sorted((s.mark, s.zone, s.state, s.size, s.host.address) for s in one.servers.values())
+                       for one in (world.node, second))
+        assert here == there and len(here) == 2
+        second.over.set()
+        await serving
+
+
+@played
+async def test_nobody_at_the_meeting_place_is_as_if_there_were_none(folder):
+    path = handover.place("n0", ("127.0.0.1", 1))
+    assert handover.place("n0", ("127.0.0.1", 2)) != path and path.startswith(str(folder))
+    assert handover.meet(path) is None
+    with socket.socket(socket.AF_UNIX) as dead:
+        dead.bind(path)
+    assert handover.meet(path) is None
+    for said in (b"", b"no json\n", b"[]\n", b"{}\n"):
+        os.unlink(path)
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.bind(path)
+            sock.listen()
+            meeting = asyncio.to_thread(handover.meet, path)
+            task = asyncio.create_task(meeting)
+            other, _ = await asyncio.to_thread(sock.accept)
+            other.sendall(said)
+            other.close()
+            assert await task is None
+
+
+@played
+async def test_another_users_process_is_given_no_door(folder, monkeypatch):
+    async with World(control=True, listen=free()) as world:
+        monkeypatch.setattr(handover, "same_user", lambda sock: False)
+        peer = Peer(*await asyncio.open_unix_connection(world.node.doors.path))
+        assert await peer.line() == "fin" and world.node.other is None
+
+
+def test_descriptors_of_both_are_one_sum():
+    room = Limits(200)
+    room.descriptors, room.beside = 60, 60
+    assert not room.crowded() and not room.full(2)
+    room.beside = 100
+    assert room.crowded() and not room.full(2)
+    room.beside = 139
+    assert room.full(2) and not room.full(1)
+
+
+def test_what_is_handed_over_reads_as_a_list():
+    from bellrack.net import lines
+    row = ("s-1", ("127.0.0.1", 9), "a", "draining", 3, 1.5, 100.25, "m2")
+    entry, = lines.listing(json.loads(json.dumps(lines.told([row])))).entries
+    assert (entry.name, entry.address, entry.zone, entry.machine) == ("s-1", ("127.0.0.1", 9), "a", "m2")
+    assert entry.row == ("draining", 3, 1.5, 100.25)
