New settings at SIGHUP: traffic types and attempts change under load, a spoilt file changes nothing

A file with a guard time of -5 was taken as well.

Guard times, setup targets, message aims, attempts and the connect time-out must be over 0, at the start too. The settings object takes the new values in place, so whoever holds it holds them; calls hold their own traffic type and keep it. A type that vanished is served for 60 s as it was, since a client that is moved comes again as what it was. Rejected: a list of the keys that a file must have. It would have to be kept in step with every reader, and passes a file that lost an optional key, which then means another thing. Rejected too: a new Balancer with each file, which forgets what was learned.

--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -61,6 +61,10 @@
     cold_share: float
     ramp_time: float
 
+    def become(self, other: Settings) -> None:
+        """Whoever holds these settings holds the other's values now. Calls keep their traffic type."""
+        vars(self).update(vars(other))
+
     @property
     def quickest(self) -> float:
         """The shortest message aim."""
--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -12,7 +12,7 @@
 
 from bellrack.model import Settings
 from bellrack.net.lines import Listing, address, listing
-from bellrack.settings import Names, SettingsError, check_shape, parse_names, parse_settings
+from bellrack.settings import Names, SettingsError, check_shape, missing, parse_names, parse_settings
 
 
 @dataclass(eq=False)
@@ -29,6 +29,7 @@
     peers: list[tuple[str, int]]
     peers_all: tuple[str, int] | None
     control: tuple[str, int] | None  # where operators call
+    raw: dict[str, Any]  # as it stood in the file, but for the list
     path: str = ""  # read again on request
 
 
@@ -47,6 +48,20 @@
     return config
 
 
+def reread(config: Config) -> Config:
+    """The file of a configuration as it is now. Stricter than the first reading: what a file had, it has, and
+    the shape of the deployment stays, as all that is under way rests on it."""
+    new = read_config(config.path)
+    if lacks := missing(new.raw, config.raw):
+        raise SettingsError(f"{config.path}: no value at '{lacks}', which it had")
+    for name in ("zone", "asks", "live", "report"):
+        if getattr(new.settings, name) != getattr(config.settings, name):
+            raise SettingsError(f"{config.path}: another {name} needs a restart")
+    if new.raw["settings"]["areas"] != config.raw["settings"]["areas"]:
+        raise SettingsError(f"{config.path}: other areas need a restart")
+    return new
+
+
 def parse_config(raw: Any) -> Config:
     """A configuration from its JSON object."""
     if not isinstance(raw, dict):
@@ -60,7 +75,8 @@
             peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
             peers=[address(peer) for peer in raw.get("peers", [])],
             peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None,
-            control=address(raw["control"]) if raw.get("control") else None)
+            control=address(raw["control"]) if raw.get("control") else None,
+            raw={key: value for key, value in raw.items() if key != "known"})
     except KeyError as error:
         raise SettingsError(f"no value at {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -19,7 +19,7 @@
 from bellrack.model import Call, Leg, Result, Server
 from bellrack.net import handover, limits, lines, log
 from bellrack.net.clients import Client
-from bellrack.net.config import Config, read_config
+from bellrack.net.config import Config, reread
 from bellrack.net.control import Caller
 from bellrack.net.discovery import Discovery
 from bellrack.net.doors import Doors
@@ -425,14 +425,22 @@
     def reload(self) -> None:
         """Asked to read the configuration again: all of it is parsed before anything changes."""
         try:
-            config = read_config(self.config.path)
+            config = reread(self.config)
         except SettingsError as error:
             # Guards against a file that is bad or half written: what was told before holds.
             log.tell("reload", taken="nothing", error=error)
             self.counters["config_reload_errors"] += 1
             return
-        log.tell("reload", discovery=lines.written(config.discovery), sockets=config.sockets)
         self.counters["config_reloads"] += 1
+        waits = [name for name in ("listen", "control", "peer_listen", "peers", "peers_all")
+                 if getattr(config, name) != getattr(self.config, name)]
+        log.tell("reload", discovery=lines.written(config.discovery), sockets=config.sockets,
+                 types=",".join(config.names.types), attempts=config.settings.max_legs,
+                 needs_restart=",".join(waits) or "nothing")
+        config.names.keep(config.settings, self.names, self.settings.types, self.now)
+        config.names.zones = self.names.zones  # with those that only the list has named
+        self.settings.become(config.settings)
+        self.names, config.settings, self.config = config.names, self.settings, config
         self.limits.allow(config.sockets)
         if config.discovery != self.discovery.address:
             self.discovery.move(config.discovery)
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -1,9 +1,10 @@
 """The settings object that an instance is told at its start, read once for every host of the decisions."""
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from bellrack import model
@@ -16,6 +17,7 @@
           "outstanding": model.HELD}
 FIELDS = (*REPORT, "backlog", "recent_ms", "throughput")
 MOST_FIELDS = 4
+KEPT = 60.0  # seconds for which a traffic type that has vanished is still served
 WEIGHTS = ("nominal", "rough", "off", "live")
 
 
@@ -34,6 +36,17 @@
     connect_timeout: float
     tells_delay: bool
     tells_load: bool
+    vanished: dict[str, float] = field(default_factory=dict)  # types that the last files lack, and since when
+
+    def keep(self, settings: Settings, former: Names, types: list[TrafficType], now: float) -> None:
+        """Traffic types that the former settings had and these lack stay for a while, as they were: guards
+        against clients that are moved, come again as what they were, and hear that there is no such type."""
+        for name, index in former.types.items():
+            since = former.vanished.get(name, now)
+            if name not in self.types and now - since <= KEPT:
+                self.vanished[name], self.types[name] = since, len(settings.types)
+                settings.types.append(types[index])
+                self.guards.append(former.guards[index])
 
 
 @contextmanager
@@ -47,6 +60,32 @@
         raise SettingsError(str(error)) from error
 
 
+def over_nought(name: str, value: float) -> float:
+    """Guards against a slip of the pen with which every call would be given up at once, or wait for ever."""
+    if not 0 < value < math.inf:
+        raise SettingsError(f"{name} is {value}, not over 0")
+    return value
+
+
+def missing(raw: Any, former: Any) -> str:
+    """The first key that stood in the former object, or in every row of its lists, and is not in this one."""
+    if isinstance(former, dict) and isinstance(raw, dict):
+        for key in former:
+            if key not in raw:
+                return key
+            if inner := missing(raw[key], former[key]):
+                return f"{key}.{inner}"
+    elif isinstance(former, list) and isinstance(raw, list):
+        rows = [row for row in former if isinstance(row, dict)]
+        common = {key: rows[0][key] for key in rows[0] if all(key in row for row in rows)} if rows else {}
+        for row in raw if common else []:
+            if inner := missing(row, common) if isinstance(row, dict) else "a row":
+                return inner
+    elif isinstance(former, dict | list):
+        return "its own form"
+    return ""
+
+
 def parse_settings(raw: Any) -> Settings:
     """The settings that decisions read; unknown keys are skipped, optional ones may be absent."""
     with named_errors():
@@ -58,6 +97,10 @@
             for row, aim in zip(raw["trafficTypes"], aims, strict=True)
         ]
         peers = int(raw["peersTotal"])
+        for kind in types:
+            over_nought("setupTargetUs", kind.setup_target)
+            over_nought("messageAimUs", kind.message_aim)
+        over_nought("maxLegs", caps["maxLegs"])
         if not types or peers < 1:
             raise SettingsError("no traffic types" if not types else f"peersTotal is {peers}")
         return Settings(
@@ -121,6 +164,6 @@
             types={row["name"]: index for index, row in enumerate(raw["trafficTypes"])},
             tenants={row["name"]: index for index, row in enumerate(raw.get("accounts", []))},
             zones={name: index for index, name in enumerate(raw["areas"])},
-            guards=[row["guardTimeUs"] / 1e6 for row in raw["trafficTypes"]],
-            connect_timeout=raw["caps"]["connectTimeoutUs"] / 1e6,
+            guards=[over_nought("guardTimeUs", row["guardTimeUs"]) / 1e6 for row in raw["trafficTypes"]],
+            connect_timeout=over_nought("connectTimeoutUs", raw["caps"]["connectTimeoutUs"]) / 1e6,
             tells_delay=bool(special.get("tellsDelay")), tells_load=bool(special.get("tellsLoad")))
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,153 @@
+"""New settings at SIGHUP: taken whole or not at all, and connections under way keep what they came with."""
+import copy
+import json
+import os
+import signal
+
+import pytest
+from helpers import World, played, raw_settings
+
+from bellrack import model, settings
+from bellrack.settings import SettingsError, missing
+
+
+class File:
+    """The configuration file of a world, and what the node made of it."""
+
+    def __init__(self, world, tmp_path):
+        self.world, self.path = world, tmp_path / "config.json"
+        self.write(world.raw)
+        world.node.config.path = str(self.path)
+
+    def write(self, raw):
+        self.path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+
+    async def read(self, raw):
+        """How many files were taken and turned down, once this one was read."""
+        before = self.counts()
+        self.write(raw)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await self.world.until(lambda: self.counts() != before)
+        taken, turned_down = self.counts()
+        return taken - before[0], turned_down - before[1]
+
+    def counts(self):
+        counters = self.world.node.counters
+        return counters["config_reloads"], counters["config_reload_errors"]
+
+
+def changed(raw, **rows):
+    """The configuration with other traffic types: by name, what each has else."""
+    new = copy.deepcopy(raw)
+    first = new["settings"]["trafficTypes"][0]
+    new["settings"]["trafficTypes"] = [first | {"name": name} | other for name, other in rows.items()]
+    new["settings"]["specifics"]["messageAimUs"] = [1e5] * len(rows)
+    return new
+
+
+@played
+async def test_a_type_appears_and_a_stricter_effect_holds_for_new_calls_only(tmp_path):
+    async with World(servers=2, control=True) as world:
+        file = File(world, tmp_path)
+        before = await world.call()
+        _, server, _ = await world.leg()
+        assert (await file.read(changed(world.raw, chat={"effect": "fragile"}, more={}))) == (1, 0)
+        server.say("ERR")  # it came as repeatable
+        assert (await world.leg())[1] and world.arrived.empty()
+        after = await world.call()
+        (await world.leg())[1].say("ERR")  # it came as once-only
+        assert await after.line() == "ERR" and before
+        await world.standing("c=more,t=acme,d=2000")
+        assert (await world.figures())["completed.more"] == 1
+
+
+@played
+async def test_a_type_that_vanished_is_served_for_a_while(tmp_path, monkeypatch):
+    async with World(control=True) as world:
+        file, (client, server) = File(world, tmp_path), await world.standing()
+        assert (await file.read(changed(world.raw, more={}))) == (1, 0)
+        server.say("line")
+        assert await client.line() == "line"
+        await world.standing("c=chat,t=acme,d=2000,again=1")
+        assert (await file.read(changed(world.raw, more={}, third={}))) == (1, 0)
+        await world.standing("c=third,t=acme,d=2000")
+        await world.standing("c=chat,t=acme,d=2000,again=1")
+        monkeypatch.setattr(settings, "KEPT", -1.0)
+        assert (await file.read(changed(world.raw, more={}))) == (1, 0)
+        gone = await world.call()
+        assert await gone.line() == "SYNTAX"
+
+
+@played
+async def test_fewer_attempts_hold_from_then(tmp_path):
+    async with World(servers=3) as world:
+        file, new = File(world, tmp_path), copy.deepcopy(world.raw)
+        new["settings"]["caps"]["maxLegs"] = 1
+        assert await file.read(new) == (1, 0)
+        client = await world.call()
+        (await world.leg())[1].say("BUSY")
+        assert (await client.line()).startswith("BUSY") and world.arrived.empty()
+
+
+def spoilt(raw):
+    """Files that must change nothing, by what is wrong with them."""
+    new = changed(raw, other={}, more={})
+    text = json.dumps(new)
+    yield "empty", ""
+    yield "cut off", text[:len(text) // 2]
+    yield "no object", "[]"
+    for key in ("settings", "listen", "discovery"):
+        yield f"no {key}", {name: value for name, value in new.items() if name != key}
+    for key in raw["settings"]:
+        yield f"settings lack {key}", new | {"settings": {
+            name: value for name, value in new["settings"].items() if name != key}}
+    for key in raw["settings"]["trafficTypes"][0]:
+        bad = copy.deepcopy(new)
+        del bad["settings"]["trafficTypes"][1][key]
+        yield f"a row lacks {key}", bad
+    for place, key in (("caps", "maxLegs"), ("caps", "connectTimeoutUs"), (None, "guardTimeUs"),
+                       (None, "setupTargetUs")):
+        for value in (0, -5, "x", None, float("nan")):
+            bad = copy.deepcopy(new)
+            (bad["settings"][place] if place else bad["settings"]["trafficTypes"][1])[key] = value
+            yield f"{key} is {value}", bad
+    for key, value in (("az", 1), ("areas", ["b", "a"]), ("discovery", "push")):
+        yield f"another {key}", new | {"settings": new["settings"] | {key: value}}
+
+
+@played
+async def test_a_spoilt_file_changes_nothing(tmp_path, caplog):
+    caplog.set_level("INFO", logger="bellrack")
+    async with World() as world:
+        file, node = File(world, tmp_path), world.node
+        before = (dict(vars(node.settings)), node.names, node.config, node.limits.limit)
+        for wrong, raw in spoilt(world.raw | {"limits": {"sockets": 90}}):
+            assert await file.read(raw) == (0, 1), wrong
+            assert (vars(node.settings), node.names, node.config, node.limits.limit) == before, wrong
+        told = [record.figures["error"] for record in caplog.records if record.msg == "reload"]
+        assert len(told) > 30 and not node.counters["faults"]
+        assert await file.read(changed(world.raw, other={})) == (1, 0)
+
+
+def test_a_missing_key_is_named_with_its_way():
+    former = raw_settings()
+    assert missing(former, former) == missing({"a": [], "b": {}}, {"a": [], "b": {}}) == ""
+    assert missing(former | {"caps": {}}, former) == "caps.maxLegs"
+    assert missing(former | {"areas": 3}, former) == "areas.its own form"
+    assert missing({"rows": [{"a": 1}, 5]}, {"rows": [{"a": 1}, {"a": 2, "b": 3}]}) == "rows.a row"
+    assert missing({"rows": []}, {"rows": [{"a": 1}]}) == ""  # a list may be shorter
+
+
+@pytest.mark.parametrize("value", [0, -1, float("inf"), float("nan")])
+def test_a_start_refuses_what_is_not_over_nought(value):
+    raw = raw_settings()
+    raw["trafficTypes"][0]["setupTargetUs"] = value
+    with pytest.raises(SettingsError, match="setupTargetUs"):
+        settings.parse_settings(raw)
+
+
+def test_whoever_holds_settings_holds_the_new_values():
+    old, new = settings.parse_settings(raw_settings()), settings.parse_settings(raw_settings("fragile"))
+    kept = old.types[0]
+    old.become(new)
+    assert old.types[0].effect == model.ONCE_ONLY and kept.effect == model.REPEATABLE
