Upgrade: standing connections go over to the second process as they are, none is moved

The log shows the second process with an empty book: it knows only the first fill, keeps and rejects for seconds, while all clients that the first one moved come at once; servers that hold a group are not known to it either. Excluded: the door (none ended there) and readiness (0.2 to 0.5 s).

Design: `net/passing.py`. At SIGTERM the first process sends each standing pair over a socket of whole messages: both descriptors, the client's line, what both rings hold, the lines still unanswered. It reads nothing more from them before, closes its copies after, and neither side sees anything. The second one builds the pair, lets no line through before both ends are up, and enters the leg in its book as one that stood before its start, so loads, groups and the known fill come with it. A connection of which nothing was heard goes over likewise. What still has bytes to be sent goes when they are out; a call that is owed its answer stays with the process that took it and goes over when it stands; whatever cannot go by 0.85 of the time is moved as before. Rejected: moving with a warm start (weights and fills told to the second one). It keeps the rush, and each move costs a set-up.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -28,8 +28,9 @@
 
     def made(self) -> None:
         self.node.clients[self] = None
-        self.node.limits.spare[self] = self.node.clock()
-        self.lasts(limits.FIRST_LINE, self.stale)
+        if self.call is None:
+            self.node.limits.spare[self] = self.node.clock()
+            self.lasts(limits.FIRST_LINE, self.stale)
         self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -15,7 +15,7 @@
 import struct
 from typing import Any
 
-from bellrack.net import log
+from bellrack.net import log, passing
 
 PATIENCE = 1.0  # seconds that the one that starts waits for the one that serves
 TELL_EVERY = 0.25  # seconds between figures told to the other
@@ -42,8 +42,8 @@
 class Former:
     """The process that serves, as the one that starts finds it: its door and what it told."""
 
-    def __init__(self, sock: socket.socket, door: socket.socket, told: dict):
-        self.sock, self.door, self.told = sock, door, told
+    def __init__(self, sock: socket.socket, door: socket.socket, way: socket.socket | None, told: dict):
+        self.sock, self.door, self.way, self.told = sock, door, way, told
 
 
 def meet(path: str | None) -> Former | None:
@@ -59,15 +59,16 @@
             raise OSError("another user's")
         text = b""
         while not text.endswith(b"\n"):
-            part, got, _, _ = socket.recv_fds(sock, PART, 1)
+            part, got, _, _ = socket.recv_fds(sock, PART, 2)
             fds += got
             text += part
             if not part or len(text) > LONGEST:
                 raise OSError("cut off")
         told = json.loads(text)
-        if len(fds) != 1 or not isinstance(told, dict):
+        if not fds or not isinstance(told, dict):
             raise OSError("no door came")
-        return Former(sock, socket.socket(fileno=fds[0]), told)
+        door, *ways = (socket.socket(fileno=fd) for fd in fds)
+        return Former(sock, door, ways[0] if ways else None, told)
     except (OSError, ValueError) as error:
         if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
             log.tell("handover", taken="nothing", error=repr(error))
@@ -80,8 +81,8 @@
 class Other(asyncio.Protocol):
     """The other process of this balancer, while there is one: a message is a line, one JSON object."""
 
-    def __init__(self, node: Any, elder: bool):
-        self.node, self.elder, self.rest = node, elder, b""  # elder: the other was there before us
+    def __init__(self, node: Any):
+        self.node, self.rest = node, b""
         self.unsaid = b""  # until the connection is up
         self.transport: Any = None
 
@@ -149,14 +150,19 @@
                 raise OSError("another is met already, or is of another user")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LONGEST)
             text = json.dumps(self.node.tells()).encode() + b"\n"
-            if socket.send_fds(sock, [text], [self.node.doors.socket.fileno()]) != len(text):
-                raise OSError("not taken whole")
+            ours, theirs = passing.pair()
+            with theirs:
+                fds = [self.node.doors.socket.fileno(), theirs.fileno()]
+                if socket.send_fds(sock, [text], fds) != len(text):
+                    ours.close()
+                    raise OSError("not taken whole")
         except OSError as error:
             log.tell("handover", given="nothing", error=error)
             sock.close()
             return
         sock.setblocking(False)
-        self.node.join(sock, elder=False)
+        self.node.join(sock)
+        self.node.giver = passing.Giver(self.node, ours)
 
     def close(self) -> None:
         self.node.loop.remove_reader(self.sock.fileno())
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/leaving.py
@@ -1,7 +1,8 @@
 """The way out: from the call to end until the program is empty.
 
-Owns when each standing connection is moved and when the program ends. It takes no call, never cuts off a
-connection without a word, and never waits past the time that is left.
+Owns when each standing connection is moved, or handed to the process that comes after us, and when the
+program ends. It takes no call, never cuts off a connection without a word, and never waits past the time that
+is left.
 """
 from __future__ import annotations
 
@@ -10,7 +11,6 @@
 from bellrack.net import log
 
 DEALT = 1 / 3  # of the time there is, until the first is moved: the front may still deal it to us again
-FOLLOWED = 0.05  # the same where the process after us has the door: nothing is dealt to us any more
 SPREAD = 0.8  # of that time, until the last is
 REST = 0.85  # of that time, when all go that have come up meanwhile
 STAY = 1.0  # seconds that we stay at least
@@ -24,13 +24,14 @@
         self.node, self.begun = node, node.now
         self.allowed = min(LONGEST, max(node.names.guards)) + GRACE
         standing = [client for client in node.clients if client.other]
-        first = FOLLOWED if node.followed else DEALT
-        log.tell("leaving", standing=len(standing), seconds=self.allowed)
-        for index, client in enumerate(standing):
+        log.tell("leaving", standing=len(standing), seconds=self.allowed, handed_over=bool(node.giver))
+        for index, client in enumerate(() if node.giver else standing):
             # Late, and not at once: guards against clients without a balancer while the one that restarted
             # before us is not yet back, and against a rush on the others.
-            share = first + (SPREAD - first) * index / len(standing)
+            share = DEALT + (SPREAD - DEALT) * index / len(standing)
             node.after(share * self.allowed, client.move, "leaving")
+        if node.giver:
+            self.hand_over()
         node.after(REST * self.allowed, self.move_rest)
         self.empty()
 
@@ -38,6 +39,11 @@
         for client in list(self.node.clients):
             client.move("leaving")
 
+    def hand_over(self) -> None:
+        """What stands goes to the process after us; what comes up later, or is still to be sent, then."""
+        if self.node.giver:
+            self.node.after(0 if self.node.giver.give_some() else LOOK, self.hand_over)
+
     def empty(self) -> None:
         gone = self.node.now - self.begun
         # Whoever came in and has not yet said what it wants is owed a place too, if nobody else takes it.
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -17,7 +17,7 @@
 from bellrack import model
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
-from bellrack.net import handover, limits, lines, log
+from bellrack.net import handover, limits, lines, log, passing
 from bellrack.net.clients import Client
 from bellrack.net.config import Config, reread
 from bellrack.net.control import Caller
@@ -62,6 +62,8 @@
         self.doors = Doors(self)
         self.other: handover.Other | None = None  # our other process, before or after us
         self.followed = False  # it came after us and has our door
+        self.giver: passing.Giver | None = None  # the way over of what stands, to it
+        self.taker: passing.Taker | None = None  # and to us
         super().__init__(config.settings, config.seed, self.clock())
 
     def clock(self) -> float:
@@ -232,7 +234,7 @@
         else:
             leg.call.host.counted_as("completed")
             self.stand(leg)
-        if self.leaving:
+        if self.leaving and not self.giver:
             self.move(leg.call)
 
     def leg_over(self, link: ServerLink, kind: str) -> None:
@@ -342,6 +344,9 @@
         self.doors.close()
         if self.other and self.other.transport:
             self.other.transport.close()
+        for way in (self.giver, self.taker):
+            if way:
+                way.close()
         self.counters.show()
 
     async def follow(self, former: handover.Former) -> None:
@@ -350,7 +355,8 @@
         with contextlib.suppress(lines.LineError):
             self.learn(lines.listing(former.told.get("list")), counts=False)
             self.heard = False  # only by way of the other
-        self.join(former.sock, elder=True)
+        self.join(former.sock)
+        self.taker = former.way and passing.Taker(self, former.way)
         await self.joining
         end = self.begun + LISTED
         while not self.heard and self.clock() < end:
@@ -372,8 +378,8 @@
 
     # The other process of this balancer, while there is one.
 
-    def join(self, sock: socket.socket, elder: bool) -> None:
-        self.other = handover.Other(self, elder)
+    def join(self, sock: socket.socket) -> None:
+        self.other = handover.Other(self)
         self.joining = self.loop.create_task(
             self.loop.create_unix_connection(lambda: self.other, sock=sock))
 
@@ -406,7 +412,10 @@
         if other is not self.other:
             return
         self.other, self.limits.beside = None, 0
-        if self.followed and not self.leaving:
+        if self.giver:
+            self.giver.close()
+            self.giver = None
+        if self.followed and not self.leaving and not self.over.is_set():
             self.followed = False
             self.reopening = self.loop.create_task(self.doors.reopen())
 
--- /dev/null
+++ b/bellrack/net/passing.py
@@ -0,0 +1,191 @@
+"""Connections that go over to the process that comes after us, as they are.
+
+Owns the form in which a connection goes over, and both of its ends. Nobody at either side of a connection
+notices: no byte is lost, sent twice or out of order, and nothing is moved. It never hands over a call that is
+still owed its answer: that stays with the process that took it.
+"""
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import socket
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Leg, Result
+from bellrack.net import lines, log
+from bellrack.net.clients import Client
+from bellrack.net.ring import Link
+from bellrack.net.servers import Place, ServerLink
+
+MESSAGE = 65536  # bytes: a line and two full rings, written out, are half of that
+SLICE = 16  # connections that go over in one turn: guards against a pause for all others
+
+
+def pair() -> tuple[socket.socket, socket.socket]:
+    """The way over: whole messages, each with the descriptors that it speaks of."""
+    return socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+
+
+def written(link: Link) -> str:
+    return base64.b64encode(link.ring.take(link.ring.held) if link.ring.held else b"").decode()
+
+
+def read(link: Link, text: str) -> None:
+    """What had come in and was not yet taken."""
+    data = base64.b64decode(text, validate=True)
+    link.ring.space()[:len(data)] = data
+    link.ring.added(len(data))
+
+
+class Giver:
+    """The end of the process that goes."""
+
+    def __init__(self, node: Any, sock: socket.socket):
+        self.node, self.sock = node, sock
+        sock.setblocking(False)
+        node.limits.counted(1)
+
+    def give_some(self) -> bool:
+        """Some of those that can go: standing, or not yet heard a word of. Are there more?"""
+        left = SLICE
+        for client in list(self.node.clients):
+            if client.call is None or client.other:
+                if not left:
+                    return True
+                left -= self.give(client)
+        return False
+
+    def give(self, client: Client) -> bool:
+        links = [client, client.leg] if client.other else [client]
+        for link in links:
+            going = link.transport is None or link.transport.is_closing() or link.over
+            if going or link.ended or link.transport.get_write_buffer_size():
+                return False  # it ends by itself, or may go when what it was sent is out
+        for link in links:
+            link.transport.pause_reading()
+        words = {"in": written(client)}
+        if client.other:
+            words |= self.standing(client.leg) | {"back": written(client.leg)}
+        fds = [link.transport.get_extra_info("socket").fileno() for link in links]
+        try:
+            socket.send_fds(self.sock, [json.dumps(words).encode()], fds)
+        except OSError:
+            for link in links:  # nobody has it: all as it was
+                read(link, words["in" if link is client else "back"])
+                if not link.paused:
+                    link.transport.resume_reading()
+            return False
+        self.gone(client, links)
+        return True
+
+    def standing(self, link: ServerLink) -> dict[str, Any]:
+        return {"line": link.client.wish.line.decode(), "server": link.place.name,
+                "place": lines.written(link.place.address), "sent": link.leg.sent,
+                "asked": list(link.asked), "said": link.said}
+
+    def gone(self, client: Client, links: list[Link]) -> None:
+        """Ours no more: our copies of the descriptors are closed, which neither side sees."""
+        self.node.counters["handed_over"] += 1
+        for link in links:
+            link.over = True
+            link.lasts(None)
+            self.node.log_end(link, "handed-over", {})
+            link.transport.abort()
+        if client.other:
+            leg = client.leg.leg
+            client.leg.place.legs.pop(client.leg, None)
+            client.leg = None
+            self.node.ended(leg, Result(model.CANCELLED, self.node.now - leg.sent), True)
+
+    def close(self) -> None:
+        self.sock.close()
+        self.node.limits.counted(-1)
+
+
+class Taker:
+    """The end of the process that comes."""
+
+    def __init__(self, node: Any, sock: socket.socket):
+        self.node, self.sock = node, sock
+        self.tasks: set[asyncio.Task] = set()
+        sock.setblocking(False)
+        node.limits.counted(1)
+        node.loop.add_reader(sock.fileno(), self.come)
+
+    def come(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(SLICE):
+                data, fds, _, _ = socket.recv_fds(self.sock, MESSAGE, 2)
+                if not data:
+                    self.close()
+                    return
+                self.node.queue(self.take, data, fds)
+
+    def take(self, data: bytes, fds: list[int]) -> None:
+        try:
+            words = json.loads(data)
+            client = Client(self.node)
+            read(client, words["in"])
+            links = [client, self.standing(client, words)] if "line" in words else [client]
+            if len(fds) != len(links):
+                raise ValueError(f"{len(fds)} descriptors")
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            # Guards against what another version hands over in a form of its own.
+            log.tell("handover", taken="not one connection", error=repr(error))
+            for fd in fds:
+                os.close(fd)
+            return
+        task = self.node.loop.create_task(self.connect(links, [socket.socket(fileno=fd) for fd in fds]))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def standing(self, client: Client, words: dict[str, Any]) -> ServerLink:
+        """The call and its one leg, as they stood in the other process."""
+        node, wish = self.node, lines.wish(words["line"].encode())
+        name, place = str(words["server"]), lines.address(words["place"])
+        server = node.server(lines.mark(name))
+        server.host = server.host or Place(name, place)
+        call = node.book(node.names.types.get(wish.values.get("c", ""), 0), 0.0, key=wish.key,
+                         group=wish.number("g", 16) or 0)
+        leg = Leg(call, server, float(words["sent"]), standing=True)
+        call.legs.append(leg)
+        call.host, client.call, client.wish = client, call, wish
+        link = ServerLink(node, leg, client, node.now, stood=True)
+        link.asked.extend(map(float, words["asked"]))
+        link.said = str(words["said"])
+        read(link, words["back"])
+        # Neither takes a line until both are up: guards against one that goes nowhere.
+        client.blocked = link.blocked = True
+        link.other, client.other = client, link
+        return link
+
+    async def connect(self, links: list[Link], socks: list[socket.socket]) -> None:
+        try:
+            for link, sock in zip(links, socks):
+                sock.setblocking(False)
+                await self.node.loop.connect_accepted_socket(lambda link=link: link, sock)
+        finally:
+            self.node.queue(self.up, links)
+
+    def up(self, links: list[Link]) -> None:
+        client = links[0]
+        self.node.counters["taken_over"] += 1
+        if len(links) > 1:
+            self.node.limits.ids[client.wish.id] = client
+            client.leg.place.legs[client.leg] = None
+            self.node.resume(client.leg.leg)
+            if any(link.transport is None for link in links):
+                client.move("not-taken-over", model.RESET)
+        for link in links:
+            link.blocked = False
+            link.wake()
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.node.loop.remove_reader(self.sock.fileno())
+            self.sock.close()
+            self.node.limits.counted(-1)
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -46,6 +46,8 @@
 class Outgoing(Link):
     """A connection that we open."""
 
+    task: asyncio.Task | None = None  # while it is coming up
+
     def open(self, address: tuple[str, int], wait: float) -> None:
         self.task = self.node.loop.create_task(self._open(address, wait))
 
@@ -76,7 +78,7 @@
 
     def drop(self) -> None:
         """Stop connecting, if that is still under way."""
-        if self.transport is None:
+        if self.transport is None and self.task:
             self.task.cancel()
 
 
@@ -86,15 +88,17 @@
     side = "server"
     passed = "lines_to_clients"
 
-    def __init__(self, node: Any, leg: Leg, client: Client, until: float, resumes: bool = False):
+    def __init__(self, node: Any, leg: Leg, client: Client, until: float, resumes: bool = False,
+                 stood: bool = False):
         super().__init__(node)
         self.leg, self.client, self.until, self.resumes = leg, client, until, resumes
         self.asked: deque[float] = deque(maxlen=64)  # when the client's lines still unanswered went on
-        self.written = False
+        self.written = stood  # in another process before: it is up and needs no connecting
         self.said = ""  # how the server said that the connection ends
         leg.host = client.leg = self
         self.timer = node.at(until, self.late)
-        self.open(leg.server.host.address, min(node.names.connect_timeout, max(0.0, until - node.now)))
+        if not stood:
+            self.open(leg.server.host.address, min(node.names.connect_timeout, max(0.0, until - node.now)))
 
     @property
     def place(self) -> Place:
