Upgrade: the second process begins with what the first has learned of the servers

Cause, by reading: a server put back by hand counts as cold though the list does not know of its restart; a second process that starts then would take it for warm. Marks of failures, ceilings and what a server is known to bear were forgotten likewise.

Design: the books name what is learned of a server and pass it on in plain values beside the list; what is open comes with the connections. Times are on the clock that both share.

--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -8,6 +8,9 @@
 from bellrack.choice import Balancer
 from bellrack.model import Call, Leg, Result, Server, Settings
 
+# Of a server, by the names of the decisions. What is open there is not among them: it comes with the connections.
+LEARNED = ("weight", "fails", "bad_until", "told_start", "warm_at", "delay", "told", "ceiling", "cut", "out_since")
+
 
 class Books:
     """One balancer with its records. Hosts derive from it and add what the balancer may do, its Door."""
@@ -56,6 +59,23 @@
                     changed.append(server)
         self.balancer.listed(changed)
 
+    def learned(self) -> dict[str, Any]:
+        """What this instance has learned, in plain values, for one that takes its place."""
+        return {"bears": self.balancer.cold.borne, "servers": {
+            str(mark): {name: getattr(server.stand, name) for name in LEARNED}
+            for mark, server in self.servers.items() if server.state != model.GONE}}
+
+    def taught(self, learned: dict[str, Any]) -> None:
+        """Begin with what another instance had learned. Values of another form are left."""
+        bears = learned.get("bears")
+        if isinstance(bears, float | int):
+            self.balancer.cold.borne = max(self.balancer.cold.borne, bears)
+        for mark, values in learned.get("servers", {}).items():
+            server = self.servers.get(int(mark))
+            for name in LEARNED if server else ():
+                if type(values.get(name)) in (int, float):
+                    setattr(server.stand, name, values[name])
+
     def forget(self, server: Server) -> None:
         """One that is gone and holds nothing of ours; listed again, it is a new one."""
         del self.servers[server.mark]
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -355,6 +355,8 @@
         with contextlib.suppress(lines.LineError):
             self.learn(lines.listing(former.told.get("list")), counts=False)
             self.heard = False  # only by way of the other
+        with contextlib.suppress(ValueError, TypeError, AttributeError):
+            self.taught(former.told.get("learned", {}))
         self.join(former.sock)
         self.taker = former.way and passing.Taker(self, former.way)
         await self.joining
@@ -387,7 +389,7 @@
         """What the process that comes after us is given with the door."""
         zones = {index: name for name, index in self.names.zones.items()}
         kinds = {index: name for name, index in self.machines.items()}
-        return {"out": list(self.out.values()), "list": lines.told(
+        return {"learned": self.learned(), "out": list(self.out.values()), "list": lines.told(
             (server.host.name, server.host.address, zones.get(server.zone, ""), server.state, server.cell,
              server.weight, server.since, kinds.get(server.kind, ""))
             for server in self.servers.values() if server.host and server.state != model.GONE)}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,6 @@
 """Two processes that are one balancer: the door goes over whole, and nothing is lost on the way."""
 import asyncio
+import contextlib
 import json
 import os
 import socket
@@ -185,6 +186,24 @@
         await serving
 
 
+@played
+async def test_the_second_begins_with_what_the_first_has_learned(folder):
+    async with World(servers=2, control=True, listen=free()) as world:
+        first, _ = world.node.servers.values()
+        world.node.balancer.cold.borne = 17.5
+        first.stand.weight, first.stand.ceiling, first.stand.bad_until = 0.25, 9.5, world.node.now + 60
+        second, serving = await world.start()
+        same = second.servers[first.mark].stand
+        assert (same.weight, same.ceiling, same.bad_until) == (0.25, 9.5, first.stand.bad_until)
+        assert second.balancer.cold.usual() >= 17.5 and second.balancer.avoids(second.servers[first.mark])
+        for odd in ({"servers": 5}, {"servers": {"x": {}}}, {"servers": {str(first.mark): {"weight": "1"}}}, {}):
+            with contextlib.suppress(AttributeError, ValueError):
+                second.taught(odd)
+        assert same.weight == 0.25
+        second.over.set()
+        await serving
+
+
 @played
 async def test_nobody_at_the_meeting_place_is_as_if_there_were_none(folder):
     path = handover.place("n0", ("127.0.0.1", 1))
