--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -8,8 +8,9 @@
 from bellrack.choice import Balancer
 from bellrack.model import Call, Leg, Result, Server, Settings
 
-# Of a server, by the names of the decisions. What is open there is not among them: it comes with the connections.
-LEARNED = ("weight", "fails", "bad_until", "told_start", "warm_at", "delay", "told", "ceiling", "cut", "out_since")
+# Of a server, by the names of the decisions; not what is open there: that comes with the connections.
+LEARNED = ("weight", "fails", "bad_until", "told_start", "warm_at", "delay", "told", "ceiling", "cut",
+           "out_since")
 
 
 class Books:
