A call kept for half its setup target looks beyond the holders of its group

Clients came four times for each connection. Excluded: the pace (few were under it), the ceiling on all connections (none was set), the moves off the server out by hand (spread over two seconds, gone before). The lines at fault: `Draw.pick` asks holders alone whenever there are any, and the look at kept calls asks only those that a call waits for.

Change: from half the setup target on the lots run over all of the set, until the call is rejected at 0.8 of it as before. Rejected by reading: asking others at once, which opens ever new servers for a group's overflow, the reason why holders come first.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -31,6 +31,7 @@
 TIDY_SHARE = 0.05  # of them asked to come again at each look, while our zone is calm
 CALM = 5.0  # seconds since the last late message make a server calm
 LOTS = 3  # servers, in the order of a call's lots, that are asked for room
+HOLDERS_FOR = 0.5  # share of the setup target for which only holders of its group are asked
 HOLDS = 2  # own connections of a group make a server its holder; one may be a stray
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD = 0.5  # the first question to the list service falls within this many seconds
@@ -59,22 +60,18 @@
 
     def __init__(self, part: float) -> None:
         self.part = part  # of one connection, by chance: at many balancers it makes fractions add up
-        self.weight = 1.0
-        self.fails = 0
-        self.bad_until = 0.0
+        self.weight, self.fails = 1.0, 0
         self.open = 0  # own connections and legs out
-        self.since = self.told_start = self.out_since = 0.0
+        self.since = self.told_start = self.out_since = self.bad_until = 0.0
         self.warm_at = 0.0  # when it surely is warm
         self.next_leg = 0.0  # not before this
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay = 0.0  # as last told, as a share of the shortest message aim
-        self.told = -math.inf
-        self.asked = -math.inf  # when it last was probed
         self.full = 0.0  # load asked of it over what it can do, as last reported
         self.full_until = -math.inf  # how long that stands
         self.ceiling = math.inf
-        self.cut = -math.inf
+        self.told = self.cut = self.asked = -math.inf  # asked: when it last was probed
         self.missed = False  # put back by hand and not used since
 
 
@@ -369,7 +366,8 @@
         low = [s for s, size in zip(places, sizes) if s.stand.open < 1 + mean * size] or places
         # Guards against a server put back that waits long for its lot, by the weight of a cold one.
         missed = [s for s in low if s.stand.missed and self.rack.cold.bears(s)]
-        held = missed or call.group and [s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS]
+        held = missed or call.group and not self.beyond(call) and [
+            s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS]
         for server in held or low:  # kept with the call while it is kept: lots are dear
             if server not in call.lots:
                 call.lots[server] = self.lot(call, server)
@@ -385,6 +383,10 @@
                 return server
         return None
 
+    def beyond(self, call: Call) -> bool:
+        """Guards against calls that are rejected for a full holder of their group while others have room."""
+        return self.door.now >= call.arrived + HOLDERS_FOR * call.type.setup_target
+
     def reported(self, server: Server) -> bool:
         return self.door.now <= server.stand.full_until
 
@@ -529,7 +531,7 @@
             waiting, self.kept, self.looks = self.kept, [], False
             for call in waiting:
                 # Guards against a long queue, and looking everywhere while none it waits for has room.
-                if len(self.kept) < KEPT_LOOKS and (not call.waits or any(
+                if len(self.kept) < KEPT_LOOKS and (not call.waits or self.draw.beyond(call) or any(
                         self.door.now >= s.stand.next_leg and self.draw.room(s) and self.cold.bears(s)
                         for s in call.waits)):
                     self.again(call)
