Slow writers outlast a crowd; the door names allowed methods; counts checked against the peers

Tests: two real processes over an upgrade, a random story against its peers, a slow writer in a crowd, all servers out by hand. Rejected: room made by a look at every waiting connection, which costs most when there are thousands; two ordered books do it in one step.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -70,9 +70,8 @@
         self.delay = 0.0  # as last told, as a share of the shortest message aim
         self.full = 0.0  # load asked of it over what it can do, as last reported
         self.full_until = -math.inf  # how long that stands
-        self.ceiling = math.inf
         self.told = self.cut = self.asked = -math.inf  # asked: when it last was probed
-        self.missed = False  # put back by hand and not used since
+        self.ceiling, self.missed = math.inf, False  # missed: put back by hand and not used since
 
 
 class Stage:
@@ -589,7 +588,7 @@
             stand.out_since = now
             self.woke(server)
         elif before and not out:
-            stand.missed = True
+            stand.missed, stand.ceiling = True, math.inf
             if stand.since < stand.out_since:  # guards against a list that does not know of the restart yet
                 self.starts(server, now, now)
         self.listed([server])
@@ -605,8 +604,9 @@
                     other.size = server.weight
 
     def avoids(self, server: Server) -> bool:
-        """Is this listed server kept from new calls now, by the list or by failures?"""
-        return server not in self.listing.ready or not self.draw.healthy(server)
+        """Is this listed server kept from new calls now, by the list, by hand, for failures or lateness?"""
+        fit = self.draw.healthy(server) and not self.draw.told_late(server)
+        return server not in self.listing.ready or not fit
 
     def unlisted(self) -> None:
         """The list service failed: ask again later, each time later, never in step with the others."""
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -56,6 +56,8 @@
             self.first(line)
         if self.over:
             return
+        if self.call is None and self.ring.held and not self.ended:
+            self.node.limits.wrote(self, self.node.now)
         if self.other:
             self.pass_on()
         if self.call and not self.other and self.ring.held:
--- a/bellrack/net/control.py
+++ b/bellrack/net/control.py
@@ -21,7 +21,7 @@
     def made(self) -> None:
         self.request, callers = Request(), self.node.callers
         callers[self] = None
-        if len(callers) > limits.CALLERS:
+        if len(callers) > self.node.limits.callers:
             # Guards against callers that hold connections with no whole call: the oldest of them goes.
             next(iter(callers)).reply(503, "too many callers\n", "many-callers")
         self.lasts(limits.CALL, self.stale)
@@ -52,13 +52,13 @@
         if path not in CALLS:
             self.reply(404, "no such call\n", "unknown-call")
         elif method != CALLS[path][0]:
-            self.reply(405, f"this is a {CALLS[path][0]}\n", "other-method")
+            self.reply(405, f"this is a {CALLS[path][0]}\n", "other-method", CALLS[path][0])
         else:
             self.reply(*CALLS[path][1](self.node, self.request), path)
 
-    def reply(self, status: int, text: str, reason: str) -> None:
+    def reply(self, status: int, text: str, reason: str, allow: str = "") -> None:
         self.node.callers.pop(self, None)
-        self.write(answer(status, text))
+        self.write(answer(status, text, allow))
         self.finish(reason, status=status)
 
 
--- a/bellrack/net/figures.py
+++ b/bellrack/net/figures.py
@@ -14,17 +14,17 @@
 
 
 def told(node: Any) -> dict[str, int]:
-    """All figures by name. A traffic type that has vanished from the settings keeps its counts."""
+    """All figures by name, our other counters after them. A type that has vanished keeps its counts."""
     counted = node.counters
     names = dict.fromkeys(node.names.types) | {
-        name.partition(".")[2]: None for name in counted if name.partition(".")[0] in BY_TYPE}
+        name.partition(".")[2]: None for name in counted if name.partition(".")[0] in BY_TYPE and "." in name}
     figures = {f"{what}.{name}": counted[f"{what}.{name}"] for name in names for what in BY_TYPE}
     figures |= {name: counted[name] for name in PLAIN}
     listed = [server for server in node.servers.values() if server.state != model.GONE]
     figures["pending"] = sum(client.call is not None and not client.over for client in node.clients)
     figures["members"] = len(listed)
     figures["members_unavailable"] = sum(map(node.balancer.avoids, listed))
-    return figures
+    return figures | {name: counted[name] for name in sorted(counted) if name not in figures}
 
 
 def text(figures: dict[str, int]) -> str:
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -20,6 +20,7 @@
 PATIENCE = 1.0  # seconds that the one that starts waits for the one that serves
 TELL_EVERY = 0.25  # seconds between figures told to the other
 LONGEST = 1 << 20  # bytes of one message
+VERSION = 1  # of what is told with the door; what is unknown in it is left
 PART = 65536  # bytes read at one go
 
 
--- a/bellrack/net/http.py
+++ b/bellrack/net/http.py
@@ -73,8 +73,8 @@
         self.method, self.path = words[0], words[1].partition("?")[0]
 
 
-def answer(status: int, text: str) -> bytes:
+def answer(status: int, text: str, allow: str = "") -> bytes:
     """A whole answer; the connection ends after it."""
-    body = text.encode()
-    return (f"HTTP/1.1 {status} {SAID[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n"
+    body, allowed = text.encode(), f"Allow: {allow}\r\n" if allow else ""
+    return (f"HTTP/1.1 {status} {SAID[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n{allowed}"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n").encode() + body
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -12,7 +12,7 @@
 BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
 ACCEPTS = 16  # of them accepted at one go
 RESERVE = 48  # descriptors kept free: three such goes, as many as may come before a turn sees the first
-FIRST_LINE = 2.0  # seconds from connecting in which the first line must be whole; an end is owed within 3
+FIRST_LINE = 2.75  # seconds from connecting for a whole first line: some write for 2; an end is owed within 3
 PINGS = 8  # on one connection
 YOUNG = 0.1  # seconds for which a connection without a word stays even if room is needed
 LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
@@ -30,6 +30,7 @@
         self.beside = 0  # descriptors of our other process: the two are counted as one
         self.descriptors = len(os.listdir("/proc/self/fd"))
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
+        self.writing: dict[Any, float] = {}  # links with a part of a first line, by when they last wrote
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
         self.seen: dict[str, None] = {}  # of calls that have ended, oldest first
 
@@ -64,11 +65,29 @@
         """Not even that many more by the reserve."""
         return self.descriptors + self.beside + more > self.limit
 
+    def wrote(self, link: Any, now: float) -> None:
+        """A part of its first line came."""
+        self.spare.pop(link, None)
+        self.writing.pop(link, None)
+        self.writing[link] = now
+
+    def no_longer(self, link: Any) -> None:
+        """It has a call, or is gone."""
+        self.spare.pop(link, None)
+        self.writing.pop(link, None)
+
     def room(self, now: float, part: int = 1) -> bool:
-        """Is there any? Guards against calls told BUSY for the sake of connections that say nothing."""
-        while self.crowded(part) and self.spare:
-            link, since = next(iter(self.spare.items()))
-            if now - since < YOUNG:
-                break
-            link.spared()
+        """Is there any? Guards against calls told BUSY for the sake of connections that say nothing, and slow
+        writers let go before those that are silent or write no more."""
+        for waiting in (self.spare, self.writing):
+            while self.crowded(part) and waiting:
+                link, since = next(iter(waiting.items()))
+                if now - since < YOUNG:
+                    break
+                link.spared()
         return not self.crowded(part)
+
+    @property
+    def callers(self) -> int:
+        """Operators' calls that may be under way: half the reserve, which clients cannot take, bears them."""
+        return max(1, min(CALLERS, self.reserve // 2))
--- a/bellrack/net/log.py
+++ b/bellrack/net/log.py
@@ -58,7 +58,4 @@
 
 
 class Counters(Counter):
-    """Printed on request and at exit."""
-
-    def show(self) -> None:
-        tell("counters", **dict(sorted(self.items())))
+    """What was taken in, sent and answered, by name."""
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -17,7 +17,7 @@
 from bellrack import model
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
-from bellrack.net import handover, limits, lines, log, passing
+from bellrack.net import figures, handover, limits, lines, log, passing
 from bellrack.net.clients import Client
 from bellrack.net.config import Config, reread
 from bellrack.net.control import Caller
@@ -203,7 +203,7 @@
         self.counters["calls"] += 1
         call.host, client.call = client, call
         self.limits.ids[wish.id] = client
-        self.limits.spare.pop(client, None)
+        self.limits.no_longer(client)
         client.lasts(None)
         self.dealing = self.dealing or "at" not in values
         if "at" in values:
@@ -329,7 +329,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.queue, self.reload)
-        self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.counters.show)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.show)
         await self.doors.open_desk()
         former = await asyncio.to_thread(handover.meet, self.doors.path) if self.doors.path else None
         if former:
@@ -347,10 +347,11 @@
         for way in (self.giver, self.taker):
             if way:
                 way.close()
-        self.counters.show()
+        self.show()
 
     async def follow(self, former: handover.Former) -> None:
         """Start beside the process that serves; its door is ours once we know the servers."""
+        self.limits.seen = dict.fromkeys(former.told.get("seen", ()))
         self.out = {lines.mark(name): name for name in former.told.get("out", ())}
         with contextlib.suppress(lines.LineError):
             self.learn(lines.listing(former.told.get("list")), counts=False)
@@ -378,6 +379,10 @@
             self.balancer.withheld(server, out)
         return True
 
+    def show(self) -> None:
+        """What operators are told at their door, as one line."""
+        log.tell("counters", **figures.told(self))
+
     # The other process of this balancer, while there is one.
 
     def join(self, sock: socket.socket) -> None:
@@ -389,10 +394,12 @@
         """What the process that comes after us is given with the door."""
         zones = {index: name for name, index in self.names.zones.items()}
         kinds = {index: name for name, index in self.machines.items()}
-        return {"learned": self.learned(), "out": list(self.out.values()), "list": lines.told(
+        listed = lines.told(
             (server.host.name, server.host.address, zones.get(server.zone, ""), server.state, server.cell,
              server.weight, server.since, kinds.get(server.kind, ""))
-            for server in self.servers.values() if server.host and server.state != model.GONE)}
+            for server in self.servers.values() if server.host and server.state != model.GONE)
+        return {"version": handover.VERSION, "list": listed, "learned": self.learned(),
+                "out": list(self.out.values()), "seen": [*self.limits.seen, *self.limits.ids]}
 
     def tell_beside(self, **words: Any) -> None:
         if self.other:
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -138,7 +138,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.count(False)
-        self.node.limits.spare.pop(self, None)
+        self.node.limits.no_longer(self)
         self.lasts(None)
         self.ended = self.ended or ("rst" if error else "fin")
         self.wake()
@@ -231,7 +231,7 @@
 
     def spared(self) -> None:
         """Its descriptor is needed and nothing is owed to it: guards against ends that wait long."""
-        self.node.limits.spare.pop(self, None)
+        self.node.limits.no_longer(self)
         if self.transport:
             self.transport.abort()
             self.count(False)  # the descriptor is free before the next is accepted
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -145,6 +145,7 @@
         else:
             if kind == model.COMPLETED:
                 self.client.write(line)
+                self.client.counted_as("failed")  # it was never up
             self.end(kind or model.ERROR, f"answer-{kind or 'unknown'}")
 
     def passing(self, line: bytes) -> None:
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -401,3 +401,16 @@
     assert not call.legs and not call.done  # it waits for its group's holder first
     bench.run(call.arrived + choice.KEEP_SHARE * kind.setup_target)
     assert [leg.server in fleet and leg.server is not holder for leg in call.legs] == [True]
+
+
+def test_with_all_servers_out_by_hand_calls_are_answered_and_the_first_back_serves():
+    bench = Bench(settings())
+    fleet = bench.fleet(0, 1)
+    for server in fleet:
+        bench.rack.withheld(server, True)
+    call = bench.call()
+    bench.run(bench.now + 3.0)
+    assert [how for _, how, _ in bench.done] == ["rejected"] and not call.legs
+    bench.rack.withheld(fleet[0], False)
+    bench.run(bench.now + 5.0)
+    assert bench.call().legs[0].server is fleet[0]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,7 @@
 """The operators' door: its form, its figures and its promise to answer beside whoever holds it."""
 import asyncio
+import collections
+import random
 
 import pytest
 from helpers import Peer, World, played
@@ -55,7 +57,8 @@
     async with World(servers=2, control=True, effect="fragile") as world:
         assert await world.figures() == {
             "completed.chat": 0, "rejected.chat": 0, "failed.chat": 0, "upstream_requests": 0, "pending": 0,
-            "config_reloads": 0, "config_reload_errors": 0, "members": 2, "members_unavailable": 0}
+            "config_reloads": 0, "config_reload_errors": 0, "members": 2, "members_unavailable": 0,
+            "bad_weights": 0, "list_lines": 1}
         client, server = await world.standing()
         failing = await world.call()
         (await world.leg())[1].say("ERR")
@@ -144,3 +147,43 @@
             world.node.look()
         assert [s.out for s in world.node.balancer.fleet if s.host.name == "s-0"] == [True]
         assert len(world.node.balancer.listing.ready) == 1
+
+
+@played
+async def test_counts_of_a_random_story_are_what_the_peers_saw():
+    chance = random.Random(5)
+    async with World(servers=3, control=True, effect="fragile") as world:
+        seen, standing = collections.Counter(), []
+        for _ in range(60):
+            client = await world.call()
+            number, server, _ = await world.leg()
+            seen["upstream_requests"] += 1
+            word = chance.choice(["UP 1", "ERR", "what?", "BUSY", "BYE"])
+            server.say(word)
+            while word == "BUSY" and seen["upstream_requests"] < 500:
+                try:
+                    number, server, _ = await asyncio.wait_for(world.leg(), 0.5)
+                except TimeoutError:
+                    break
+                seen["upstream_requests"] += 1
+                server.say("BUSY")
+            told = await client.line()
+            seen["completed" if told.startswith("UP") else
+                 "rejected" if told.startswith("BUSY") else "failed"] += 1
+            if told.startswith("UP"):
+                standing.append((client, server))
+            if standing and chance.random() < 0.5:
+                standing.pop()[chance.randrange(2)].end(chance.choice(["fin", "rst"]))
+        await world.until(lambda: len(world.node.clients) <= len(standing))
+        told = await world.figures()
+        assert told["pending"] == len(standing) and told["upstream_requests"] == seen["upstream_requests"]
+        for what in ("completed", "rejected", "failed"):
+            assert told[f"{what}.chat"] == seen[what] > 0, (what, told, seen)
+
+
+@played
+async def test_another_method_is_told_the_right_one():
+    async with World(control=True) as world:
+        peer = Peer(*await asyncio.open_connection(*world.desk()))
+        peer.writer.write(b"GET /_servers/detach HTTP/1.1\r\n\r\n")
+        assert b"\r\nAllow: POST\r\n" in await peer.reader.read()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,6 +4,8 @@
 import json
 import os
 import socket
+import sys
+from pathlib import Path
 
 import pytest
 from helpers import Peer, World, played
@@ -11,6 +13,8 @@
 from bellrack.net import handover, node, passing
 from bellrack.net.limits import Limits
 
+ROOT = Path(__file__).parent.parent
+
 
 def free():
     """An address that both processes are told."""
@@ -225,6 +229,58 @@
             assert await task is None
 
 
+def test_a_folder_too_long_for_a_socket_is_no_place_to_meet(monkeypatch):
+    monkeypatch.setenv("TMPDIR", "/tmp/" + "x" * 120)
+    assert handover.place("n0", ("127.0.0.1", 1)) is None
+    monkeypatch.delenv("TMPDIR")
+    assert handover.place("n0", ("127.0.0.1", 1)) is None
+
+
+@played
+async def test_two_real_processes_are_one_balancer(tmp_path):
+    async with World(servers=2) as world:
+        listen, desks = free(), [free(), free()]
+        processes = []
+        for number, desk in enumerate(desks):
+            path = tmp_path / f"{number}.json"
+            path.write_text(json.dumps(world.raw | {"listen": listen, "control": desk}))
+            processes.append(await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "bellrack", "serve", f"--config={path}", cwd=ROOT,
+                env=os.environ | {"TMPDIR": str(tmp_path)}, stderr=asyncio.subprocess.DEVNULL))
+            while (await asked(desk))[:1] != b"2":
+                await asyncio.sleep(0.02)
+            if not number:
+                host, _, port = listen.partition(":")
+                client = Peer(*await asyncio.open_connection(host, int(port)))
+                client.say("OPEN 00000000000000a1 7f3a9c21e0b4d655 c=chat,t=acme,d=2000")
+                _, server, _ = await world.leg()
+                server.say("UP 1")
+                assert await client.line() == "UP 1"
+        assert (await asked(desks[0]))[:3] == b"503"
+        processes[0].terminate()
+        assert await asyncio.wait_for(processes[0].wait(), 5) == 0
+        client.say("M 1")
+        assert await server.line() == "M 1"
+        server.say("A 1")
+        assert await client.line() == "A 1"
+        processes[1].terminate()
+        assert [await client.line(), await client.line()] == ["MOVE", "fin"]
+        assert await asyncio.wait_for(processes[1].wait(), 5) == 0
+
+
+async def asked(desk):
+    """The status of the answer to `/_ready`, as it stands; nothing where nobody listens yet."""
+    host, _, port = desk.partition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return b""
+    writer.write(b"GET /_ready HTTP/1.1\r\n\r\n")
+    said = await reader.read()
+    writer.close()
+    return said.partition(b" ")[2]
+
+
 @played
 async def test_another_users_process_is_given_no_door(folder, monkeypatch):
     async with World(control=True, listen=free()) as world:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -663,3 +663,49 @@
     (configured(caps={}), "'maxLegs'")])
 def test_an_unusable_configuration_is_one_plain_line(tmp_path, capsys, monkeypatch, text, told):
     assert told in refused(tmp_path, capsys, monkeypatch, text)
+
+
+@played
+async def test_a_slow_writer_keeps_its_place_in_a_crowd_that_finishes_nothing(monkeypatch):
+    # Guards against true clients, 2 s at their line, that are let go as the oldest of a crowd.
+    monkeypatch.setattr(limits, "YOUNG", 0.0)
+    async with World(sockets=120) as world:
+        room = world.node.limits
+        slow = await world.dial()
+        slow.writer.write(b"OPEN 00000000000000")
+        await world.until(lambda: room.writing)
+        crowd = []
+        for number in range(200):
+            crowd.append(await world.dial())
+            if number % 2:
+                crowd[-1].say("PING")
+            if number % 20 == 19:
+                slow.writer.write(b"")
+                await asyncio.sleep(0.002)
+        await world.until(lambda: world.node.counters["ended_client"] > 60)
+        slow.say("aa 7f3a9c21e0b4d655 c=chat,t=acme,d=2000")
+        _, server, _ = await world.leg()
+        server.say("UP 1")
+        assert await slow.line() == "UP 1"
+        for peer in crowd:
+            peer.end("rst")
+
+
+def test_who_writes_no_more_goes_before_who_still_writes():
+    room, gone = limits.Limits(100), []
+
+    class Waiting:
+        def spared(self):
+            gone.append(self)
+            room.no_longer(self)
+            room.counted(-1)
+
+    room.descriptors = 78
+    silent, stopped, slow = Waiting(), Waiting(), Waiting()
+    room.spare[silent] = 2.0
+    room.wrote(slow, 1.0)
+    room.wrote(stopped, 1.1)
+    room.wrote(slow, 2.5)
+    room.room(3.0)
+    assert gone == [silent, stopped, slow]
+    assert limits.FIRST_LINE > 2.5  # true clients may take 2 s to write theirs, and come late
