--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -9,7 +9,7 @@
 import socket
 from typing import Any
 
-from bellrack.net import handover, limits
+from bellrack.net import handover, limits, log
 from bellrack.net.clients import Client
 from bellrack.net.control import Caller
 
@@ -34,8 +34,15 @@
         """Accept from now on, at the door of the process before us if it gave it."""
         self.socket = taken or socket.create_server(self.node.config.listen, reuse_port=self.shared)
         await self.accept()
-        if self.path:
-            self.meeting = handover.Meeting(self.node, self.path)
+        self.meet()
+
+    def meet(self) -> None:
+        """Be found by the process that comes after us. A folder where that fails costs a log line."""
+        if self.path and not self.meeting:
+            try:
+                self.meeting = handover.Meeting(self.node, self.path)
+            except OSError as error:
+                log.tell("handover", offered="nothing", error=error)
 
     async def accept(self) -> None:
         # A copy, since asyncio closes what it listens at and the door itself must last.
@@ -58,7 +65,7 @@
         """The other process is gone before its time: guards against a door that nobody answers."""
         if self.socket and not self.listener:
             await self.accept()
-            self.meeting = self.meeting or handover.Meeting(self.node, self.path)
+            self.meet()
 
     def close(self) -> None:
         self.shut()
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -149,6 +149,7 @@
         try:
             if self.node.other or not same_user(sock):
                 raise OSError("another is met already, or is of another user")
+            sock.setblocking(False)  # guards against one that connects and reads nothing
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LONGEST)
             text = json.dumps(self.node.tells()).encode() + b"\n"
             ours, theirs = passing.pair()
@@ -161,7 +162,6 @@
             log.tell("handover", given="nothing", error=error)
             sock.close()
             return
-        sock.setblocking(False)
         self.node.join(sock)
         self.node.giver = passing.Giver(self.node, ours)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -236,6 +236,17 @@
     assert handover.place("n0", ("127.0.0.1", 1)) is None
 
 
+@played
+async def test_a_folder_that_is_not_there_costs_a_log_line_and_no_more(folder, monkeypatch, caplog):
+    caplog.set_level("INFO", logger="bellrack")
+    monkeypatch.setenv("TMPDIR", str(folder / "none"))
+    async with World(control=True) as world:
+        await world.standing()
+        told = [record.figures["offered"] for record in caplog.records if record.msg == "handover"]
+        assert told == ["nothing"]
+        assert not world.node.doors.meeting
+
+
 @played
 async def test_two_real_processes_are_one_balancer(tmp_path):
     async with World(servers=2) as world:
