The last process of an upgrade leaves no socket in the folder

Seen when each command of operating.md was tried: the Unix socket stayed in $TMPDIR after the exit. Only the process whose own it still is removes it, so the place of one that came after is never taken. The test with two real processes checks the folder.

--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -68,6 +68,8 @@
             self.meet()
 
     def close(self) -> None:
+        if self.meeting:
+            self.meeting.leave()
         self.shut()
         if self.desk:
             self.desk.close()
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -138,6 +138,7 @@
         os.chmod(aside, 0o600)
         self.sock.listen(1)
         os.rename(aside, path)
+        self.inode = os.stat(path).st_ino
         node.limits.counted(1)
         node.loop.add_reader(self.sock.fileno(), self.met)
 
@@ -165,6 +166,12 @@
         self.node.join(sock)
         self.node.giver = passing.Giver(self.node, ours)
 
+    def leave(self) -> None:
+        """Nothing is left behind, but for the place of a process that came after us."""
+        with contextlib.suppress(OSError):
+            if os.stat(self.path).st_ino == self.inode:
+                os.unlink(self.path)
+
     def close(self) -> None:
         self.node.loop.remove_reader(self.sock.fileno())
         self.sock.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -277,6 +277,7 @@
         processes[1].terminate()
         assert [await client.line(), await client.line()] == ["MOVE", "fin"]
         assert await asyncio.wait_for(processes[1].wait(), 5) == 0
+        assert sorted(path.name for path in tmp_path.iterdir()) == ["0.json", "1.json"]
 
 
 async def asked(desk):
