--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -31,6 +31,7 @@
 HOLDERS_FOR, HOLDS = 0.5, 2  # of the setup target only holders of its group are asked; connections make one
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 WATCH_SPREAD, WATCH_RETRY = 0.5, 1.0  # seconds until the list service is first asked; and again, doubling
+SPARE_SHARE = 0.25  # of a call's wait, at most, is kept for the answer's way
 GROWTH, LEAST_PACE = 0.5, 8.0  # legs a second to a warm server: share of what it holds; never held back
 AHEAD, PACE = 2.0, 2.0  # a cold server is filled at most so much faster than evenly; legs, than that needs
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
@@ -83,7 +84,7 @@
             self.after.take(call)
 
     def last_moment(self, call: Call) -> float:
-        return call.guard - self.settings.answer_slack - 2 * self.settings.tick
+        return call.guard - min(self.settings.spare, SPARE_SHARE * (call.guard - call.arrived))
 
     def due(self, call: Call) -> None:
         """The guard time is near: answer whatever is still owed."""
@@ -611,4 +612,4 @@
         """The list service failed: ask again later, each time later, never in step with the others."""
         if self.settings.asks:
             self.door.wake(self.door.now + self.watch_wait * (0.5 + self.chance.draw()), "watch")
-            self.watch_wait = min(8.0, 2 * self.watch_wait)
+            self.watch_wait = min(8.0, self.settings.ask_within, 2 * self.watch_wait)
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -63,11 +63,18 @@
     ramp_time: float
     number: int = 0  # of this balancer among its peers
     tells: bool = False  # balancers may send one another messages
+    drain_grace: float = 1.0  # seconds in which sending to a server has to stop once a drain is told
+    ask_within: float = 10.0  # where the list is asked for: seconds for which one stands without a watch
 
     def become(self, other: Settings) -> None:
         """Whoever holds these settings holds the other's values now. Calls keep their traffic type."""
         vars(self).update(vars(other))
 
+    @property
+    def spare(self) -> float:
+        """What an answer needs to reach a client in time."""
+        return self.answer_slack + 2 * self.tick
+
     @property
     def quickest(self) -> float:
         """The shortest message aim."""
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -21,7 +21,9 @@
 MOST = 1 << 22  # bytes of one line or head of the list service
 DIGITS = 16  # of a number on a line
 LINE = 4096  # bytes of a line of clients and servers, its end included
-PAIR = rb"[!-+\--<>-~]+=[!-+\--~]*"  # printable but for the comma, and for the name no equals sign
+# Printable but for the comma, and for the name no equals sign; names of other tongues come as UTF-8.
+PAIR = rb"[!-+\--<>-~\x80-\xff]+=[!-+\--~\x80-\xff]*"
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; none goes over the end of a line
 OPEN = re.compile(rb"OPEN ([!-~]+) ([0-9A-Fa-f]{1,16}) (%b(?:,%b)*)\r\n" % (PAIR, PAIR))
 
 
@@ -59,7 +61,10 @@
     form = OPEN.fullmatch(line)
     if not form or len(line) > LINE:
         raise LineError("not-open")
-    name, key, pairs = (part.decode() for part in form.groups())
+    try:
+        name, key, pairs = (part.decode() for part in form.groups())
+    except UnicodeDecodeError:
+        raise LineError("not-utf-8") from None
     values = dict(pair.split("=", 1) for pair in pairs.split(","))
     if len(values) != pairs.count(",") + 1:
         raise LineError("named-twice")
@@ -240,6 +245,31 @@
         return True
 
 
+class Objects:
+    """JSON objects as they come in by lines, each on one line or indented over several."""
+
+    def __init__(self) -> None:
+        self.text, self.depth = b"", 0
+
+    def feed(self, line: bytes) -> Any:
+        """A line, its end included: the object that it makes whole, or None. Raises LineError for what is no
+        JSON. An empty line between two objects is nothing."""
+        self.text += line
+        bare = STRING.sub(b"", line)
+        self.depth += sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
+        if self.depth > 0:
+            if len(self.text) > MOST:
+                raise LineError("too-long")
+            return None
+        text, self.text, self.depth = self.text, b"", 0
+        return parsed(text) if text.strip() else None
+
+    @property
+    def whole(self) -> bool:
+        """Is there nothing of an object that has not ended?"""
+        return not self.text
+
+
 def parsed(text: bytes) -> Any:
     try:
         return json.loads(text)
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -15,7 +15,6 @@
 
 REPORT = {"x0": model.FULLNESS, "x1": model.BACKLOG, "errors_per_s": model.ERRORS, "utilization": model.BUSY,
           "outstanding": model.HELD}
-FIELDS = (*REPORT, "backlog", "recent_ms", "throughput")
 MOST_FIELDS = 4
 KEPT = 60.0  # seconds for which a traffic type that has vanished is still served
 WEIGHTS = ("nominal", "rough", "off", "live")
@@ -37,16 +36,21 @@
     tells_delay: bool
     tells_load: bool
     vanished: dict[str, float] = field(default_factory=dict)  # types that the last files lack, and since when
+    closed: dict[str, float] = field(default_factory=dict)  # the same of tenants
 
     def keep(self, settings: Settings, former: Names, types: list[TrafficType], now: float) -> None:
-        """Traffic types that the former settings had and these lack stay for a while, as they were: guards
-        against clients that are moved, come again as what they were, and hear that there is no such type."""
+        """Traffic types and tenants that the former settings had and these lack stay for a while: guards
+        against clients that are moved, come again as what they were, and hear that there is none such."""
         for name, index in former.types.items():
             since = former.vanished.get(name, now)
             if name not in self.types and now - since <= KEPT:
                 self.vanished[name], self.types[name] = since, len(settings.types)
                 settings.types.append(types[index])
                 self.guards.append(former.guards[index])
+        for name, index in former.tenants.items() if self.tenants else ():
+            since = former.closed.get(name, now)
+            if name not in self.tenants and now - since <= KEPT:
+                self.closed[name], self.tenants[name] = since, index
 
 
 @contextmanager
@@ -110,42 +114,31 @@
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
             tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
             cold_share=float(rules["coldShare"]), ramp_time=rules["rampTimeUs"] / 1e6,
-            number=number, tells=bool(caps.get("mayTell")) and 0 <= number < peers and peers > 1)
+            number=number, tells=bool(caps.get("mayTell")) and 0 <= number < peers and peers > 1,
+            drain_grace=rules.get("stopSendingWithinUs", 1e6) / 1e6,
+            ask_within=over_nought("askWithinUs", rules.get("askWithinUs", 1e7)) / 1e6)
 
 
 def check_shape(raw: Any) -> Any:
-    """Refuse settings that mix the two shapes of a deployment, or values that neither knows; the text
-    names the key, and give them back. Only a host that serves asks this: the simulator may play any mix.
+    """Refuse values that no page of a deployment knows, and reports of no form; the text names the key. Gives
+    the settings back. Only a host that serves asks this.
 
-    Nominal: the list is asked for, weights stand still, no report is read. Live: the list comes unasked,
-    weights fall with what a server holds, and reports come to probes."""
+    Any mix of what the pages allow is served, as each is read on its own: whether the list comes unasked,
+    whether weights are live, and whether probes bring reports."""
     with named_errors():
-        discovery, weights = raw["discovery"], raw.get("weights", "nominal")
-        report, probes = raw.get("report", {"how": "off"}), raw["caps"].get("probes", False)
+        report = raw.get("report", {"how": "off"})
         if not isinstance(report, dict):
             raise SettingsError("report is no object")
         how, fields = report.get("how", "off"), report.get("fields", [])
-        for key, value, known in (("discovery", discovery, ("ask", "push")), ("weights", weights, WEIGHTS),
+        for key, value, known in (("discovery", raw["discovery"], ("ask", "push")),
+                                  ("weights", raw.get("weights", "nominal"), WEIGHTS),
                                   ("report.how", how, ("off", "inline", "on_probe")),
-                                  ("caps.probes", probes, (True, False))):
+                                  ("caps.probes", raw["caps"].get("probes", False), (True, False))):
             if not isinstance(value, type(known[0])) or value not in known:
                 raise SettingsError(f"{key} is {value!r}, not one of {', '.join(map(str, known))}")
-        live = weights == "live"
-        if live != (discovery == "push"):
-            raise SettingsError(f"discovery {discovery!r} does not go with weights {weights!r}")
-        if live != (how == "on_probe"):
-            raise SettingsError(f"report.how {how!r} does not go with weights {weights!r}")
-        if not live:
-            return raw
-        if not probes:
-            raise SettingsError("caps.probes is off, but report.how is 'on_probe'")
-        if not isinstance(fields, list) or not 1 <= len(fields) <= MOST_FIELDS:
-            raise SettingsError(f"report.fields holds no list of 1 to {MOST_FIELDS} names")
-        for field in fields:
-            if field not in FIELDS or fields.count(field) > 1:
-                raise SettingsError(f"report.fields: {field!r} is unknown or named twice")
-        if "x0" not in fields:
-            raise SettingsError("report.fields lacks 'x0', by which servers are chosen")
+        named = isinstance(fields, list) and all(isinstance(name, str) for name in fields)
+        if not named or len(fields) > MOST_FIELDS or len(set(fields)) < len(fields):
+            raise SettingsError(f"report.fields is no list of {MOST_FIELDS} different names at most")
         return raw
 
 
@@ -154,7 +147,7 @@
     report = raw.get("report", {})
     if report.get("how") != "on_probe" or not raw["caps"].get("probes"):
         return ()
-    return tuple(REPORT.get(field, field) for field in report["fields"])
+    return tuple(REPORT.get(field, field) for field in report.get("fields", ()))
 
 
 def parse_names(raw: Any) -> Names:
