A server that hangs in mid-line is left; one answer at one instant; nothing owed at an exit

Now only a client that takes nothing excuses silence.

The door is emptied and closed before the end; whoever waits 0.4 s before the end is answered; nobody who came in is left behind. - SIGTERM before the door is open ends in order and opens none. - BYE or MOVE and no end: the connection is ended after 0.5 s. BYE or MOVE and a reset: the client gets the line and a FIN. A slow client gets 0.5 s more to take whole lines before it is cut off. - A watch kept alive by bytes that make no line, or lines that make no object, is silent. Lists may come indented on a watch. A fetch has a time-out. Where lists are pushed a broken watch is renewed within a quarter of a drain's grace (1 s before), and the door opens once the agent has spoken, since its list counts from the first moment.

--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -11,9 +11,9 @@
 from bellrack.net import lines
 from bellrack.net.servers import Outgoing
 
-SILENT = 4.5  # seconds without a byte: an empty line comes every 2 s
-LOOK = 0.5  # seconds between looks for that
-AGAIN = 1.0  # seconds to a new watch where the decisions do not ask for one
+SILENT = 4.5  # seconds without a whole line: an empty one comes every 2 s
+LOOK = 0.25  # seconds between looks for that
+AGAIN = 0.25  # of the grace of a drain: where lists are pushed a change counts as told while no watch is open
 
 
 class Question(Outgoing):
@@ -26,10 +26,12 @@
         super().__init__(node)
         self.address, self.watch = address, watch
         self.reply, self.body, self.asked, self.heard = lines.Answer(), b"", False, node.now
+        self.objects, self.begun = lines.Objects(), False
         self.open(address, SILENT)
+        if not watch:
+            self.lasts(SILENT, self.fail, "fetch-silent")  # a watch is looked after for as long as it lasts
 
     def ready(self) -> None:
-        self.heard = self.node.now
         if not self.asked and not self.ended:
             self.asked = True
             query = f"?watch=1&after={self.node.version}" if self.watch else ""
@@ -55,11 +57,18 @@
 
     def changes(self) -> None:
         while b"\n" in self.body and not self.over:
-            line, _, self.body = self.body.partition(b"\n")
-            if line.strip():
-                news = lines.listing(lines.parsed(line))
+            line, end, self.body = self.body.partition(b"\n")
+            if news := self.objects.feed(line + end):
+                news = lines.listing(news)
                 self.node.discovery.told(self)
                 self.node.learn(news, counts=self is not self.node.discovery.former)
+            elif self.objects.whole and not self.begun:
+                self.node.confirmed()  # it stands and has nothing new
+            self.begun = True
+            if self.objects.whole:
+                # Guards against a watch kept alive by bytes that never make a line, or lines that never make
+                # an object: what it would have to tell counts as told all the same.
+                self.heard = self.node.now
 
     def fail(self, reason: str) -> None:
         if not self.over:
@@ -117,7 +126,7 @@
         if question is self.standing:
             self.standing = None
             if not self.node.settings.asks:  # changes come unasked there, so the host holds the watch
-                self.node.after(AGAIN, self.watch)
+                self.node.after(AGAIN * self.node.settings.drain_grace, self.watch)
         self.node.unlisted()
 
     def look(self) -> None:
--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import Any
 
@@ -21,6 +22,7 @@
         self.listener: asyncio.Server | None = None
         self.desk: asyncio.Server | None = None
         self.meeting: handover.Meeting | None = None
+        self.coming: set[asyncio.Task] = set()  # the last that came, until they are clients
         # Only where operators call may another process of ours be started beside us.
         self.shared = node.config.control is not None
         self.path = handover.place(node.config.name, node.config.listen) if self.shared else None
@@ -51,16 +53,38 @@
             lambda: Client(self.node), sock=self.socket.dup(), backlog=limits.ACCEPTS)
         self.socket.listen(limits.BACKLOG)  # after asyncio, which takes one figure for both
 
-    def shut(self) -> None:
-        """The other process accepts now. Who has come in stays with us; who waits in the door goes to it."""
+    def shut(self, for_good: bool = False) -> None:
+        """The other process accepts now. Who has come in stays with us; who waits in the door goes to it. Or
+        nobody does: then we are not found any more."""
         if self.listener:
             self.listener.close()
             self.listener = None
             self.node.limits.counted(-1)
         if self.meeting:
+            if for_good:
+                self.meeting.leave()
             self.meeting.close()
             self.meeting = None
 
+    def last(self) -> int:
+        """Close the clients' door for good, and take in whoever the machine has accepted there: how many are
+        still on their way in. Guards against the instant between our last look at the door and its end."""
+        waiting = []
+        if self.listener:
+            self.socket.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    waiting.append(self.socket.accept()[0])
+            self.shut(for_good=True)
+            self.socket.close()
+        for sock in waiting:
+            sock.setblocking(False)
+            task = self.node.loop.create_task(
+                self.node.loop.connect_accepted_socket(lambda: Client(self.node), sock))
+            self.coming.add(task)
+            task.add_done_callback(self.coming.discard)
+        return len(self.coming)
+
     async def reopen(self) -> None:
         """The other process is gone before its time: guards against a door that nobody answers."""
         if self.socket and not self.listener:
@@ -68,9 +92,8 @@
             self.meet()
 
     def close(self) -> None:
-        if self.meeting:
-            self.meeting.leave()
-        self.shut()
+        self.shut(for_good=True)
         if self.desk:
             self.desk.close()
-        self.socket.close()
+        if self.socket:
+            self.socket.close()
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/leaving.py
@@ -1,8 +1,8 @@
 """The way out: from the call to end until the program is empty.
 
-Owns when each standing connection is moved, or handed to the process that comes after us, and when the
-program ends. It takes no call, never cuts off a connection without a word, and never waits past the time that
-is left.
+Owns when each standing connection is moved, or handed to the process that comes after us, when those that
+still wait are answered, and when the program ends. It takes no call, never cuts off a connection without a
+word, and never waits past the time that is left.
 """
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 REST = 0.85  # of that time, when all go that have come up meanwhile
 STAY = 1.0  # seconds that we stay at least
 LONGEST, GRACE = 3.0, 0.7  # what is left after that call: the longest guard time, at most, and some more
+ANSWER = 0.4  # seconds before its end that who still waits is answered: some say that they wait for longer
 MARGIN = 0.2  # seconds before its end that we go, empty or not
 LOOK = 0.05  # seconds between looks for that
 
@@ -30,6 +31,7 @@
         else:
             self.move_spread(standing)
         node.after(REST * self.allowed, self.move_rest)
+        node.after(self.allowed - ANSWER, self.answer_rest)
         self.empty()
 
     def move_spread(self, standing: list[Any]) -> None:
@@ -43,16 +45,23 @@
         for client in list(self.node.clients):
             client.move("leaving")
 
+    def answer_rest(self) -> None:
+        """Guards against a call that is kept, or out at a server that hangs, when our time is over."""
+        for client in list(self.node.clients):
+            if client.call and not client.call.done:
+                self.node.balancer.woke(client.call)
+
     def hand_over(self) -> None:
         """What stands goes to the process after us; what comes up later, or is still to be sent, then."""
         if self.node.giver:
             self.node.after(0 if self.node.giver.give_some() else LOOK, self.hand_over)
 
     def empty(self) -> None:
+        # Whoever has come in is owed an answer once its line is whole: also who has said nothing yet, or half
+        # a line, who is not told by our answer yet, and who waits in the door.
         gone = self.node.now - self.begun
-        # Whoever came in and has not yet said what it wants is owed a place too, if nobody else takes it.
-        called = any(client.call or self.node.followed for client in self.node.clients)
-        if gone >= self.allowed - MARGIN or not called and gone >= STAY:
+        alone = gone >= STAY and not self.node.clients and not self.node.doors.last()
+        if alone or gone >= self.allowed - MARGIN:
             self.node.over.set()
         else:
             self.node.after(LOOK, self.empty)
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import socket
 import time
@@ -290,6 +291,11 @@
             if server and not server.out:  # forgotten meanwhile, or told by our other process: it stays out
                 self.balancer.withheld(server, True)
 
+    def confirmed(self) -> None:
+        """A watch stands and brings nothing new: what was listed holds."""
+        self.heard = True
+        self.balancer.listed([])
+
     def unlisted(self) -> None:
         self.counters["list_failures"] += 1
         self.balancer.unlisted()
@@ -337,12 +343,16 @@
         former = await asyncio.to_thread(handover.meet, self.doors.path) if self.doors.path else None
         if former:
             await self.follow(former)
-        await self.doors.open(former.door if former else None)
-        self.tell_beside(took=True)
-        self.address = self.doors.socket.getsockname()
-        log.tell("serving", name=self.config.name, listen=lines.written(self.address),
-                 servers=len(self.servers), weights="live" if self.settings.live else "nominal",
-                 report=",".join(self.settings.report) or "none", after=former is not None)
+        elif not self.settings.asks:
+            # What is pushed counts as told from our first moment on, and what we know may be old.
+            await self.hear()
+        if not self.leaving:  # guards against a door that is opened only to be closed on who comes
+            await self.doors.open(former.door if former else None)
+            self.tell_beside(took=True)
+            self.address = self.doors.socket.getsockname()
+            log.tell("serving", name=self.config.name, listen=lines.written(self.address),
+                     servers=len(self.servers), weights="live" if self.settings.live else "nominal",
+                     report=",".join(self.settings.report) or "none", after=former is not None)
         await self.over.wait()
         self.doors.close()
         for way in (self.other, self.taker):
@@ -365,8 +375,12 @@
         self.join(former.sock)
         self.taker = former.way and passing.Taker(self, former.way)
         await self.joining
+        await self.hear()
+
+    async def hear(self) -> None:
+        """Until the list service has said something, or failed, or for a while."""
         end = self.begun + LISTED
-        while not self.heard and self.clock() < end:
+        while not self.heard and not self.counters["list_failures"] and self.clock() < end:
             await asyncio.sleep(WAIT)
 
     def withhold(self, name: str, out: bool) -> bool:
@@ -500,6 +514,7 @@
 def run(config: Config) -> None:
     log.start()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # till there is a configuration to replace
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))  # nobody has come in yet: nothing is owed
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -206,7 +206,7 @@
         self.node.log_end(self, reason, figures)
         if self.transport is None:
             return
-        if how == "rst" or self.blocked:
+        if how == "rst":
             sock = self.transport.get_extra_info("socket")
             if sock is not None and sock.fileno() >= 0:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
@@ -220,14 +220,15 @@
                 self.transport.write_eof()
             if self.paused:
                 self.transport.resume_reading()
-            self.lasts(LINGER, self.transport.abort)
+            # Guards against whole lines that are lost with a side that is slow, and one that takes nothing.
+            self.lasts(HELD if self.blocked else LINGER, self.transport.abort)
             self.node.limits.spare.setdefault(self, self.node.now)
 
-    def lasts(self, wait: float | None, then: Any = None) -> None:
+    def lasts(self, wait: float | None, then: Any = None, *values: Any) -> None:
         """At most so long as it is now."""
         if self.limit:
             self.limit.cancel()
-        self.limit = self.node.after(wait, then) if wait is not None else None
+        self.limit = self.node.after(wait, then, *values) if wait is not None else None
 
     def spared(self) -> None:
         """Its descriptor is needed and nothing is owed to it: guards against ends that wait long."""
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -22,6 +22,7 @@
 
 PROBE_WAIT = 0.25  # seconds that a probe may take
 SILENT = 2.5  # an unanswered line this old: clients send every 2 s, looks come each second, 7 s are too long
+SAID = 0.5  # seconds from a server's last line to its end of the connection; a client is owed that in one
 
 
 class Place:
@@ -105,7 +106,10 @@
         return self.leg.server.host
 
     def ready(self) -> None:
-        if not self.written and not self.ended:
+        if self.client.ended and not self.leg.standing:
+            # Guards against a line sent, or an answer counted, for a client whose end came in the same batch.
+            self.client.turn()
+        if not self.over and not self.written and not self.ended:
             self.speak()
         while not self.over and not self.leg.standing and (line := self.ring.line()):
             self.answered(line)
@@ -123,17 +127,23 @@
     def speak(self) -> None:
         """The first byte goes out now; a drain heard while we connected is a connection never made."""
         server = self.leg.server
-        if not self.resumes and (server.state != model.READY or server.out):
+        if self.answered_already():
+            self.end(model.NO_CONN, "client-answered")
+        elif not self.resumes and (server.state != model.READY or server.out):
             self.end(model.NO_CONN, "drain-heard")
         else:
             self.written = True
             self.node.counters["upstream_requests"] += 1
             self.write(lines.with_wait(self.client.wish, self.until - self.node.now))
 
+    def answered_already(self) -> bool:
+        """Is the client's answer out, or decided on in this batch and about to go out?"""
+        return self.client.over or self.leg.call.done
+
     def answered(self, line: bytes) -> None:
         kind, _ = lines.answer(line)
-        if self.client.over:
-            # Guards against a leg that stands for nobody: its call was answered while this was under way.
+        if self.answered_already():
+            # Guards against a leg that stands for nobody, and against a second answer behind the first.
             self.end(model.CANCELLED, "client-answered")
         elif kind == "up":
             self.timer.cancel()
@@ -151,16 +161,21 @@
     def passing(self, line: bytes) -> None:
         kind, rest = lines.answer(line)
         if kind in (model.COMPLETED, model.CANCELLED):
+            # Guards against a server that hangs between its last line and the end that its client waits for.
             self.said = kind
+            self.node.after(SAID, self.lost)
         elif line.startswith(b"LOAD "):
             self.node.told(self.leg, rest)
         elif self.asked:
             self.place.took.append(self.node.now - self.asked.popleft())
 
     def lost(self) -> None:
-        """The server, or the way to it, has ended the connection."""
+        """The server, or the way to it, has ended the connection, or has said so and not done it."""
+        if self.over:
+            return
         if self.leg.standing:
-            self.client.finish(f"server-{self.said or self.ended}", self.ended)
+            # Guards against a reset that takes along the last line: who has said so has ended in order.
+            self.client.finish(f"server-{self.said or self.ended}", "fin" if self.said else self.ended)
             self.end(self.said or model.RESET, self.said or self.ended)
         elif not self.written:
             self.end(model.NO_CONN, self.ended)
@@ -172,8 +187,9 @@
             self.end(model.TIMEOUT if self.written else model.NO_CONN, "timeout")
 
     def silent(self) -> bool:
-        """No line comes back, and not because the client takes none."""
-        return bool(self.asked) and self.node.now - self.asked[0] > SILENT and not self.ring.held
+        """No whole line comes back, and not because the client takes none. What is held of one says nothing:
+        guards against a server that hangs in the middle of a line."""
+        return bool(self.asked) and self.node.now - self.asked[0] > SILENT and not self.client.blocked
 
     def end(self, kind: str, reason: str, how: str = "fin") -> None:
         """The leg's one result; the connection to the server ends with it."""
