--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -40,13 +40,16 @@
             self.node.limits.ended(self.wish.id)
 
     def stale(self) -> None:
-        """Guards against connections that say nothing, or never end their line, and stay."""
-        if self.call is None:
+        """Guards against connections that say nothing, or never end their line, and stay; and, by an answer,
+        against the end of a line that came in with our end."""
+        if self.call is None and self.pings:
             self.finish("no-first-line")
+        elif self.call is None:
+            self.turned_away("no-first-line")
 
     def spared(self) -> None:
         if not self.over:
-            self.turned_away("now")
+            self.turned_away(how="now")
         super().spared()
 
     def ready(self) -> None:
@@ -95,10 +98,10 @@
         self.node.counters["crowded"] += 1
         self.turned_away()
 
-    def turned_away(self, how: str = "fin") -> None:
+    def turned_away(self, reason: str = "no-descriptors", how: str = "fin") -> None:
         """Nothing has been sent for it, so trying again is harmless."""
         self.write(lines.busy(self.node.settings.max_open_wait))
-        self.finish("no-descriptors", how)
+        self.finish(reason, how)
 
     def passing(self, line: bytes) -> None:
         self.other.asked.append(self.node.now)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -356,14 +356,16 @@
 
 @played
 async def test_whoever_sends_no_whole_first_line_is_let_go_in_time(monkeypatch):
-    # Guards against an end that is owed and not given, and against questions that keep a connection.
+    # Guards against an end that is owed and not given, against questions that keep a connection, and against
+    # an end without an answer for whose line is whole in that instant.
     monkeypatch.setattr(limits, "FIRST_LINE", 0.2)
     async with World() as world:
         begun = world.node.loop.time()
         for words in (b"", b"OPEN 1 2 c=", b"PING\r\n", b"PING\r\nOPEN"):
             client = await world.dial()
             client.writer.write(words)
-            assert await client.reader.read() == (b"PONG\r\n" if words.startswith(b"P") else b"")
+            told = b"PONG\r\n" if words.startswith(b"P") else b"BUSY 1500\r\n"
+            assert await client.reader.read() == told
         assert world.node.loop.time() - begun < 1.5
         client = await world.dial()
         client.writer.write(b"PING\r\n" * 1000)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -78,6 +78,51 @@
         assert await gone.line() == "SYNTAX"
 
 
+@played
+async def test_a_tenant_that_vanished_is_served_for_a_while(tmp_path, monkeypatch):
+    async with World() as world:
+        file, new = File(world, tmp_path), copy.deepcopy(world.raw)
+        new["settings"]["accounts"] = [{"name": "other"}]
+        assert (await file.read(new)) == (1, 0)
+        await world.standing("c=chat,t=acme,d=2000,again=1")
+        assert (await file.read(new)) == (1, 0)
+        await world.standing("c=chat,t=other,d=2000")
+        await world.standing("c=chat,t=acme,d=2000,again=1")
+        monkeypatch.setattr(settings, "KEPT", -1.0)
+        assert (await file.read(new)) == (1, 0)
+        assert await (await world.call()).line() == "SYNTAX"
+
+
+@played
+async def test_types_renamed_and_reordered_leave_calls_that_are_kept_out_or_stand_as_they_were(tmp_path):
+    kinds = [{"name": name, "effect": effect, "group": "all", "keyTtlUs": 5e6, "guardTimeUs": 2e6,
+              "setupTargetUs": 1.5e6} for name, effect in (("one", "fragile"), ("two", "retryable"))]
+    special = {"messageAimUs": [1e5, 1e5], "tellsDelay": False}
+    async with World(servers=2, trafficTypes=kinds, specifics=special) as world:
+        client, server = await world.standing("c=one,t=acme,d=2000")
+        out = await world.call("c=one,t=acme,d=2000")
+        _, asked, _ = await world.leg()
+        for place in world.node.servers.values():
+            place.stand.told, place.stand.delay, place.stand.holds = world.node.clock(), 1.0, 1e9
+        kept = await world.call("c=two,t=acme,d=2000")
+        await world.until(lambda: world.node.balancer.kept)
+        new = copy.deepcopy(world.raw)
+        new["settings"]["trafficTypes"] = [kinds[1] | {"name": "one"}, kinds[0] | {"name": "third"}]
+        assert (await File(world, tmp_path).read(new)) == (1, 0)
+        asked.say("ERR")
+        assert await out.line() == "ERR"  # once-only when it came
+        for place in world.node.servers.values():
+            place.stand.holds = 0.0
+        (await world.leg())[1].say("ERR")
+        (await world.leg())[1].say("UP 2")  # repeatable when it came
+        assert await kept.line() == "UP 2"
+        client.say("M 1")
+        assert await server.line() == "M 1" and not world.node.counters["faults"]
+        again = await world.call("c=one,t=acme,d=2000")
+        (await world.leg())[1].say("ERR")
+        assert (await world.leg())[2].startswith("OPEN") and again  # repeatable from now on
+
+
 @played
 async def test_fewer_attempts_hold_from_then(tmp_path):
     async with World(servers=3) as world:
