--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -179,3 +179,10 @@
         client = await world.call()  # kept: a client that is let go has left
         assert (await world.leg())[2].startswith(first) and client
         assert bool(world.node.counters["probes"]) == bool(shape)
+
+
+@pytest.mark.parametrize("peers, may, tells", [
+    (1, True, False), (2, True, False), (3, True, True), (3, False, False)])
+def test_two_balancers_tell_one_another_nothing(peers, may, tells):
+    raw = json.loads(configured(peersTotal=peers, slotNo=0, caps=CAPS | {"mayTell": may}))
+    assert parse_config(raw).settings.tells == tells
