A watch is silent from its head on; a door that fails does not keep the process

Question.heard was no longer set when a watch's head came, so a call that had waited in the list service's queue could be taken for silent before its first empty line, and be renewed for nothing; it is set once, when the head is whole. Doors.last let any error of accept but "nobody waits" out of Leaving.empty, which was then never looked at again, so the process would have stayed until it was killed. Tests: had_to_wait, door_fails (two errors); the three fail without the mends.

--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -37,11 +37,15 @@
             query = f"?watch=1&after={self.node.version}" if self.watch else ""
             self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
                        f"Accept: application/json\r\n\r\n".encode())
+        begun = self.reply.status
         try:
             while self.ring.held and not self.over:
                 self.body += self.reply.feed(self.ring.take(self.ring.held))
                 if len(self.body) > lines.MOST:
                     raise lines.LineError("too-long")
+            if self.reply.status != begun:
+                # Once: guards against a watch taken for silent since its call had to wait for its turn.
+                self.heard = self.node.now
             if self.reply.status not in (0, 200):
                 self.fail(f"status-{self.reply.status}")
             elif self.watch:
--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -72,7 +72,7 @@
         waiting = []
         if self.listener:
             self.socket.setblocking(False)
-            with contextlib.suppress(BlockingIOError):
+            with contextlib.suppress(OSError):  # nobody waits any more, or none can be taken in
                 while True:
                     waiting.append(self.socket.accept()[0])
             self.shut(for_good=True)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,10 +1,12 @@
 """What is owed at the instant at which something ends: each bad order is made by stand-ins, every time."""
 import asyncio
+import errno
 import json
 import os
 import signal
 import socket
 import sys
+from unittest import mock
 
 import pytest
 from helpers import Batch, Bench, Peer, World, played, settings
@@ -211,6 +213,19 @@
             socket.create_connection(world.node.address)
 
 
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ECONNABORTED])
+@played
+async def test_asked_to_end_it_ends_also_if_its_door_fails(monkeypatch, error):
+    monkeypatch.setattr(leaving, "STAY", 0.0)
+    async with World() as world:
+        door = mock.Mock(wraps=world.node.doors.socket)
+        door.accept.side_effect = OSError(error, "no")
+        monkeypatch.setattr(world.node.doors, "socket", door)
+        world.node.queue(world.node.leave)
+        await asyncio.wait_for(world.serving, 2)
+        assert door.accept.called and not world.node.counters["faults"]
+
+
 @pytest.mark.parametrize("effect, told", [
     ("retryable", "BUSY 500"), ("fragile", "ERR"), ("dedup", "BUSY 500")])
 @played
@@ -264,6 +279,20 @@
         dribbling.cancel()
 
 
+@played
+async def test_a_watch_whose_call_had_to_wait_is_silent_only_from_its_head_on():
+    async with World() as world:
+        watch, _ = await world.question()
+        asked = world.node.discovery.standing
+        before = asked.heard
+        watch.writer.write(HEAD[:20])
+        await world.until(lambda: asked.reply.rest)
+        assert asked.heard == before
+        watch.writer.write(HEAD[20:])
+        await world.until(lambda: asked.reply.status)
+        assert asked.heard > before
+
+
 @played
 async def test_an_empty_line_keeps_a_watch_and_nothing_else_of_its_kind(monkeypatch):
     monkeypatch.setattr(discovery, "SILENT", 0.3)
