--- a/bellrack/peers/sums.py
+++ b/bellrack/peers/sums.py
@@ -1,12 +1,12 @@
 """What the balancers of a tier hold together of each server, and which servers are late, by datagrams.
 
-One of them, the teller, adds up what each tells it and says the sums to all. Any of the first few may be it:
-whoever hears no word for a time that grows with its number begins, and of two that speak the one of the
-higher number falls silent. What the teller says goes to hundreds, so it
-says only what has changed, and what is due together goes out as one.
+One of them, the aggregator, adds up what each tells it and says the sums to all. Any of the first few may
+be it: whoever hears no word for a time that grows with its number begins, and of two that speak the one of
+the higher number falls silent. What the aggregator says goes to hundreds, so it says only what has changed,
+and what is due together goes out as one.
 
-Owns the records, their packing, the sums and who is the teller. It never decides anything, has no clock and
-no socket, and learns no server from a peer: only marks of servers that the own list names count.
+Owns the records, their packing, the sums and who is the aggregator. It never decides anything, has no clock
+and no socket, and learns no server from a peer: only marks of servers that the own list names count.
 
 A record is three bytes, big-endian: kind (2 bits), the low 14 bits of the mark, a value (8 bits, one step is
 some four per cent); a datagram is one byte FORM and up to MOST records. Two listed servers that share a short
@@ -18,7 +18,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
-REPORT, WORD = 2, 3  # first bytes: to the teller; from it to all
+REPORT, WORD = 2, 3  # first bytes: to the aggregator; from it to all
 GROUPS, PLACES = 4, 5  # the same for where groups are
 MOST_PAIRS = 63  # of a group and a server, in a datagram
 MOST_PLACES = 20000  # pairs known
@@ -31,12 +31,12 @@
 STEPS = 16  # of a value, a doubling
 AGAIN = 4.0  # seconds until a balancer says again what it holds, changed or not
 STANDS = 9.0  # seconds for which that stands
-WORD_EACH = 0.5  # seconds between the teller's words
+WORD_EACH = 0.5  # seconds between the aggregator's words
 WORD_STANDS = 5.0  # seconds without a word after which no sum counts
 SUM_AGAIN = 8.0  # seconds until an unchanged sum is said again
 SUM_STANDS = 20.0  # seconds for which a sum stands
 SUM_STEP, SUM_LEAST = 0.25, 3.0  # share, and connections, by which a sum has changed that is said at once
-TELLERS = 8  # balancers that may be the teller
+AGGREGATORS = 8  # balancers that may be the aggregator
 SILENT, SILENT_MORE = 1.0, 0.5  # seconds without a word until the first begins, and more for each next
 
 Record = tuple[int, int, float]  # kind, short mark, value
@@ -86,17 +86,17 @@
         self.held: dict[int, int] = {}  # by short mark: own connections; nought until that is told
         self.news: list[Record] = []  # lateness and set-up times that are to be told
         self.changed, self.told = False, -math.inf
-        self.teller: int | None = None  # who spoke last,
+        self.aggregator: int | None = None  # who spoke last,
         self.word = -math.inf  # when,
         self.usual: float | None = None  # what it said that a set-up takes,
         self.sums: dict[int, tuple[float, float]] = {}  # and the sums it said, by short mark, with when
-        self.parts: dict[int, dict[int, tuple[float, float]]] = {}  # as the teller: by mark and balancer
-        self.gathered: dict[int, float] = {}  # as the teller: lateness to pass on, by mark
+        self.parts: dict[int, dict[int, tuple[float, float]]] = {}  # as the aggregator: by mark and balancer
+        self.gathered: dict[int, float] = {}  # as the aggregator: lateness to pass on, by mark
         self.spoke = -math.inf
         self.pairs: dict[tuple[int, int], int] = {}  # own connections by short mark and group
         self.places: dict[tuple[int, int], float] = {}  # where groups stand, and when that was said
-        self.round: list[tuple[int, int]] = []  # as the teller: pairs still to be said again
-        self.paired: dict[int, tuple[float, set[tuple[int, int]]]] = {}  # as the teller: by balancer
+        self.round: list[tuple[int, int]] = []  # as the aggregator: pairs still to be said again
+        self.paired: dict[int, tuple[float, set[tuple[int, int]]]] = {}  # as the aggregator: by balancer
 
     def holds(self, mark: int, count: int, group: int, of_group: int) -> None:
         """Own connections at a server are so many now, and so many of this group."""
@@ -112,16 +112,16 @@
 
     def tells(self, kind: int, mark: int, value: float) -> None:
         """News, for all."""
-        if len(self.news) < MOST and self.teller != self.own:
+        if len(self.news) < MOST and self.aggregator != self.own:
             self.news.append((kind, mark & MARK, value))
 
     def passes_on(self, mark: int, late: float) -> None:
-        """As the teller: that a server is late goes out with the next word."""
+        """As the aggregator: that a server is late goes out with the next word."""
         self.gathered[mark & MARK] = late
 
     def hears(self, now: float) -> bool:
         """Somebody tells, and has lately; it may be ourselves."""
-        return self.teller is not None and now - self.word <= WORD_STANDS
+        return self.aggregator is not None and now - self.word <= WORD_STANDS
 
     def total(self, mark: int, now: float) -> float | None:
         """What all hold there; None if nobody tells."""
@@ -134,21 +134,21 @@
         """Say what is due; a few times a second. `usual` is what a set-up takes as far as we know."""
         if self.word == -math.inf:
             self.word = now  # nobody has spoken yet; as if one had just now
-        if self.own < TELLERS and self.teller != self.own and (
+        if self.own < AGGREGATORS and self.aggregator != self.own and (
                 now - self.word > SILENT + SILENT_MORE * self.own):
-            self.teller, self.spoke = self.own, -math.inf
+            self.aggregator, self.spoke = self.own, -math.inf
             self.parts, self.gathered, self.sums, self.paired, self.places = {}, {}, {}, {}, {}
-        if self.teller == self.own:
+        if self.aggregator == self.own:
             self.speak(now, usual)
-        elif self.teller is not None and (self.changed or self.news or now - self.told > AGAIN):
+        elif self.aggregator is not None and (self.changed or self.news or now - self.told > AGAIN):
             records = self.news + [(HELD, mark, count) for mark, count in self.held.items()]
             self.news, self.changed, self.told = [], False, now
             self.held = {mark: count for mark, count in self.held.items() if count}
             for data in pack(REPORT, records):
-                self.tell(self.teller, data)
+                self.tell(self.aggregator, data)
             pairs = sorted(self.pairs, key=lambda pair: -self.pairs[pair])[:MOST_PAIRS]
             for data in pack_pairs(GROUPS, pairs, [1] * len(pairs)):
-                self.tell(self.teller, data)
+                self.tell(self.aggregator, data)
 
     def speak(self, now: float, usual: float) -> None:
         """The first word only asks for reports."""
@@ -188,20 +188,20 @@
             self.tell(None, data)
 
     def heard(self, now: float, peer: int, data: bytes, listed: dict[int, object]) -> list[Record]:
-        """Those of its records that are for us to judge: lateness; as the teller, set-up times too."""
+        """Those of its records that are for us to judge: lateness; as the aggregator, set-up times too."""
         if peer != self.own and data[:1] in (bytes([GROUPS]), bytes([PLACES])):
             self.heard_pairs(now, peer, data)
             return []
         form, records = unpack(data)
-        if peer == self.own or not form or form == REPORT and self.teller != self.own:
+        if peer == self.own or not form or form == REPORT and self.aggregator != self.own:
             return []
         if form == WORD:
-            rival = self.teller is not None and now - self.word < SILENT and peer > self.teller
-            if peer >= TELLERS or rival:
+            rival = self.aggregator is not None and now - self.word < SILENT and peer > self.aggregator
+            if peer >= AGGREGATORS or rival:
                 return []
-            if peer != self.teller:
+            if peer != self.aggregator:
                 self.changed, self.places = True, {}
-            self.teller, self.word = peer, now
+            self.aggregator, self.word = peer, now
         news = []
         for kind, mark, told in records:
             if kind == TOOK and form == WORD:
@@ -220,12 +220,12 @@
 
     def heard_pairs(self, now: float, peer: int, data: bytes) -> None:
         pairs = unpack_pairs(data)
-        if data[0] == GROUPS and self.teller == self.own:
+        if data[0] == GROUPS and self.aggregator == self.own:
             if peer not in self.paired and self.places:  # it has just started, or come back
                 for word in pack_pairs(PLACES, self.places, [1] * len(self.places)):
                     self.tell(peer, word)
             self.paired[peer] = now, {pair for _, pair in pairs}
-        elif data[0] == PLACES and peer == self.teller != self.own:
+        elif data[0] == PLACES and peer == self.aggregator != self.own:
             for flag, pair in pairs:
                 if len(self.places) >= MOST_PLACES:
                     self.places = {p: when for p, when in self.places.items() if now - when < PLACE_STANDS}
--- a/bellrack/peers/word.py
+++ b/bellrack/peers/word.py
@@ -1,13 +1,14 @@
 """What is known of servers beyond own connections: how full all balancers together have made each, where
 groups stand, and which are late by what set-ups and resets show.
 
-Owns the reading of that evidence and its way to the teller and back (`sums`). It never decides what becomes
-of a call: it tells the decisions how late a server is, as a share of the shortest message aim, and answers
-what they ask. No clock, no socket; without messages between balancers it finds nothing late.
+Owns the reading of that evidence and its way to the aggregator and back (`sums`). It never decides what
+becomes of a call: it tells the decisions how late a server is, as a share of the shortest message aim, and
+answers what they ask. No clock, no socket; without messages between balancers it finds nothing late.
 
 A set-up waits at its server behind what is piled up there, so what it takes over the usual is how late
 messages are. The usual is taken over all servers just now, the session store's part in it: where all are slow
-alike, none is late. The work of set-ups differs widely, so one alone counts half; the teller hears of all.
+alike, none is late. The work of set-ups differs widely, so one alone counts half; the aggregator hears of
+all.
 """
 from __future__ import annotations
 
@@ -25,7 +26,7 @@
 LATE = 0.5  # of the shortest message aim: from here on it is told
 DROPPED = 0.9  # what a reset counts as
 WAITS = 0.65  # of what messages are late by, what a set-up waits over the usual; with 1 zone days fell
-ALONE = 1.5  # the same for who is not the teller and has seen only own set-ups
+ALONE = 1.5  # the same for who is not the aggregator and has seen only own set-ups
 AGAIN = 2.0  # seconds until it is told again, unless it has doubled
 NOTICED_FOR = 30.0  # seconds since a server's own notice for which such are waited for
 LEAST_KNOWN = 0.5  # share of the servers asked about of which sums have to be known
@@ -70,7 +71,7 @@
     def usual(self, now: float) -> float:
         """What a set-up takes just now at a server that is not late, in seconds."""
         told = self.sums
-        if told.usual is not None and told.teller != told.own and told.hears(now):
+        if told.usual is not None and told.aggregator != told.own and told.hears(now):
             return told.usual
         took = sorted(took for when, took in self.took if now - when < RECENT_FOR)
         return took[int(USUAL * len(took))] if len(took) >= FEWEST else self.settings.quickest / 2
@@ -96,11 +97,11 @@
         before, when = self.slow.get(server.mark, (0.0, -math.inf))
         late = (late + (before if now - when < SEEN_FOR else 0.0)) / 2
         self.slow[server.mark] = late, now
-        teller = self.sums.teller == self.sums.own
-        if late < (LATE if teller else ALONE):
+        aggregator = self.sums.aggregator == self.sums.own
+        if late < (LATE if aggregator else ALONE):
             return
         before, when = self.said.get(server.mark, (0.0, -math.inf))
-        if teller and (now - when > AGAIN or late > 2 * before):
+        if aggregator and (now - when > AGAIN or late > 2 * before):
             self.said[server.mark] = late, now
             self.sums.passes_on(server.mark, late)
         self.found(server, late, now)
@@ -117,7 +118,7 @@
             server = self.servers[mark]
             if kind == sums.TOOK:
                 self.set_up(server, value / 1000, now)
-            elif self.sums.teller == self.sums.own:
+            elif self.sums.aggregator == self.sums.own:
                 self.sign(server, value, now)
             else:
                 self.found(server, value, now)
--- a/tests/test_word.py
+++ b/tests/test_word.py
@@ -1,4 +1,4 @@
-"""What balancers tell one another of servers: the records, the teller, and what set-ups and resets show."""
+"""What balancers tell one another of servers: records, aggregator, and what set-ups and resets show."""
 import random
 
 from hypothesis import given
@@ -80,25 +80,25 @@
     assert all(min(halves) for halves in right.values())
 
 
-def test_another_tells_when_the_teller_is_gone_and_what_the_gone_one_held_is_forgotten():
+def test_another_adds_up_when_the_aggregator_is_gone_and_what_that_one_held_is_forgotten():
     tier = Tier()
     for word in tier.words:
         word.sums.holds(tier.fleet[0].mark, 2, 0, 0)
     tier.run(6)
-    first = tier.words[5].sums.teller
+    first = tier.words[5].sums.aggregator
     tier.cut.add(first)
     tier.run(25)
-    assert tier.words[5].sums.teller not in (None, first)
+    assert tier.words[5].sums.aggregator not in (None, first)
     assert round(tier.words[5].fill(tier.fleet, tier.now)[tier.fleet[0]]) == 10
     assert not tier.words[first].fill(tier.fleet, tier.now + 60)  # it hears nobody
 
 
-def test_of_two_tellers_one_falls_silent():
+def test_of_two_aggregators_one_falls_silent():
     tier = Tier()
     tier.run(3)
-    tier.words[3].sums.teller = 3
+    tier.words[3].sums.aggregator = 3
     tier.run(6)
-    assert {word.sums.teller for word in tier.words} == {0}
+    assert {word.sums.aggregator for word in tier.words} == {0}
 
 
 def test_two_servers_of_one_short_mark_are_known_by_nothing():
@@ -166,7 +166,7 @@
 
 
 def balancer(number=3, peers=200):
-    """One that has heard the teller once, before ten servers."""
+    """One that has heard the aggregator once, before ten servers."""
     bench = Bench(settings(peers=peers, number=number, tells=True))
     fleet = bench.fleet(*[0] * 10)
     bench.rack.heard(0, next(sums.pack(sums.WORD, [])))
