--- a/bellrack/peers/sums.py
+++ b/bellrack/peers/sums.py
@@ -1,9 +1,9 @@
 """What the balancers of a tier hold together of each server, and which servers are late, by datagrams.
 
-One of them, the aggregator, adds up what each tells it and says the sums to all. Any of the first few may
-be it: whoever hears no word for a time that grows with its number begins, and of two that speak the one of
-the higher number falls silent. What the aggregator says goes to hundreds, so it says only what has changed,
-and what is due together goes out as one.
+One of them, the aggregator, adds up what each reports to it and broadcasts the sums to all. Any of the first
+few may be it: whoever hears no broadcast for a time that grows with its number begins, and of two that
+publish the one of the higher number falls silent. A broadcast goes to hundreds, so it holds only what has
+changed, and what is due together goes out as one.
 
 Owns the records, their packing, the sums and who is the aggregator. It never decides anything, has no clock
 and no socket, and learns no server from a peer: only marks of servers that the own list names count.
@@ -18,12 +18,12 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
-REPORT, WORD = 2, 3  # first bytes: to the aggregator; from it to all
+REPORT, BROADCAST = 2, 3  # first bytes: to the aggregator; from it to all
 GROUPS, PLACES = 4, 5  # the same for where groups are
 MOST_PAIRS = 63  # of a group and a server, in a datagram
 MOST_PLACES = 20000  # pairs known
 PLACE_STANDS = 60.0  # seconds for which a pair stands without being said again
-ROUND = 50  # words in which all pairs that stand are said once more
+ROUND = 50  # broadcasts in which all pairs that stand are said once more
 HOLDERS = 2  # balancers with a connection of a group at a server that make it the group's
 TOOK, HELD, SUM, LATE = range(4)  # what a set-up took; what the sender holds; what all hold; how late one is
 MARK = (1 << 14) - 1
@@ -31,13 +31,13 @@
 STEPS = 16  # of a value, a doubling
 AGAIN = 4.0  # seconds until a balancer says again what it holds, changed or not
 STANDS = 9.0  # seconds for which that stands
-WORD_EACH = 0.5  # seconds between the aggregator's words
-WORD_STANDS = 5.0  # seconds without a word after which no sum counts
+BROADCAST_EACH = 0.5  # seconds between the aggregator's broadcasts
+BROADCAST_STANDS = 5.0  # seconds without a broadcast after which no sum counts
 SUM_AGAIN = 8.0  # seconds until an unchanged sum is said again
 SUM_STANDS = 20.0  # seconds for which a sum stands
 SUM_STEP, SUM_LEAST = 0.25, 3.0  # share, and connections, by which a sum has changed that is said at once
 AGGREGATORS = 8  # balancers that may be the aggregator
-SILENT, SILENT_MORE = 1.0, 0.5  # seconds without a word until the first begins, and more for each next
+SILENT, SILENT_MORE = 1.0, 0.5  # seconds without a broadcast until the first begins, and more for each next
 
 Record = tuple[int, int, float]  # kind, short mark, value
 
@@ -49,33 +49,34 @@
 
 def pack(form: int, records: Iterable[Record]) -> Iterator[bytes]:
     """One datagram, or as many as it takes."""
-    words = [(kind << 22 | (mark & MARK) << 8 | rounded(v)).to_bytes(3, "big") for kind, mark, v in records]
-    for start in range(0, max(1, len(words)), MOST):
-        yield bytes([form]) + b"".join(words[start:start + MOST])
+    packed = [(kind << 22 | (mark & MARK) << 8 | rounded(v)).to_bytes(3, "big") for kind, mark, v in records]
+    for start in range(0, max(1, len(packed)), MOST):
+        yield bytes([form]) + b"".join(packed[start:start + MOST])
 
 
 def unpack(data: bytes) -> tuple[int, list[Record]]:
     """Its first byte and records; 0 if it is of no such form."""
-    if data[:1] not in (bytes([REPORT]), bytes([WORD])) or len(data) % 3 != 1 or len(data) > 1 + 3 * MOST:
+    known = data[:1] in (bytes([REPORT]), bytes([BROADCAST]))
+    if not known or len(data) % 3 != 1 or len(data) > 1 + 3 * MOST:
         return 0, []
-    words = [int.from_bytes(data[at:at + 3], "big") for at in range(1, len(data), 3)]
-    return data[0], [(word >> 22, word >> 8 & MARK, 2 ** ((word & 255) / STEPS) - 1) for word in words]
+    packed = [int.from_bytes(data[at:at + 3], "big") for at in range(1, len(data), 3)]
+    return data[0], [(one >> 22, one >> 8 & MARK, 2 ** ((one & 255) / STEPS) - 1) for one in packed]
 
 
 def pack_pairs(form: int, pairs: Iterable[tuple[int, int]], flags: Iterable[int]) -> Iterator[bytes]:
     """Datagrams of (mark, group), each with a flag: 1 if it is so, 0 if no longer."""
-    words = [(flag << 30 | (mark & MARK) << 16 | group & 0xFFFF).to_bytes(4, "big")
+    packed = [(flag << 30 | (mark & MARK) << 16 | group & 0xFFFF).to_bytes(4, "big")
              for (mark, group), flag in zip(pairs, flags)]
-    for start in range(0, len(words), MOST_PAIRS):
-        yield bytes([form]) + b"".join(words[start:start + MOST_PAIRS])
+    for start in range(0, len(packed), MOST_PAIRS):
+        yield bytes([form]) + b"".join(packed[start:start + MOST_PAIRS])
 
 
 def unpack_pairs(data: bytes) -> list[tuple[int, tuple[int, int]]]:
     """Flags and pairs."""
     if len(data) % 4 != 1 or len(data) > 1 + 4 * MOST_PAIRS:
         return []
-    words = [int.from_bytes(data[at:at + 4], "big") for at in range(1, len(data), 4)]
-    return [(word >> 30, (word >> 16 & MARK, word & 0xFFFF)) for word in words]
+    packed = [int.from_bytes(data[at:at + 4], "big") for at in range(1, len(data), 4)]
+    return [(one >> 30, (one >> 16 & MARK, one & 0xFFFF)) for one in packed]
 
 
 class Sums:
@@ -86,13 +87,13 @@
         self.held: dict[int, int] = {}  # by short mark: own connections; nought until that is told
         self.news: list[Record] = []  # lateness and set-up times that are to be told
         self.changed, self.told = False, -math.inf
-        self.aggregator: int | None = None  # who spoke last,
-        self.word = -math.inf  # when,
+        self.aggregator: int | None = None  # who published last,
+        self.broadcast_at = -math.inf  # when,
         self.usual: float | None = None  # what it said that a set-up takes,
         self.sums: dict[int, tuple[float, float]] = {}  # and the sums it said, by short mark, with when
         self.parts: dict[int, dict[int, tuple[float, float]]] = {}  # as the aggregator: by mark and balancer
         self.gathered: dict[int, float] = {}  # as the aggregator: lateness to pass on, by mark
-        self.spoke = -math.inf
+        self.published_at = -math.inf
         self.pairs: dict[tuple[int, int], int] = {}  # own connections by short mark and group
         self.places: dict[tuple[int, int], float] = {}  # where groups stand, and when that was said
         self.round: list[tuple[int, int]] = []  # as the aggregator: pairs still to be said again
@@ -110,18 +111,18 @@
         """Is the group known to stand there, by several balancers?"""
         return now - self.places.get((mark & MARK, group & 0xFFFF), -math.inf) < PLACE_STANDS
 
-    def tells(self, kind: int, mark: int, value: float) -> None:
+    def report(self, kind: int, mark: int, value: float) -> None:
         """News, for all."""
         if len(self.news) < MOST and self.aggregator != self.own:
             self.news.append((kind, mark & MARK, value))
 
     def passes_on(self, mark: int, late: float) -> None:
-        """As the aggregator: that a server is late goes out with the next word."""
+        """As the aggregator: that a server is late goes out with the next broadcast."""
         self.gathered[mark & MARK] = late
 
     def hears(self, now: float) -> bool:
         """Somebody tells, and has lately; it may be ourselves."""
-        return self.aggregator is not None and now - self.word <= WORD_STANDS
+        return self.aggregator is not None and now - self.broadcast_at <= BROADCAST_STANDS
 
     def total(self, mark: int, now: float) -> float | None:
         """What all hold there; None if nobody tells."""
@@ -132,14 +133,14 @@
 
     def turn(self, now: float, usual: float) -> None:
         """Say what is due; a few times a second. `usual` is what a set-up takes as far as we know."""
-        if self.word == -math.inf:
-            self.word = now  # nobody has spoken yet; as if one had just now
+        if self.broadcast_at == -math.inf:
+            self.broadcast_at = now  # nobody has published yet; as if one had just now
         if self.own < AGGREGATORS and self.aggregator != self.own and (
-                now - self.word > SILENT + SILENT_MORE * self.own):
-            self.aggregator, self.spoke = self.own, -math.inf
+                now - self.broadcast_at > SILENT + SILENT_MORE * self.own):
+            self.aggregator, self.published_at = self.own, -math.inf
             self.parts, self.gathered, self.sums, self.paired, self.places = {}, {}, {}, {}, {}
         if self.aggregator == self.own:
-            self.speak(now, usual)
+            self.publish(now, usual)
         elif self.aggregator is not None and (self.changed or self.news or now - self.told > AGAIN):
             records = self.news + [(HELD, mark, count) for mark, count in self.held.items()]
             self.news, self.changed, self.told = [], False, now
@@ -150,11 +151,12 @@
             for data in pack_pairs(GROUPS, pairs, [1] * len(pairs)):
                 self.tell(self.aggregator, data)
 
-    def speak(self, now: float, usual: float) -> None:
-        """The first word only asks for reports."""
-        if now - self.spoke < WORD_EACH:
+    def publish(self, now: float, usual: float) -> None:
+        """The first broadcast only asks for reports."""
+        if now - self.published_at < BROADCAST_EACH:
             return
-        first, self.spoke, self.word, self.usual = self.spoke == -math.inf, now, now, usual
+        first, self.usual = self.published_at == -math.inf, usual
+        self.published_at = self.broadcast_at = now
         records: list[Record] = []
         for mark, count in self.held.items():
             self.parts.setdefault(mark, {})[self.own] = count, now
@@ -178,13 +180,13 @@
         stand = {pair for pair, count in counts.items() if count >= HOLDERS}
         changed = list(stand ^ self.places.keys())
         self.places = dict.fromkeys(stand, now)
-        # Guards against words that get lost, for who missed one would never hear of that place again.
+        # Guards against broadcasts that get lost, for who missed one would never hear of that place again.
         self.round = self.round or list(stand)
         for _ in range(min(len(self.round), 1 + len(stand) // ROUND)):
             changed.append(self.round.pop())
         for data in pack_pairs(PLACES, changed, [pair in stand for pair in changed]):
             self.tell(None, data)
-        for data in pack(WORD, [(TOOK, 0, usual * 1000), *late, *records]):
+        for data in pack(BROADCAST, [(TOOK, 0, usual * 1000), *late, *records]):
             self.tell(None, data)
 
     def heard(self, now: float, peer: int, data: bytes, listed: dict[int, object]) -> list[Record]:
@@ -195,16 +197,16 @@
         form, records = unpack(data)
         if peer == self.own or not form or form == REPORT and self.aggregator != self.own:
             return []
-        if form == WORD:
-            rival = self.aggregator is not None and now - self.word < SILENT and peer > self.aggregator
-            if peer >= AGGREGATORS or rival:
+        if form == BROADCAST:
+            fresh = self.aggregator is not None and now - self.broadcast_at < SILENT
+            if peer >= AGGREGATORS or fresh and peer > self.aggregator:
                 return []
             if peer != self.aggregator:
                 self.changed, self.places = True, {}
-            self.aggregator, self.word = peer, now
+            self.aggregator, self.broadcast_at = peer, now
         news = []
         for kind, mark, told in records:
-            if kind == TOOK and form == WORD:
+            if kind == TOOK and form == BROADCAST:
                 self.usual = told / 1000
             elif not listed.get(mark):
                 continue
@@ -212,7 +214,7 @@
                 news.append((kind, mark, told))
             elif kind == HELD and form == REPORT:
                 self.parts.setdefault(mark, {})[peer] = told, now
-            elif kind == SUM and form == WORD:
+            elif kind == SUM and form == BROADCAST:
                 self.sums[mark] = told, now
             elif kind == LATE:
                 news.append((kind, mark, told))
@@ -222,8 +224,8 @@
         pairs = unpack_pairs(data)
         if data[0] == GROUPS and self.aggregator == self.own:
             if peer not in self.paired and self.places:  # it has just started, or come back
-                for word in pack_pairs(PLACES, self.places, [1] * len(self.places)):
-                    self.tell(peer, word)
+                for again in pack_pairs(PLACES, self.places, [1] * len(self.places)):
+                    self.tell(peer, again)
             self.paired[peer] = now, {pair for _, pair in pairs}
         elif data[0] == PLACES and peer == self.aggregator != self.own:
             for flag, pair in pairs:
--- a/bellrack/peers/word.py
+++ b/bellrack/peers/word.py
@@ -57,7 +57,7 @@
         self.said = {mark: seen for mark, seen in self.said.items() if mark in known}
 
     def hears(self, now: float) -> bool:
-        """Somebody tells what all balancers know, and servers do not say themselves how they fare."""
+        """Somebody publishes what all balancers know, and servers do not say themselves how they fare."""
         return self.settings.tells and self.sums.hears(now) and not self.better(now)
 
     def better(self, now: float) -> bool:
@@ -79,7 +79,7 @@
     def stood(self, server: Server, took: float, now: float) -> None:
         """A set-up of ours took so long."""
         if self.settings.tells:
-            self.sums.tells(sums.TOOK, server.mark, took * 1000)
+            self.sums.report(sums.TOOK, server.mark, took * 1000)
         self.set_up(server, took, now)
 
     def set_up(self, server: Server, took: float, now: float) -> None:
@@ -90,7 +90,7 @@
     def dropped(self, server: Server, now: float) -> None:
         """It reset what stood. What one balancer meets is the decisions' own; here, that several do."""
         if self.hears(now):
-            self.sums.tells(sums.LATE, server.mark, DROPPED)
+            self.sums.report(sums.LATE, server.mark, DROPPED)
             self.sign(server, DROPPED, now)
 
     def sign(self, server: Server, late: float, now: float) -> None:
--- a/tests/test_word.py
+++ b/tests/test_word.py
@@ -52,7 +52,7 @@
 
 @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, sums.MARK), st.floats(0, 1e4)), max_size=200))
 def test_records_come_back_within_a_step_and_in_datagrams_of_the_platforms_size(records):
-    told = list(sums.pack(sums.WORD, records))
+    told = list(sums.pack(sums.BROADCAST, records))
     back = [record for data in told for record in sums.unpack(data)[1]]
     assert all(len(data) <= 256 for data in told) and [r[:2] for r in back] == [r[:2] for r in records]
     assert all(abs(got[2] - sent[2]) <= 0.05 * (1 + sent[2]) for got, sent in zip(back, records))
@@ -70,7 +70,7 @@
     for number, word in enumerate(tier.words):
         word.sums.holds(tier.fleet[number % 2].mark, 2, 9, 2)
     right = {word: [0, 0] for word in tier.words}
-    for look in range(30):  # words may be lost in a row, and parts run out; none may stay without them
+    for look in range(30):  # broadcasts may be lost in a row, and parts run out; none may stay without them
         tier.run(2)
         for word in tier.words:
             fill = word.fill(tier.fleet, tier.now)
@@ -169,12 +169,12 @@
     """One that has heard the aggregator once, before ten servers."""
     bench = Bench(settings(peers=peers, number=number, tells=True))
     fleet = bench.fleet(*[0] * 10)
-    bench.rack.heard(0, next(sums.pack(sums.WORD, [])))
+    bench.rack.heard(0, next(sums.pack(sums.BROADCAST, [])))
     return bench, fleet
 
 
 def held(fleet, counts):
-    return next(sums.pack(sums.WORD, [(sums.SUM, server.mark, n) for server, n in zip(fleet, counts)]))
+    return next(sums.pack(sums.BROADCAST, [(sums.SUM, server.mark, n) for server, n in zip(fleet, counts)]))
 
 
 def test_a_server_far_over_what_others_hold_is_passed_over_by_one_that_holds_nothing():
@@ -199,9 +199,9 @@
     assert {leg.server for leg, _ in bench.sent} == {home}
 
 
-def test_a_word_of_lateness_shuts_the_server_for_one_that_sees_it_once_in_ten_seconds():
+def test_a_broadcast_of_lateness_shuts_the_server_for_one_that_sees_it_once_in_ten_seconds():
     bench, fleet = balancer()
-    late = next(sums.pack(sums.WORD, [(sums.LATE, fleet[4].mark, 0.8)]))
+    late = next(sums.pack(sums.BROADCAST, [(sums.LATE, fleet[4].mark, 0.8)]))
     for _ in range(20):
         bench.rack.heard(0, late)
         bench.call()
@@ -220,9 +220,9 @@
     assert bench.rack.zone.ceiling > 2
 
 
-def test_words_of_servers_that_no_list_names_count_for_nothing():
+def test_broadcasts_of_servers_that_no_list_names_count_for_nothing():
     bench, fleet = balancer()
-    bench.rack.heard(0, next(sums.pack(sums.WORD, [(sums.SUM, 12345, 9), (sums.LATE, 12345, 3)])))
+    bench.rack.heard(0, next(sums.pack(sums.BROADCAST, [(sums.SUM, 12345, 9), (sums.LATE, 12345, 3)])))
     assert not bench.rack.word.sums.sums and len(bench.rack.fleet) == 10
 
 
