--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -12,7 +12,7 @@
 from bellrack import model
 from bellrack.chance import Chance, step
 from bellrack.model import Call, Door, Leg, Result, Server, Settings
-from bellrack.peers.word import Word
+from bellrack.peers.overload import OverloadDetector
 
 SPILLOVER_RATIO = 0.5  # least healthy share of our zone that keeps new connections in it
 FAILURES, HOLD = 3, 5.0  # in a row mark a server unhealthy; seconds that the mark holds
@@ -191,7 +191,7 @@
             # Slower the more servers are late: guards against a fleet that sheds and is filled at once again.
             gap = 1 / max(GROWTH * max(server.stand.open, sure), LEAST_PACE / self.settings.peers) / calm
             # Guards against a mass reconnect that is kept and rejected while servers stand empty.
-            sure = max(sure, 2) if self.rack.word.hears(self.door.now) else sure
+            sure = max(sure, 2) if self.rack.overload.hears(self.door.now) else sure
             gap *= server.stand.open >= sure or calm < SPILLOVER_RATIO
         server.stand.next_leg = self.door.now + gap
 
@@ -220,7 +220,7 @@
         """Guards against a jam of the whole fleet, in which what is moved lands on other late servers."""
         zones = [self.rack.draw.calm(zone) for zone in dict.fromkeys(s.zone for s in self.rack.fleet)]
         if sum(zones) < SPILLOVER_RATIO * len(zones):
-            held = max(self.rack.held, FEW if self.rack.word.hears(self.door.now) else 1)
+            held = max(self.rack.held, FEW if self.rack.overload.hears(self.door.now) else 1)
             self.ceiling, self.cut = JAM_CUT * min(self.ceiling, held), self.door.now
 
     def tidy(self) -> None:
@@ -271,7 +271,7 @@
             return self.told_late(server) or stand.full >= 1.0
         return self.told_late(server) or (
             not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone)
-            and not self.rack.word.hears(self.door.now))
+            and not self.rack.overload.hears(self.door.now))
 
     def told_late(self, server: Server) -> bool:
         return server.stand.delay >= SWAMPED and self.door.now - server.stand.told <= server.stand.holds
@@ -280,9 +280,9 @@
         """Count, by zone, the servers of which we would be told: those with late messages and all."""
         for seen in self.rack.seen.values():
             seen[0], seen[1] = seen[0] / 2, seen[1] / 2
+        hears = self.rack.overload.hears(self.door.now)
         for server in self.rack.listing.ready:
-            stand = server.stand
-            if stand.legs or self.rack.word.hears(self.door.now) or self.door.now - stand.told <= SWAMPED_FOR:
+            if server.stand.legs or hears or self.door.now - server.stand.told <= SWAMPED_FOR:
                 seen = self.rack.seen.setdefault(server.zone, [0.0, 0.0])
                 seen[0] += self.told_late(server)
                 seen[1] += 1
@@ -316,7 +316,7 @@
 
     def lower(self, server: Server, ceiling: float) -> None:
         """Not where one of many that know of each other holds one: that is no measure of the server."""
-        if server.stand.open > 1 or not self.rack.word.hears(self.door.now):
+        if server.stand.open > 1 or not self.rack.overload.hears(self.door.now):
             server.stand.ceiling = min(server.stand.ceiling, ceiling)
 
     def cut(self, server: Server) -> None:
@@ -345,7 +345,7 @@
         missed = [s for s in low if s.stand.missed and self.rack.cold.bears(s)]
         held = missed or call.group and not self.beyond(call) and [
             s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS
-            or self.rack.word.holder(s, call.group, now)]
+            or self.rack.overload.holder(s, call.group, now)]
         for server in held or low:  # kept with the call while it is kept: lots are dear
             if server not in call.lots:
                 call.lots[server] = self.lot(call, server)
@@ -423,10 +423,10 @@
         server.stand.groups[call.group] = left = server.stand.groups.get(call.group, 0) + by
         if not left:
             del server.stand.groups[call.group]
-        self.rack.word.sums.holds(server.mark, server.stand.open, call.group, left)
+        self.rack.overload.sums.holds(server.mark, server.stand.open, call.group, left)
 
     def stands(self, leg: Leg) -> None:
-        self.rack.word.stood(leg.server, self.door.now - leg.sent, self.door.now)
+        self.rack.overload.stood(leg.server, self.door.now - leg.sent, self.door.now)
         stand = leg.server.stand
         stand.fails, stand.legs[leg], stand.weight = 0, None, min(1.0, stand.weight + REGAIN)
         self.before.stands(leg)
@@ -436,7 +436,7 @@
             leg.server.stand.full_until = -math.inf  # guards against a report from before it broke
         if leg.standing and result.kind == model.RESET:
             self.cut(leg.server)  # guards against a server that sheds what it cannot carry
-            self.rack.word.dropped(leg.server, self.door.now)
+            self.rack.overload.dropped(leg.server, self.door.now)
         self.count(leg.call, leg.server, -1)
         leg.server.stand.legs.pop(leg, None)
         soon = not leg.standing or self.door.now - leg.sent < SOON
@@ -470,10 +470,10 @@
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
         self.answer, self.listing, self.effect = Answer(self), Listed(self), Effect(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
-        self.word, self.filled = Word(settings, door.tell, self.draw.delayed), (-math.inf, {})
+        self.overload, self.filled = OverloadDetector(settings, door.tell, self.draw.delayed), (-math.inf, {})
         self.chain(self.answer, self.listing, self.effect, self.zone, self.draw)
         door.wake(door.now + TIDY_EVERY * (1 + self.chance.draw()), "tidy")
-        if settings.tells:
+        if settings.may_publish:
             door.wake(door.now + TELL_EVERY * (1 + self.chance.draw()), "tell")
         if settings.asks:
             door.wake(door.now + WATCH_SPREAD * self.chance.draw(), "watch")
@@ -496,17 +496,17 @@
         self.draw.back(leg, result)
 
     def delayed(self, leg: Leg, delay: float) -> None:
-        self.word.noticed = self.door.now
+        self.overload.noticed = self.door.now
         self.draw.delayed(leg.server, delay / self.settings.quickest, SWAMPED_FOR)
 
     def fill(self) -> dict[Server, float]:
         """What all balancers hold of each ready server; empty where nobody tells."""
         if self.door.now >= self.filled[0] + LOOK:
-            self.filled = self.door.now, self.word.fill(self.listing.ready, self.door.now)
+            self.filled = self.door.now, self.overload.fill(self.listing.ready, self.door.now)
         return self.filled[1]
 
     def heard(self, peer: int, data: bytes) -> None:
-        self.word.heard(peer, data, self.door.now)
+        self.overload.heard(peer, data, self.door.now)
 
     def probed(self, server: Server, result: Result) -> None:
         self.draw.probed(server, result)
@@ -537,7 +537,7 @@
             self.zone.tidy()
             self.door.wake(self.door.now + TIDY_EVERY, "tidy")
         elif what == "tell":
-            self.word.turn(self.door.now)
+            self.overload.turn(self.door.now)
             self.door.wake(self.door.now + TELL_EVERY, "tell")
         elif what == "watch":
             self.door.watch()
@@ -573,7 +573,7 @@
                 server.stand.since = server.since
         self.listing.ready = [s for s in self.fleet if s.state == model.READY and not s.out]
         self.filled = (-math.inf, {})
-        self.word.listed(self.fleet)
+        self.overload.listed(self.fleet)
 
     def starts(self, server: Server, told: float, since: float) -> None:
         """It is cold since then, and we were told then; what it did before counts no more."""
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -62,7 +62,7 @@
     cold_share: float
     ramp_time: float
     number: int = 0  # of this balancer among its peers
-    tells: bool = False  # balancers may send one another messages
+    may_publish: bool = False  # balancers may send one another messages
     drain_grace: float = 1.0  # seconds in which sending to a server has to stop once a drain is told
     ask_within: float = 10.0  # where the list is asked for: seconds for which one stands without a watch
 
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -303,7 +303,7 @@
     def look(self) -> None:
         """Once a second: tell of servers whose messages are late, and end what has gone silent."""
         self.after(LOOK, self.look)
-        if judged := self.balancer.word.judged:
+        if judged := self.balancer.overload.judged:
             if not self.counters["late_seen"]:
                 log.tell("late-seen", notices=self.counters["late_notices"], promised=self.names.tells_delay)
             self.counters["late_seen"] = judged
--- a/bellrack/peers/word.py
+++ b/bellrack/peers/overload.py
@@ -32,7 +32,7 @@
 LEAST_KNOWN = 0.5  # share of the servers asked about of which sums have to be known
 
 
-class Word:
+class OverloadDetector:
     """One balancer's part. `late(server, delay)` hears what is found."""
 
     def __init__(self, settings: Settings, tell: Callable[[int | None, bytes], None],
@@ -47,7 +47,7 @@
         self.judged = 0  # times that a server was found late by other signs than its own word
 
     def listed(self, fleet: Iterable[Server]) -> None:
-        """The servers that may be spoken of. Guards against a word taken for another server's."""
+        """The servers that may be spoken of. Guards against evidence taken for another server's."""
         self.servers = {}
         for server in fleet:
             short = server.mark & sums.MARK
@@ -58,7 +58,7 @@
 
     def hears(self, now: float) -> bool:
         """Somebody publishes what all balancers know, and servers do not say themselves how they fare."""
-        return self.settings.tells and self.sums.hears(now) and not self.better(now)
+        return self.settings.may_publish and self.sums.hears(now) and not self.better(now)
 
     def better(self, now: float) -> bool:
         """Servers send notices of late messages, or report their load: evidence that goes before this."""
@@ -78,7 +78,7 @@
 
     def stood(self, server: Server, took: float, now: float) -> None:
         """A set-up of ours took so long."""
-        if self.settings.tells:
+        if self.settings.may_publish:
             self.sums.report(sums.TOOK, server.mark, took * 1000)
         self.set_up(server, took, now)
 
--- a/tests/test_word.py
+++ b/tests/test_overload.py
@@ -7,46 +7,47 @@
 from bellrack import model
 from bellrack.books import Books
 from bellrack.peers import sums
-from bellrack.peers.word import Word
+from bellrack.peers.overload import OverloadDetector
 from tests.helpers import Bench, settings
 
 AIM = 0.1  # of the settings
 
 
 class Tier:
-    """Some balancers' words before one fleet, with datagrams that may be lost."""
+    """Some balancers' detectors before one fleet, with datagrams that may be lost."""
 
     def __init__(self, count=6, servers=8, loss=0.0, **rules):
         self.now, self.late, self.chance, self.loss = 100.0, [], random.Random(5), loss
         self.fleet = [model.Server(mark * 77 + 5) for mark in range(servers)]
         self.cut: set[int] = set()
-        self.words = []
+        self.detectors = []
         for number in range(count):
-            word = Word(settings(peers=count, number=number, tells=True, **rules), self.tell(number),
-                        lambda server, delay, by=number: self.late.append((by, server, delay)))
-            word.listed(self.fleet)
-            self.words.append(word)
+            detector = OverloadDetector(
+                settings(peers=count, number=number, may_publish=True, **rules), self.tell(number),
+                lambda server, delay, by=number: self.late.append((by, server, delay)))
+            detector.listed(self.fleet)
+            self.detectors.append(detector)
 
     def tell(self, own):
         def told(peer, data):
             assert len(data) <= 256
-            for other in range(len(self.words)) if peer is None else [peer]:
+            for other in range(len(self.detectors)) if peer is None else [peer]:
                 if other != own and not {own, other} & self.cut and self.chance.random() >= self.loss:
-                    self.words[other].heard(own, data, self.now)
+                    self.detectors[other].heard(own, data, self.now)
         return told
 
     def run(self, seconds):
         for _ in range(round(seconds * 4)):
             self.now += 0.25
-            for number, word in enumerate(self.words):
+            for number, detector in enumerate(self.detectors):
                 if number not in self.cut:
-                    word.turn(self.now)
+                    detector.turn(self.now)
 
     def set_ups(self, took, times=12):
         """Each balancer in turn sets up at each server, by what it takes there."""
         for turn in range(times):
             for place, server in enumerate(self.fleet):
-                self.words[(turn + place) % len(self.words)].stood(server, took(server), self.now)
+                self.detectors[(turn + place) % len(self.detectors)].stood(server, took(server), self.now)
             self.run(0.25)
 
 
@@ -61,55 +62,55 @@
 @given(st.binary(max_size=300))
 def test_any_bytes_of_a_peer_are_taken_or_left(data):
     tier = Tier(2)
-    tier.words[0].heard(1, data, tier.now)
+    tier.detectors[0].heard(1, data, tier.now)
     tier.run(3)
 
 
 def test_all_learn_what_all_hold_also_when_datagrams_get_lost():
     tier = Tier(count=12, loss=0.1)
-    for number, word in enumerate(tier.words):
-        word.sums.holds(tier.fleet[number % 2].mark, 2, 9, 2)
-    right = {word: [0, 0] for word in tier.words}
+    for number, detector in enumerate(tier.detectors):
+        detector.sums.holds(tier.fleet[number % 2].mark, 2, 9, 2)
+    right = {detector: [0, 0] for detector in tier.detectors}
     for look in range(30):  # broadcasts may be lost in a row, and parts run out; none may stay without them
         tier.run(2)
-        for word in tier.words:
-            fill = word.fill(tier.fleet, tier.now)
+        for detector in tier.detectors:
+            fill = detector.fill(tier.fleet, tier.now)
             sums_right = fill and all(9 <= fill[server] <= 12.5 for server in tier.fleet[:2])
-            right[word][look // 15] += bool(sums_right and not fill[tier.fleet[2]] and word.holder(
-                tier.fleet[0], 9, tier.now) and not word.holder(tier.fleet[3], 9, tier.now))
+            right[detector][look // 15] += bool(sums_right and not fill[tier.fleet[2]] and detector.holder(
+                tier.fleet[0], 9, tier.now) and not detector.holder(tier.fleet[3], 9, tier.now))
     assert all(min(halves) for halves in right.values())
 
 
 def test_another_adds_up_when_the_aggregator_is_gone_and_what_that_one_held_is_forgotten():
     tier = Tier()
-    for word in tier.words:
-        word.sums.holds(tier.fleet[0].mark, 2, 0, 0)
+    for detector in tier.detectors:
+        detector.sums.holds(tier.fleet[0].mark, 2, 0, 0)
     tier.run(6)
-    first = tier.words[5].sums.aggregator
+    first = tier.detectors[5].sums.aggregator
     tier.cut.add(first)
     tier.run(25)
-    assert tier.words[5].sums.aggregator not in (None, first)
-    assert round(tier.words[5].fill(tier.fleet, tier.now)[tier.fleet[0]]) == 10
-    assert not tier.words[first].fill(tier.fleet, tier.now + 60)  # it hears nobody
+    assert tier.detectors[5].sums.aggregator not in (None, first)
+    assert round(tier.detectors[5].fill(tier.fleet, tier.now)[tier.fleet[0]]) == 10
+    assert not tier.detectors[first].fill(tier.fleet, tier.now + 60)  # it hears nobody
 
 
 def test_of_two_aggregators_one_falls_silent():
     tier = Tier()
     tier.run(3)
-    tier.words[3].sums.aggregator = 3
+    tier.detectors[3].sums.aggregator = 3
     tier.run(6)
-    assert {word.sums.aggregator for word in tier.words} == {0}
+    assert {detector.sums.aggregator for detector in tier.detectors} == {0}
 
 
 def test_two_servers_of_one_short_mark_are_known_by_nothing():
     tier = Tier()
     twin = model.Server(tier.fleet[0].mark + sums.MARK + 1)
-    for word in tier.words:
-        word.listed([*tier.fleet, twin])
-        word.sums.holds(tier.fleet[0].mark, 9, 0, 0)
-        word.sums.holds(tier.fleet[1].mark, 1, 0, 0)
+    for detector in tier.detectors:
+        detector.listed([*tier.fleet, twin])
+        detector.sums.holds(tier.fleet[0].mark, 9, 0, 0)
+        detector.sums.holds(tier.fleet[1].mark, 1, 0, 0)
     tier.run(10)
-    told = tier.words[4].sums.sums
+    told = tier.detectors[4].sums.sums
     assert tier.fleet[1].mark & sums.MARK in told and tier.fleet[0].mark & sums.MARK not in told
 
 
@@ -137,7 +138,7 @@
     tier.run(3)
     for turn in range(6):
         for place, server in enumerate(tier.fleet):
-            tier.words[(turn + place) % 12].dropped(server, tier.now)
+            tier.detectors[(turn + place) % 12].dropped(server, tier.now)
         tier.run(0.5)
     assert {server for _, server, _ in tier.late} == set(tier.fleet)
 
@@ -146,8 +147,8 @@
     tier = Tier(count=12)
     tier.run(3)
     tier.set_ups(lambda server: 0.02, times=4)
-    tier.words[4].dropped(tier.fleet[1], tier.now)
-    tier.words[5].stood(tier.fleet[2], 0.07, tier.now)
+    tier.detectors[4].dropped(tier.fleet[1], tier.now)
+    tier.detectors[5].stood(tier.fleet[2], 0.07, tier.now)
     tier.run(2)
     assert not tier.late
 
@@ -155,8 +156,8 @@
 def test_notices_go_before_what_set_ups_show_and_it_counts_again_when_they_stop():
     tier = Tier(count=4)
     tier.run(3)
-    for word in tier.words[:2]:  # they come to half of the balancers
-        word.noticed = tier.now
+    for detector in tier.detectors[:2]:  # they come to half of the balancers
+        detector.noticed = tier.now
     took = lambda server: 0.02 + 0.2 * (server is tier.fleet[0])  # noqa: E731
     tier.set_ups(took)
     assert {by for by, _, _ in tier.late} == {2, 3}
@@ -167,7 +168,7 @@
 
 def balancer(number=3, peers=200):
     """One that has heard the aggregator once, before ten servers."""
-    bench = Bench(settings(peers=peers, number=number, tells=True))
+    bench = Bench(settings(peers=peers, number=number, may_publish=True))
     fleet = bench.fleet(*[0] * 10)
     bench.rack.heard(0, next(sums.pack(sums.BROADCAST, [])))
     return bench, fleet
@@ -223,7 +224,7 @@
 def test_broadcasts_of_servers_that_no_list_names_count_for_nothing():
     bench, fleet = balancer()
     bench.rack.heard(0, next(sums.pack(sums.BROADCAST, [(sums.SUM, 12345, 9), (sums.LATE, 12345, 3)])))
-    assert not bench.rack.word.sums.sums and len(bench.rack.fleet) == 10
+    assert not bench.rack.overload.sums.sums and len(bench.rack.fleet) == 10
 
 
 def test_a_server_told_late_stays_shut_for_the_process_that_takes_over():
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -181,8 +181,8 @@
         assert bool(world.node.counters["probes"]) == bool(shape)
 
 
-@pytest.mark.parametrize("peers, may, tells", [
+@pytest.mark.parametrize("peers, may, may_publish", [
     (1, True, False), (2, True, False), (3, True, True), (3, False, False)])
-def test_two_balancers_tell_one_another_nothing(peers, may, tells):
+def test_two_balancers_tell_one_another_nothing(peers, may, may_publish):
     raw = json.loads(configured(peersTotal=peers, slotNo=0, caps=CAPS | {"mayTell": may}))
-    assert parse_config(raw).settings.tells == tells
+    assert parse_config(raw).settings.may_publish == may_publish
