--- a/bellrack/lab/mutants.py
+++ b/bellrack/lab/mutants.py
@@ -97,7 +97,7 @@
     return True
 
 
-def _unheard(word: Any, server: Server, late: float, now: float) -> None:
+def _unheard(detector: Any, server: Server, late: float, now: float) -> None:
     """Guards against a mutant that is saved by what set-ups at the cold server show."""
 
 
@@ -157,5 +157,5 @@
     "sends-to-drained": (3, _of("SendsToDrained", listing={"take": lists_all})),
     "never-asks": (3, NeverAsks),
     "fills-cold": (4, _of("FillsCold", cold={"bears": _all_bear, "warm": _warm_at_once, "sent": _unpaced},
-                          draw={"room": _room_at_once}, word={"found": _unheard})),
+                          draw={"room": _room_at_once}, overload={"found": _unheard})),
 }
--- a/bellrack/peers/sums.py
+++ b/bellrack/peers/sums.py
@@ -19,10 +19,10 @@
 from collections.abc import Callable, Iterable, Iterator
 
 REPORT, BROADCAST = 2, 3  # first bytes: to the aggregator; from it to all
-GROUPS, PLACES = 4, 5  # the same for where groups are
+GROUPS, PLACEMENTS = 4, 5  # the same for where groups are
 MOST_PAIRS = 63  # of a group and a server, in a datagram
-MOST_PLACES = 20000  # pairs known
-PLACE_STANDS = 60.0  # seconds for which a pair stands without being said again
+MOST_PLACEMENTS = 20000  # pairs known
+PLACEMENT_STANDS = 60.0  # seconds for which a pair stands without being said again
 ROUND = 50  # broadcasts in which all pairs that stand are said once more
 HOLDERS = 2  # balancers with a connection of a group at a server that make it the group's
 TOOK, HELD, SUM, LATE = range(4)  # what a set-up took; what the sender holds; what all hold; how late one is
@@ -95,7 +95,7 @@
         self.gathered: dict[int, float] = {}  # as the aggregator: lateness to pass on, by mark
         self.published_at = -math.inf
         self.pairs: dict[tuple[int, int], int] = {}  # own connections by short mark and group
-        self.places: dict[tuple[int, int], float] = {}  # where groups stand, and when that was said
+        self.placements: dict[tuple[int, int], float] = {}  # where groups stand, and when that was said
         self.round: list[tuple[int, int]] = []  # as the aggregator: pairs still to be said again
         self.paired: dict[int, tuple[float, set[tuple[int, int]]]] = {}  # as the aggregator: by balancer
 
@@ -109,7 +109,7 @@
 
     def holder(self, mark: int, group: int, now: float) -> bool:
         """Is the group known to stand there, by several balancers?"""
-        return now - self.places.get((mark & MARK, group & 0xFFFF), -math.inf) < PLACE_STANDS
+        return now - self.placements.get((mark & MARK, group & 0xFFFF), -math.inf) < PLACEMENT_STANDS
 
     def report(self, kind: int, mark: int, value: float) -> None:
         """News, for all."""
@@ -138,7 +138,7 @@
         if self.own < AGGREGATORS and self.aggregator != self.own and (
                 now - self.broadcast_at > SILENT + SILENT_MORE * self.own):
             self.aggregator, self.published_at = self.own, -math.inf
-            self.parts, self.gathered, self.sums, self.paired, self.places = {}, {}, {}, {}, {}
+            self.parts, self.gathered, self.sums, self.paired, self.placements = {}, {}, {}, {}, {}
         if self.aggregator == self.own:
             self.publish(now, usual)
         elif self.aggregator is not None and (self.changed or self.news or now - self.told > AGAIN):
@@ -178,20 +178,20 @@
         fresh = [pairs for when, pairs in self.paired.values() if now - when < STANDS]
         counts = Counter(pair for pairs in fresh for pair in pairs)
         stand = {pair for pair, count in counts.items() if count >= HOLDERS}
-        changed = list(stand ^ self.places.keys())
-        self.places = dict.fromkeys(stand, now)
-        # Guards against broadcasts that get lost, for who missed one would never hear of that place again.
+        changed = list(stand ^ self.placements.keys())
+        self.placements = dict.fromkeys(stand, now)
+        # Guards against broadcasts that get lost: who missed one would never hear of that placement again.
         self.round = self.round or list(stand)
         for _ in range(min(len(self.round), 1 + len(stand) // ROUND)):
             changed.append(self.round.pop())
-        for data in pack_pairs(PLACES, changed, [pair in stand for pair in changed]):
+        for data in pack_pairs(PLACEMENTS, changed, [pair in stand for pair in changed]):
             self.tell(None, data)
         for data in pack(BROADCAST, [(TOOK, 0, usual * 1000), *late, *records]):
             self.tell(None, data)
 
     def heard(self, now: float, peer: int, data: bytes, listed: dict[int, object]) -> list[Record]:
         """Those of its records that are for us to judge: lateness; as the aggregator, set-up times too."""
-        if peer != self.own and data[:1] in (bytes([GROUPS]), bytes([PLACES])):
+        if peer != self.own and data[:1] in (bytes([GROUPS]), bytes([PLACEMENTS])):
             self.heard_pairs(now, peer, data)
             return []
         form, records = unpack(data)
@@ -202,7 +202,7 @@
             if peer >= AGGREGATORS or fresh and peer > self.aggregator:
                 return []
             if peer != self.aggregator:
-                self.changed, self.places = True, {}
+                self.changed, self.placements = True, {}
             self.aggregator, self.broadcast_at = peer, now
         news = []
         for kind, mark, told in records:
@@ -223,15 +223,16 @@
     def heard_pairs(self, now: float, peer: int, data: bytes) -> None:
         pairs = unpack_pairs(data)
         if data[0] == GROUPS and self.aggregator == self.own:
-            if peer not in self.paired and self.places:  # it has just started, or come back
-                for again in pack_pairs(PLACES, self.places, [1] * len(self.places)):
+            if peer not in self.paired and self.placements:  # it has just started, or come back
+                for again in pack_pairs(PLACEMENTS, self.placements, [1] * len(self.placements)):
                     self.tell(peer, again)
             self.paired[peer] = now, {pair for _, pair in pairs}
-        elif data[0] == PLACES and peer == self.aggregator != self.own:
+        elif data[0] == PLACEMENTS and peer == self.aggregator != self.own:
             for flag, pair in pairs:
-                if len(self.places) >= MOST_PLACES:
-                    self.places = {p: when for p, when in self.places.items() if now - when < PLACE_STANDS}
-                if flag and len(self.places) < MOST_PLACES:
-                    self.places[pair] = now
+                if len(self.placements) >= MOST_PLACEMENTS:
+                    fresh = {p: at for p, at in self.placements.items() if now - at < PLACEMENT_STANDS}
+                    self.placements = fresh
+                if flag and len(self.placements) < MOST_PLACEMENTS:
+                    self.placements[pair] = now
                 elif not flag:
-                    self.places.pop(pair, None)
+                    self.placements.pop(pair, None)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -192,7 +192,7 @@
     bench, fleet = balancer()
     bench.rack.heard(0, held(fleet, [10] * 10))
     home = fleet[7]
-    bench.rack.heard(0, next(sums.pack_pairs(sums.PLACES, [(home.mark & sums.MARK, 41)], [1])))
+    bench.rack.heard(0, next(sums.pack_pairs(sums.PLACEMENTS, [(home.mark & sums.MARK, 41)], [1])))
     for _ in range(20):
         bench.call(group=41)
         bench.now += 3
