Ready only with a list that may be used, and never later for one that is late

Seen: where lists are asked for the door opened at once though no server was known, and where they are pushed after 2 s or at the first failure: PONG with nothing to serve by. A spoilt `known` ended the start with exit 2. An empty `known` kept its version, so the list was asked for from there on and might never come. Now `net/readiness.py` judges, without a clock; the door waits without bound where there is no list, and is woken by events (no looks every 20 ms).

--- a/bellrack/__main__.py
+++ b/bellrack/__main__.py
@@ -41,7 +41,8 @@
             raise SettingsError("no configuration: give --config or set BALANCER_CONFIG")
         config = read_config(path)
         if args["check"]:
-            print(f"{path}: usable; {len(config.known.entries) if config.known else 0} servers known")
+            spoilt = f"; the list there is left: {config.spoilt}" if config.spoilt else ""
+            print(f"{path}: usable; {len(config.known.entries) if config.known else 0} servers known{spoilt}")
             return 0
         from bellrack.net.node import run
         run(config)
--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from bellrack.model import Settings
-from bellrack.net.lines import Listing, address, listing
+from bellrack.net.lines import LineError, Listing, address, listing
 from bellrack.settings import Names, SettingsError, check_shape, missing, parse_names, parse_settings
 
 
@@ -31,6 +31,7 @@
     control: tuple[str, int] | None  # where operators call
     raw: dict[str, Any]  # as it stood in the file, but for the list
     path: str = ""  # read again on request
+    spoilt: str = ""  # why `known` could not be read
 
 
 def read_config(path: str) -> Config:
@@ -52,6 +53,8 @@
     """The file of a configuration as it is now. Stricter than the first reading: what a file had, it has, and
     the shape of the deployment stays, as all that is under way rests on it."""
     new = read_config(config.path)
+    if new.spoilt:
+        raise SettingsError(f"{config.path}: known: {new.spoilt}")
     if lacks := missing(new.raw, config.raw):
         raise SettingsError(f"{config.path}: no value at '{lacks}', which it had")
     for name in ("zone", "asks", "live", "report"):
@@ -66,12 +69,18 @@
     """A configuration from its JSON object."""
     if not isinstance(raw, dict):
         raise SettingsError("not an object")
+    known, spoilt = None, ""
+    try:
+        known = listing(raw["known"]) if raw.get("known") else None
+    except LineError as error:
+        # Guards against a start that fails for a list that discovery tells anew: as if none were known.
+        spoilt = str(error)
     try:
         return Config(
             name=str(raw.get("name", "")), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
             seed=int(str(raw.get("seed", "0")), 16), sockets=int(raw.get("limits", {}).get("sockets", 1024)),
             settings=parse_settings(check_shape(raw["settings"])), names=parse_names(raw["settings"]),
-            known=listing(raw["known"]) if raw.get("known") else None,
+            known=known, spoilt=spoilt,
             peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
             peers=[address(peer) for peer in raw.get("peers", [])],
             peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None,
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
@@ -24,6 +25,7 @@
 from bellrack.net.discovery import Discovery
 from bellrack.net.doors import Doors
 from bellrack.net.leaving import Leaving
+from bellrack.net.readiness import Readiness
 from bellrack.net.servers import Place, Probe, ServerLink
 from bellrack.settings import SettingsError
 
@@ -33,8 +35,7 @@
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
 DATAGRAM = 256  # bytes
-LISTED = 2.0  # seconds after the start for which we are not ready without a word of the list service
-WAIT = 0.02  # seconds between looks for that
+LISTED = 2.0  # seconds after the start for which we wait for a word of the list service if we know a list
 
 
 class Node(Books):
@@ -50,12 +51,13 @@
         self.clients: dict[Client, None] = {}
         self.callers: dict[Caller, None] = {}  # operators whose call is not whole, oldest first
         self.version = 0
-        self.heard = False  # from the list service, since the start
         self.machines: dict[str, int] = {}  # kinds by name, as the list brings them
         self.out: dict[int, str] = {}  # servers taken out by hand: those once listed, by mark
         self.peers: Peers | None = None
         self.limits = limits.Limits(config.sockets)
         self.begun, self.dealing = self.clock(), False  # a new call has come
+        # Where lists are pushed, what the list service has counts as told from our first moment on.
+        self.readiness, self.changed = Readiness(self.begun, LISTED, config.settings.asks), asyncio.Event()
         self.leaving: Leaving | None = None
         self.over = asyncio.Event()
         self.discovery = Discovery(self, config.discovery)
@@ -269,8 +271,17 @@
             return  # a watch has told newer since it was asked for
         if counts:
             self.version = news.version
+        self.take(news)
+        self.readiness.on_list(news.whole or bool(self.servers))
+        self.changed.set()
+
+    def recall(self, news: lines.Listing) -> None:
+        """A list from before our start. It may be old."""
+        self.take(news)
+        self.readiness.on_known(any(server.state == model.READY for server in self.servers.values()))
+
+    def take(self, news: lines.Listing) -> None:
         self.counters["list_lines"] += 1
-        self.heard = True
         rows = []
         for entry in news.entries:
             state, cell, weight, since = entry.row
@@ -293,11 +304,14 @@
 
     def confirmed(self) -> None:
         """A watch stands and brings nothing new: what was listed holds."""
-        self.heard = True
+        self.readiness.on_list(bool(self.servers))
+        self.changed.set()
         self.balancer.listed([])
 
     def unlisted(self) -> None:
         self.counters["list_failures"] += 1
+        self.readiness.on_list_failure()
+        self.changed.set()
         self.balancer.unlisted()
 
     def look(self) -> None:
@@ -327,9 +341,12 @@
     # Its beginning and its end.
 
     async def serve(self) -> None:
+        if self.config.spoilt:
+            log.tell("known", taken="nothing", error=self.config.spoilt)
         if self.config.known:
-            self.learn(self.config.known)
-            self.heard = False  # that list may be old
+            self.recall(self.config.known)
+            if self.servers:  # guards against a list that was lost and, by its version, is never told again
+                self.version = self.config.known.version
         if not self.settings.asks:
             self.watch()
         self.queue(self.look)
@@ -343,9 +360,7 @@
         former = await asyncio.to_thread(handover.meet, self.doors.path) if self.doors.path else None
         if former:
             await self.follow(former)
-        elif not self.settings.asks:
-            # What is pushed counts as told from our first moment on, and what we know may be old.
-            await self.hear()
+        await self.hear()
         if not self.leaving:  # guards against a door that is opened only to be closed on who comes
             await self.doors.open(former.door if former else None)
             self.tell_beside(took=True)
@@ -366,22 +381,25 @@
         try:
             self.out = {lines.mark(name): name for name in told.get("out", ())}
             self.limits.seen = dict.fromkeys(told.get("seen", ()))
-            self.learn(lines.listing(told.get("list")), counts=False)
+            self.recall(lines.listing(told.get("list")))
             self.taught(told.get("learned", {}))
         except (ValueError, TypeError, AttributeError) as error:
             # Guards against what another version tells in a form of its own.
             log.tell("handover", taken="in part", error=repr(error))
-        self.heard = False  # what was heard came by way of the other
+        self.readiness.at_once = False  # there is no haste: the other serves
         self.join(former.sock)
         self.taker = former.way and passing.Taker(self, former.way)
         await self.joining
-        await self.hear()
 
     async def hear(self) -> None:
-        """Until the list service has said something, or failed, or for a while."""
-        end = self.begun + LISTED
-        while not self.heard and not self.counters["list_failures"] and self.clock() < end:
-            await asyncio.sleep(WAIT)
+        """Until there is a list that may be used, however late it comes, or we are asked to end."""
+        if not self.readiness.known:
+            log.tell("no-list", waits=lines.written(self.discovery.address))
+        while not self.leaving and not self.readiness.may_open(now := self.clock()):
+            self.changed.clear()
+            when = self.readiness.look_again()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), when and max(0.0, when - now))
 
     def withhold(self, name: str, out: bool) -> bool:
         """Take a server out by hand, or put it back; no if none of that name is or was listed."""
@@ -449,9 +467,8 @@
             self.reopening = self.loop.create_task(self.doors.reopen())
 
     def can_serve(self) -> bool:
-        """It takes calls and knows servers, by the list service or, if that says nothing, from before."""
-        listed = self.heard or bool(self.servers) and self.clock() - self.begun > LISTED
-        return listed and self.doors.listener is not None and not self.leaving
+        """It takes calls and has a list, by the list service or, if that is late, from before."""
+        return self.readiness.listed(self.clock()) and self.doors.listener is not None and not self.leaving
 
     async def open_peers(self) -> None:
         if self.config.peer_listen:
@@ -486,6 +503,7 @@
     def leave(self) -> None:
         """Asked to end: move what stands, spread over the time there is, and go once empty."""
         self.leaving = self.leaving or Leaving(self)
+        self.changed.set()
 
 
 class Peers(asyncio.DatagramProtocol):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -192,17 +192,27 @@
             self.raw["control"] = "127.0.0.1:0"
         if self.known:
             self.raw["known"] = {"generation": 41, "reset": True, "instances": self.entries}
+        naming = None if self.count else asyncio.create_task(self.names_none())
         self.node, self.serving = await self.start()
+        if naming:
+            await naming
         return self
 
+    async def names_none(self):
+        """The list service says that there is no server: without a list nobody is let in."""
+        self.watch, _ = await self.question()
+        text = '{"generation":42,"reset":true,"instances":[]}\n'
+        self.watch.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                b"%x\r\n%b\r\n" % (len(text), text.encode()))
+
     async def start(self, **changes):
         """A process that serves, beside those that do already."""
-        node = Node(parse_config(self.raw | changes), asyncio.get_running_loop())
-        serving = asyncio.create_task(node.serve())
         with mock.patch.object(host, "LISTED", self.patience):
-            while not hasattr(node, "address"):
-                assert not serving.done() or await serving
-                await asyncio.sleep(0.001)
+            node = Node(parse_config(self.raw | changes), asyncio.get_running_loop())
+        serving = asyncio.create_task(node.serve())
+        while not hasattr(node, "address"):
+            assert not serving.done() or await serving
+            await asyncio.sleep(0.001)
         return node, serving
 
     async def __aexit__(self, *error):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -38,13 +38,13 @@
 
 @played
 async def test_calls_and_what_is_said_to_bad_ones():
-    async with World(control=True) as world:
+    async with World(control=True, patience=60.0) as world:
         question, _ = await world.question()
         assert (await world.ask("/_ready"))[0] == 503  # nothing was heard of the list service yet
         head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         news = '{"generation":42,"reset":false,"instances":[]}\n'
         question.writer.write(f"{head}{len(news):x}\r\n{news}\r\n".encode())
-        await world.until(lambda: world.node.heard)
+        await world.until(lambda: world.node.readiness.heard)
         assert await world.ask("/_ready") == (200, "ready\n")
         assert (await world.ask("/_none"))[0] == 404
         assert (await world.ask("/_vars", "s-0"))[0] == 405
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -162,8 +162,7 @@
         place = await asyncio.start_server(world.served(0), "127.0.0.1")
         world.listeners.append(place)
         entry = world.entry(0, "{}:{}".format(*place.sockets[0].getsockname()))
-        watch, _ = await world.question()
-        watch.writer.write(HEAD + chunk(listed(50, entry)))
+        world.watch.writer.write(chunk(listed(50, entry)))
         await world.until(lambda: world.node.servers)
         await world.standing()
         await world.until(lambda: not world.node.balancer.kept)
@@ -303,7 +302,7 @@
         for _ in range(12):
             watch.writer.write(chunk("\n"))
             await asyncio.sleep(0.05)
-        assert world.questions.empty() and world.node.heard
+        assert world.questions.empty() and world.node.readiness.heard
         await world.question()
 
 
@@ -345,7 +344,7 @@
         watch.writer.write(HEAD + chunk(listed(50, draining, whole=False)))
     answering = asyncio.create_task(agent())
     async with world:
-        assert world.node.heard and answering.done()
+        assert world.node.readiness.heard and answering.done()
         states = {server.host.name: server.state for server in world.node.servers.values()}
         assert states == {"s-0": model.DRAINING, "s-1": model.READY}
         for _ in range(4):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -218,7 +218,7 @@
         old.leave()
         assert await client.line() == "MOVE" and not old.counters["handed_over"]
         await world.first_ends(serving)
-        world.node.heard = True
+        world.node.confirmed()
 
 
 @played
