No attempt begins for a client that the kernel knows to be gone; turns stop after 20 ms

Seen: an end in the kernel, not yet read, did not stop a connect, a retry or the line of an attempt that had just come up; a line with its FIN behind it made a connect each. 500 lines at 1,000 servers made one turn of 1.3 to 2.1 s (17 s at 6,000), in which no end is read.

--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -1,16 +1,19 @@
 """One real balancer: the loop of batches, the Door and timers.
 
 Owns the clock, the queue of what has happened and of what is to be done, and the books. Each turn fixes
-`now`, hands the module all that is queued, list changes first, and then carries out what came back. It never
-chooses a server, and never lets one faulty connection end the program.
+`now`, hands the module what is queued, list changes first, and then carries out what came back; what does not
+fit its time slice waits for the next. It never chooses a server, never lets one faulty connection end the
+program, and begins no attempt for a client that the kernel knows to be gone.
 """
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import signal
 import socket
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -35,6 +38,7 @@
 DATAGRAM = 256  # bytes
 LISTED = 2.0  # seconds after the start for which we are not ready without a word of the list service
 WAIT = 0.02  # seconds between looks for that
+TIME_SLICE = 0.02  # seconds after which a turn stops: the sockets are polled well within 0.1
 
 
 class Node(Books):
@@ -42,10 +46,10 @@
         self.config, self.names, self.loop = config, config.names, loop
         # Anchored once: starts of servers are in Unix time, and a step of that clock must not move timers.
         self.anchor = time.time() - time.monotonic()
-        self.events: list[tuple[Callable, tuple]] = []
-        self.news: list[tuple[Callable, tuple]] = []
-        self.acts: list[tuple[Callable, tuple]] = []
-        self.turning = False
+        self.events: deque[tuple[Callable, tuple]] = deque()
+        self.news: deque[tuple[Callable, tuple]] = deque()
+        self.acts: deque[tuple[Callable, tuple]] = deque()
+        self.turning, self.longest_turn = False, 0.0  # seconds
         self.counters = log.Counters()
         self.clients: dict[Client, None] = {}
         self.callers: dict[Caller, None] = {}  # operators whose call is not whole, oldest first
@@ -79,16 +83,24 @@
 
     def turn(self) -> None:
         self.now = self.clock()
-        news, events, self.news, self.events = self.news, self.events, [], []
-        for what, values in news + events:
-            self.guarded(what, values)
-        while self.acts:
-            acts, self.acts = self.acts, []
-            for what, values in acts:
-                self.guarded(what, values)
-        self.turning = False
-        if self.news or self.events:
-            self.queue(int)
+        self.work_off(self.news, len(self.news))
+        # Left by the turn before: in order, so nothing is decided between what came first and what is done.
+        self.work_off(self.acts)
+        if not self.acts:
+            self.work_off(self.events, len(self.events))  # what comes meanwhile waits for the next
+            self.work_off(self.acts)
+        self.longest_turn = max(self.longest_turn, self.clock() - self.now)
+        self.turning = bool(self.news or self.events or self.acts)
+        if self.turning:
+            self.loop.call_soon(self.turn)
+
+    def work_off(self, queue: deque[tuple[Callable, tuple]], most: float = math.inf) -> None:
+        """One of them at least, and more until the time slice is over."""
+        while queue and most > 0:
+            self.guarded(*queue.popleft())
+            most -= 1
+            if self.clock() - self.now >= TIME_SLICE:
+                break
 
     def guarded(self, what: Callable, values: tuple) -> None:
         """Guards against a fault with one connection that would end the program, and all others with it."""
@@ -157,6 +169,8 @@
 
     def connect(self, leg: Leg, until: float) -> None:
         client: Client = leg.call.host
+        if not leg.call.done and client.remote_closed():
+            client.forgotten(model.CANCELLED)  # its end comes with the next poll of the sockets
         if leg.call.done:
             self.ended(leg, Result(model.MOOT), True)
         elif self.limits.full(2):  # never sent: that proves it has not run
@@ -216,7 +230,7 @@
     def reopen(self, client: Client, until: float) -> None:
         """Take up a connection that was open at a server before the start; no decision is in it."""
         server = self.servers.get(lines.mark(client.wish.values["at"]))
-        if client.over:
+        if client.over or client.remote_closed():
             return
         if self.now >= until:
             self.release(client.call)
@@ -399,7 +413,7 @@
 
     def show(self) -> None:
         """What operators are told at their door, as one line."""
-        log.tell("counters", **figures.told(self))
+        log.tell("counters", **figures.told(self), longest_turn_us=int(1e6 * self.longest_turn))
 
     # The other process of this balancer, while there is one.
 
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from typing import Any
@@ -151,6 +152,19 @@
         if self.other:
             self.other.wake()
 
+    def remote_closed(self) -> bool:
+        """Has the other side ended or reset, as far as the kernel knows by now? Guards against an end that a
+        long turn, a pause in reading or bytes still unread hide."""
+        if self.ended or self.over:
+            return True
+        if self.transport is None or (sock := self.transport.get_extra_info("socket")) is None:
+            return False
+        if self.transport.is_closing() or sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def wake(self) -> None:
         if not self.queued and not self.over:
             self.queued = True
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -348,8 +348,9 @@
         assert world.node.heard and answering.done()
         states = {server.host.name: server.state for server in world.node.servers.values()}
         assert states == {"s-0": model.DRAINING, "s-1": model.READY}
+        clients = []  # kept open: one that is dropped has left, and a client that has left is not sent on
         for _ in range(4):
-            await world.call()
+            clients.append(await world.call())
             assert (await world.leg())[0] == 1
 
 
