lab.starts measures how long processes that start together take until they are ready

Each `bellrack serve` listens at a port of its own before one list service, which answers, refuses, says nothing or serves ten lists a second in turn; printed are seconds and processor seconds from exec to PONG, and how many are in time. Tests: who is ready is counted by its PONG, and all that were started are waited for.

--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -15,6 +15,7 @@
 from helpers import Peer, World, configured, played, raw_settings
 
 from bellrack import __main__ as program
+from bellrack.lab import starts
 from bellrack.net import discovery, lines, node
 from bellrack.net.config import parse_config, read_config, reread
 from bellrack.net.node import Node
@@ -359,6 +360,23 @@
     assert [read[key] or None for key in keys] == [page[key] or None for key in keys]
 
 
+@pytest.mark.parametrize("way, known, lists, ready", [
+    ("answers", False, "ask", 2), ("refuses", True, "push", 2), ("says-nothing", False, "push", 0)])
+def test_a_measurement_of_starts_counts_those_that_are_ready_and_leaves_none(
+        monkeypatch, way, known, lists, ready):
+    made, make = [], asyncio.create_subprocess_exec
+
+    async def kept(*words, **how):
+        made.append(await make(*words, **how))
+        return made[-1]
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", kept)
+    begun = asyncio.run(starts.measure(2, way, known, lists, 10.0, 2.0 if not ready else 30.0))
+    assert begun[1] == (2 if way == "answers" else 0)
+    assert [one.ready is not None for one in begun[0]] == [ready > 0] * 2
+    assert f"started 2, ready {ready}, lists told" in starts.told(*begun, "1")
+    assert len(made) == 2 and all(process.returncode is not None for process in made)
+
+
 def test_a_start_loads_nothing_that_it_does_not_serve_by():
     code = ("import sys; sys.argv = ['bellrack', 'serve']\n"
             "from bellrack import __main__ as program\nfrom bellrack.net import node\n"
