bellrack lab scale on real sockets: hollow balancers beside bellrack serve processes

Cause: counts on virtual time say nothing of the kernel's part, nor of a real process in the same tier. Tests: each hears and is heard, and knows what all hold, in one tier; processes are gone after Ctrl-C and when memory runs out.

--- a/bellrack/lab/scale/figures.py
+++ b/bellrack/lab/scale/figures.py
@@ -106,14 +106,15 @@
             + wire(figures.fan_bytes, figures.fan_datagrams, figures.list_out))
 
 
-def measured(members: Iterable[Figures], seconds: float) -> dict[str, float]:
-    """Processor time of one role: the share of a core by balancer, the most of one, the longest turn."""
+def measured(members: Iterable[Figures], seconds: float) -> dict[str, float | None]:
+    """Processor time of one role: the share of a core by balancer, the most of one, the longest turn; none
+    where nobody timed turns."""
     members = list(members)
     if not members:
         return {}
     return {"core": sum(figures.cpu for figures in members) / len(members) / seconds / 1e9,
             "core_most": max(figures.cpu for figures in members) / seconds / 1e9,
-            "longest_turn": max(figures.longest for figures in members) / 1e9}
+            "longest_turn": max(figures.longest for figures in members) / 1e9 or None}
 
 
 def roles(every: list[Figures]) -> dict[str, list[Figures]]:
--- a/bellrack/lab/scale/hollow.py
+++ b/bellrack/lab/scale/hollow.py
@@ -104,6 +104,9 @@
 
     # Connections, each change within a turn of the node.
 
+    def will_hold(self, marks: list[int]) -> None:
+        """At these servers, before any stands."""
+
     def opens(self, server: Server, group: int, took: float = 0.0) -> None:
         """One stands now; with `took` it was set up just now and took so many seconds."""
         call = self.book(0, HELD, group=group)
@@ -164,7 +167,7 @@
         self.balancer.fleet = [self.servers.get(mark, server) for mark, server in self.shared.items()]
         self.balancer.listed([])
 
-    def holds_at(self, marks: list[int]) -> None:
+    def will_hold(self, marks: list[int]) -> None:
         """Own records of these servers, for what the decisions keep of own connections."""
         own = [Server(mark, one.zone, one.cell, one.state, one.size, one.weight, one.kind, one.since)
                for mark in marks if (one := self.shared[mark])]
--- a/bellrack/lab/scale/plan.py
+++ b/bellrack/lab/scale/plan.py
@@ -78,6 +78,7 @@
     seed: Annotated[int, Meta(ge=0)] = 1
     balancers: Annotated[int, Meta(ge=3, le=TARGET)] = 50  # hollow ones
     real: Annotated[int, Meta(ge=0, le=MOST_REAL)] = 0  # beside them, each a process
+    real_first: bool = True  # they have the lowest numbers, so that one of them may speak for others
     servers: Annotated[int, Meta(ge=1, le=6000)] = 60
     regions: Annotated[int, Meta(ge=1, le=16)] = 3
     zones: Annotated[int, Meta(ge=1, le=64)] = 10  # in all regions together
--- /dev/null
+++ b/bellrack/lab/scale/tier.py
@@ -0,0 +1,170 @@
+"""What happens to a tier while it is played: connections and lists that change, what dies and is cut off.
+
+Owns the course of a run by its plan and seed, the same on virtual and on real time. It never carries a byte:
+the network, and how a balancer is made, are its faces'.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from bellrack.lab.agenda import TROUBLE
+from bellrack.lab.chance import Chance
+from bellrack.lab.scale import figures
+from bellrack.lab.scale.desk import DRAINS, Desk
+from bellrack.lab.scale.guard import Guard
+from bellrack.lab.scale.hollow import Hollow
+from bellrack.lab.scale.plan import TARGET, AggregatorLost, Plan, RackLost, RegionCut, region_of
+from bellrack.net import lines
+
+REFILLED = 1.0  # seconds after its start in which a balancer gets its connections again
+
+
+class Tier:
+    """`agenda` brings what is due: an `Agenda`. Numbers are balancers' in the tier; `nodes` has the hollow
+    ones."""
+
+    agenda: Any
+    desk: Desk
+
+    def __init__(self, plan: Plan, seed: int, guard: Guard):
+        self.plan, self.guard, self.chance = plan, guard, Chance(seed)
+        self.connections, self.seeds = self.chance["connections"], self.chance["balancers"]
+        self.network = self.chance["network"]
+        self.figures: list[figures.Figures] = []  # by number
+        self.nodes: dict[int, Hollow] = {}
+        self.hollow: list[int] = []  # their numbers
+        self.cut: set[int] = set()  # regions that are cut off
+        self.cut_until: dict[int, float] = {}
+        self.lost = self.faults = self.restarts = 0
+        self.last_broadcast = -1
+
+    @property
+    def now(self) -> float:
+        return self.agenda.now
+
+    def made(self, number: int) -> Hollow:
+        """A hollow balancer at its start."""
+        raise NotImplementedError
+
+    def zone(self, number: int) -> int:
+        return number % self.plan.zones
+
+    def region(self, zone: int) -> int:
+        return region_of(self.plan, zone)
+
+    def apart(self, one: int, other: int) -> bool:
+        """Are these two zones cut off from each other?"""
+        one, other = self.region(one), self.region(other)
+        return one != other and (one in self.cut or other in self.cut)
+
+    def falls_out(self, sender: int, receiver: int) -> bool:
+        """Is a datagram on this way lost?"""
+        if self.cut and self.apart(self.zone(sender), self.zone(receiver)) or (
+                self.plan.loss and self.network.even() < self.plan.loss):
+            self.lost += 1
+            return True
+        return False
+
+    def clear(self) -> None:
+        """From here on it counts."""
+        for one in [*self.figures, self.desk.figures]:
+            one.clear()
+        self.lost = self.restarts = 0
+
+    def set_off(self) -> None:
+        plan = self.plan
+        for number in self.hollow:
+            self.agenda.after(plan.warm_up * 0.25, TROUBLE, self.fill, number)
+        if plan.connections.changes:
+            self.next_change()
+        if plan.list_changes:
+            self.later("list", 60.0 / plan.list_changes, self.list_changes)
+        if rate := plan.restarts * len(self.hollow) / TARGET / 3600:
+            self.later("restarts", 1 / rate, self.restart_one)
+        for trouble in plan.trouble:
+            self.agenda.after(trouble.at, TROUBLE, self.strike, trouble)
+
+    def later(self, concern: str, mean: float, what: Callable) -> None:
+        self.agenda.after(self.chance[concern].wait(mean), TROUBLE, what)
+
+    def fill(self, number: int) -> None:
+        """Choose the servers at which it holds connections, and let them stand."""
+        node, connections, draw = self.nodes[number], self.plan.connections, self.connections
+        if not node.alive:
+            return
+        ready = self.desk.ready(self.zone(number))
+        chosen = draw.some(ready, min(connections.servers, len(ready)))
+        node.own = [lines.mark(self.desk.name(n)) for n in chosen]
+        node.queue(node.will_hold, node.own)
+        for mark in node.own:
+            for _ in range(max(1, round(connections.each * draw.skewed(0.5)))):
+                node.queue(self.opened, node, mark)
+
+    def group(self) -> int:
+        """A small part of the groups have most connections."""
+        groups = self.plan.connections.groups
+        return 1 + int(groups * self.connections.even() ** 3) if groups else 0
+
+    def opened(self, node: Hollow, mark: int) -> None:
+        """If the list names it, now that the node's turn has come."""
+        for server in node.ready_of([mark]):
+            node.opens(server, self.group())
+
+    def replaced(self, node: Hollow) -> None:
+        """The decisions moved one: it stands elsewhere now."""
+        draw = self.connections.even
+        if node.alive and node.own:
+            node.queue(self.opened, node, node.own[int(draw() * len(node.own))])
+
+    def next_change(self) -> None:
+        mean = 1 / (self.plan.connections.changes * len(self.hollow))
+        self.agenda.after(self.connections.wait(mean), TROUBLE, self.connection_changes)
+
+    def connection_changes(self) -> None:
+        draw = self.connections.even
+        node = self.nodes[self.hollow[int(draw() * len(self.hollow))]]
+        node.queue(node.changes, draw(), draw(), self.group(), self.plan.connections.setup)
+        self.next_change()
+
+    def list_changes(self) -> None:
+        """A server drains, ends, and another takes its place: three changes."""
+        old, new = self.desk.replace(self.chance["list"].even())
+        self.tell_change(old, "terminating")
+        self.agenda.after(DRAINS, TROUBLE, self.tell_change, old, "terminated")
+        self.agenda.after(DRAINS, TROUBLE, self.tell_change, new, "in_service")
+        self.later("list", 3 * 60.0 / self.plan.list_changes, self.list_changes)
+
+    def tell_change(self, number: int, state: str) -> None:
+        self.desk.change(number, state)
+
+    def kill(self, number: int, lasts: float) -> None:
+        node = self.nodes[number]
+        if node.alive:
+            self.faults += node.counters["faults"]
+            node.stop()
+            if lasts:
+                self.agenda.after(lasts, TROUBLE, self.comes_back, number)
+
+    def comes_back(self, number: int) -> None:
+        self.restarts += 1
+        self.nodes[number] = self.made(number)
+        self.agenda.after(REFILLED, TROUBLE, self.fill, number)
+
+    def restart_one(self) -> None:
+        self.kill(self.hollow[int(self.chance["restarts"].even() * len(self.hollow))], self.plan.down)
+        self.later("restarts", 3600 * TARGET / (self.plan.restarts * len(self.hollow)), self.restart_one)
+
+    def strike(self, trouble: Any) -> None:
+        if isinstance(trouble, RackLost):
+            count = max(1, round(trouble.share * len(self.figures)))
+            first = int(self.chance["racks"].even() * (len(self.figures) - count + 1))
+            for number in range(first, first + count):
+                self.kill(number, trouble.lasts)
+        elif isinstance(trouble, AggregatorLost):
+            if self.last_broadcast >= 0:
+                self.kill(self.last_broadcast, trouble.lasts)
+        elif isinstance(trouble, RegionCut):
+            self.cut.add(trouble.region)
+            self.cut_until[trouble.region] = self.now + trouble.lasts
+            self.agenda.after(trouble.lasts, TROUBLE, self.cut.discard, trouble.region)
--- a/bellrack/lab/scale/virtual.py
+++ b/bellrack/lab/scale/virtual.py
@@ -1,6 +1,6 @@
 """A scale run on virtual time: hollow balancers and discovery on one heap of events.
 
-Owns the virtual loop, streams and datagrams, and the troubles of a plan. The same plan and seed give the same
+Owns the virtual loop, streams and datagrams. The same plan and seed give the same
 counts to the digit; it reads no clock but that of the processor, which goes into no count.
 """
 from __future__ import annotations
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from bellrack.lab.agenda import NEWS, RESULT, START, TIMER, TROUBLE, Agenda
-from bellrack.lab.chance import Chance
+from bellrack.lab.agenda import NEWS, RESULT, START, TIMER, Agenda
 from bellrack.lab.scale import figures
-from bellrack.lab.scale.desk import DRAINS, Desk, Line
+from bellrack.lab.scale.desk import Desk, Line
 from bellrack.lab.scale.guard import Guard
 from bellrack.lab.scale.hollow import Hollow, Lean, Question, configurations, questions
-from bellrack.lab.scale.plan import TARGET, AggregatorLost, Plan, RackLost, RegionCut, region_of
+from bellrack.lab.scale.plan import Plan
+from bellrack.lab.scale.tier import Tier
+from bellrack.model import Server
 from bellrack.net import lines
 
 PLACE = "127.0.0.1:1"  # of discovery and servers: an address that nobody dials
@@ -156,44 +157,33 @@
             self.loop.connect(self)
 
 
-class World:
+class World(Tier):
     """The tier, discovery and the network between them."""
 
     def __init__(self, plan: Plan, seed: int, guard: Guard, played: int = 0):
         """`played`: so many balancers of the tier alone are there, for a measurement of memory."""
-        self.plan, self.guard, self.chance = plan, guard, Chance(seed)
-        self.loop = VirtualLoop(self.connect)
-        self.network, self.connections = self.chance["network"], self.chance["connections"]
-        self.figures = [figures.Figures() for _ in range(played or plan.balancers)]
+        super().__init__(plan, seed, guard)
+        self.agenda = self.loop = VirtualLoop(self.connect)
+        self.played = 0.0
         self.configuration = configurations(plan, PLACE)
         self.desk = Desk(plan, self.loop, lambda number: PLACE)
-        self.cut: set[int] = set()  # regions that are cut off
-        self.cut_until: dict[int, float] = {}
-        self.lost = self.faults = self.restarts = 0
-        self.played = 0.0
-        self.last_broadcast = -1
-        self.seeds = self.chance["balancers"]
-        self.groups = 0 if plan.lean else plan.connections.groups
-        self.shared: dict[int, Any] = {}
+        self.shared: dict[int, Server] = {}
+        self.watching: dict[Lean, None] = {}
         if plan.lean:
             self.keeper = VirtualHollow(self.configuration(0, 0, 0), self.loop, figures.Figures(), self.post)
             self.keeper.alive = False  # it keeps the list, and does nothing of its own
             self.keeper.learn(lines.listing(lines.parsed(self.desk.whole())))
             self.shared = self.keeper.servers
-            self.watching: dict[Lean, None] = {}
-        self.nodes: list[Hollow] = []
-        for number in range(len(self.figures)):
-            self.nodes.append(self.made(number))
+        for number in range(played or plan.balancers):
+            self.figures.append(figures.Figures())
+            self.hollow.append(number)
+            self.nodes[number] = self.made(number)
             if number % BUILT == 0:
                 guard.look(f"with {number} balancers made")
 
-    @property
-    def now(self) -> float:
-        return self.loop.now
-
     def made(self, number: int) -> Hollow:
-        zone = number % self.plan.zones
-        config, form = self.configuration(number, zone, self.seeds.seed()), self.figures[number]
+        config = self.configuration(number, self.zone(number), self.seeds.seed())
+        form = self.figures[number]
         if self.plan.lean:
             node = VirtualLean(config, self.loop, form, self.post, self.shared)
         else:
@@ -204,14 +194,6 @@
 
     # The network.
 
-    def region(self, zone: int) -> int:
-        return region_of(self.plan, zone)
-
-    def apart(self, one: int, other: int) -> bool:
-        """Are these two zones cut off from each other?"""
-        one, other = self.region(one), self.region(other)
-        return one != other and (one in self.cut or other in self.cut)
-
     def delay(self, one: int, other: int, jitter: float = 0.0) -> float:
         latency = self.plan.latency
         way = (latency.zone if one == other else latency.region
@@ -222,21 +204,17 @@
         """A datagram goes out; to all others if there is no peer."""
         if not sender.alive:
             return
-        number = sender.number
-        count = len(self.nodes)
+        number, count = sender.number, len(self.figures)
         receivers = ([other for other in range(count) if other != number] if peer is None
                      else [peer] if 0 <= peer < count else [])
         sender.figures.sent(data, len(receivers), peer is None)
         if peer is None:
             self.last_broadcast = number
-        draw, loss, zones = self.network.even, self.plan.loss, self.plan.zones
-        here = number % zones
+        here, draw = self.zone(number), self.network.even
         for other in receivers:
-            there = other % zones
-            if self.cut and self.apart(here, there) or loss and draw() < loss:
-                self.lost += 1
-            else:
-                self.loop.after(self.delay(here, there, draw()), RESULT, self.arrive, other, number, data)
+            if not self.falls_out(number, other):
+                wait = self.delay(here, self.zone(other), draw())
+                self.loop.after(wait, RESULT, self.arrive, other, number, data)
 
     def arrive(self, receiver: int, sender: int, data: bytes) -> None:
         self.nodes[receiver].heard_from(sender, data)
@@ -244,7 +222,7 @@
     def connect(self, question: Any) -> None:
         """A call of discovery, which stands in zone 0."""
         node = getattr(question, "node", question)
-        zone = node.number % self.plan.zones
+        zone = self.zone(node.number)
         if isinstance(question, Lean):
             self.loop.after(2 * self.delay(zone, 0), NEWS, self.lean_watch, question)
             return
@@ -276,114 +254,18 @@
         count = len(line) + len(b"%x\r\n\r\n" % len(line))
         self.desk.figures.bytes_out += count
         self.desk.figures.lines += 1
-        self.loop.after(self.delay(0, node.number % self.plan.zones), NEWS, node.queue, node.takes, count)
-
-    # What happens.
-
-    def set_off(self) -> None:
-        plan = self.plan
-        for number in range(len(self.nodes)):
-            self.loop.after(plan.warm_up * 0.25, TROUBLE, self.fill, number)
-        if plan.connections.changes:
-            self.next_change()
-        if plan.list_changes:
-            self.later("list", 60.0 / plan.list_changes, self.list_changes)
-        if rate := plan.restarts * len(self.nodes) / TARGET / 3600:
-            self.later("restarts", 1 / rate, self.restart_one)
-        for trouble in plan.trouble:
-            self.loop.after(trouble.at, TROUBLE, self.strike, trouble)
-
-    def later(self, concern: str, mean: float, what: Callable) -> None:
-        self.loop.after(self.chance[concern].wait(mean), TROUBLE, what)
-
-    def fill(self, number: int) -> None:
-        """Choose the servers at which it holds connections, and let them stand."""
-        node, connections, draw = self.nodes[number], self.plan.connections, self.connections
-        if not node.alive:
-            return
-        ready = self.desk.ready(number % self.plan.zones)
-        chosen = draw.some(ready, min(connections.servers, len(ready)))
-        node.own = [lines.mark(self.desk.name(n)) for n in chosen]
-        if isinstance(node, Lean):
-            node.queue(node.holds_at, node.own)
-        for mark in node.own:
-            for _ in range(max(1, round(connections.each * draw.skewed(0.5)))):
-                node.queue(self.opened, node, mark)
-
-    def group(self) -> int:
-        """A small part of the groups have most connections."""
-        return 1 + int(self.groups * self.connections.even() ** 3) if self.groups else 0
-
-    def opened(self, node: Hollow, mark: int) -> None:
-        """If the list names it, now that the node's turn has come."""
-        for server in node.ready_of([mark]):
-            node.opens(server, self.group())
-
-    def replaced(self, node: Hollow) -> None:
-        """The decisions moved one: it stands elsewhere now."""
-        draw = self.connections.even
-        if node.alive and node.own:
-            node.queue(self.opened, node, node.own[int(draw() * len(node.own))])
-
-    def next_change(self) -> None:
-        mean = 1 / (self.plan.connections.changes * len(self.nodes))
-        self.loop.after(self.connections.wait(mean), TROUBLE, self.connection_changes)
-
-    def connection_changes(self) -> None:
-        draw = self.connections.even
-        node = self.nodes[int(draw() * len(self.nodes))]
-        node.queue(node.changes, draw(), draw(), self.group(), self.plan.connections.setup)
-        self.next_change()
-
-    def list_changes(self) -> None:
-        """A server drains, ends, and another takes its place: three changes."""
-        old, new = self.desk.replace(self.chance["list"].even())
-        self.tell_change(old, "terminating")
-        self.loop.after(DRAINS, TROUBLE, self.tell_change, old, "terminated")
-        self.loop.after(DRAINS, TROUBLE, self.tell_change, new, "in_service")
-        self.later("list", 3 * 60.0 / self.plan.list_changes, self.list_changes)
+        self.loop.after(self.delay(0, self.zone(node.number)), NEWS, node.queue, node.takes, count)
 
     def tell_change(self, number: int, state: str) -> None:
         line = self.desk.change(number, state)
         if self.plan.lean:
             self.keeper.learn(lines.listing(lines.parsed(line)))
-            for node in self.watching:
-                if node.alive and not self.apart(0, node.number % self.plan.zones):
+            for node in list(self.watching):
+                if not node.alive:
+                    del self.watching[node]
+                elif not self.apart(0, self.zone(node.number)):
                     self.lean_told(node, line)
 
-    def kill(self, number: int, lasts: float) -> None:
-        node = self.nodes[number]
-        if node.alive:
-            self.faults += node.counters["faults"]
-            node.stop()
-            if self.plan.lean:
-                self.watching.pop(node, None)
-            if lasts:
-                self.loop.after(lasts, TROUBLE, self.comes_back, number)
-
-    def comes_back(self, number: int) -> None:
-        self.restarts += 1
-        self.nodes[number] = self.made(number)
-        self.loop.after(1.0, TROUBLE, self.fill, number)
-
-    def restart_one(self) -> None:
-        self.kill(int(self.chance["restarts"].even() * len(self.nodes)), self.plan.down)
-        self.later("restarts", 3600 * TARGET / (self.plan.restarts * len(self.nodes)), self.restart_one)
-
-    def strike(self, trouble: Any) -> None:
-        if isinstance(trouble, RackLost):
-            count = max(1, round(trouble.share * len(self.nodes)))
-            first = int(self.chance["racks"].even() * (len(self.nodes) - count + 1))
-            for number in range(first, first + count):
-                self.kill(number, trouble.lasts)
-        elif isinstance(trouble, AggregatorLost):
-            if self.last_broadcast >= 0:
-                self.kill(self.last_broadcast, trouble.lasts)
-        elif isinstance(trouble, RegionCut):
-            self.cut.add(trouble.region)
-            self.cut_until[trouble.region] = self.now + trouble.lasts
-            self.loop.after(trouble.lasts, TROUBLE, self.cut.discard, trouble.region)
-
     # The run.
 
     def play(self, tell: Callable[[float], None] = lambda at: None) -> World:
@@ -396,14 +278,12 @@
                 self.run_through(plan, tell)
         finally:
             gc.enable()
-        self.faults += sum(node.counters["faults"] for node in self.nodes if node.alive)
+        self.faults += sum(node.counters["faults"] for node in self.nodes.values() if node.alive)
         return self
 
     def run_through(self, plan: Plan, tell: Callable[[float], None]) -> None:
         self.run_to(plan.warm_up, tell)
-        for one in [*self.figures, self.desk.figures]:
-            one.clear()
-        self.lost = self.restarts = 0
+        self.clear()
         self.run_to(plan.warm_up + plan.duration, tell)
 
     def run_to(self, end: float, tell: Callable[[float], None]) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,18 +1,20 @@
 """Scale runs: counts that repeat to the digit, what holds of the budgets, limits, and a clean end."""
+import asyncio
 import json
 import os
 import signal
 import subprocess
 import sys
 from pathlib import Path
+from unittest import mock
 
 import pytest
 from test_lab_live import children, gone, until
 
 from bellrack.lab import cli
-from bellrack.lab.scale import figures, run
+from bellrack.lab.scale import figures, real, run
 from bellrack.lab.scale.guard import Guard, machine_mb
-from bellrack.lab.scale.hollow import questions
+from bellrack.lab.scale.hollow import Question, questions
 from bellrack.lab.scale.plan import parse_plan, read_plan, sized
 from bellrack.lab.scale.virtual import VirtualQuestion, World
 from bellrack.lab.scenario import ScenarioError
@@ -100,13 +102,13 @@
     with questions(VirtualQuestion):
         world.set_off()
         world.run_to(16.0, lambda at: None)
-        behind = [node.version for node in world.nodes]
-        there = [node.number for node in world.nodes if world.region(node.number % 3) == 1]
+        behind = [node.version for node in world.nodes.values()]
+        there = [node.number for node in world.nodes.values() if world.region(node.number % 3) == 1]
         assert max(behind[number] for number in there) < min(
             version for number, version in enumerate(behind) if number not in there)
         assert world.lost
         world.run_to(34.0, lambda at: None)
-    told = {node.version for node in world.nodes}
+    told = {node.version for node in world.nodes.values()}
     assert max(told) > max(behind) and max(told) - min(told) <= 1  # a change may be on its way
 
 
@@ -114,7 +116,7 @@
     rack = {"kind": "rack-lost", "at": 5.0, "share": 0.25, "lasts": 2.0}
     world = played(trouble=[rack], list_changes=0.0, restarts=0.0)
     assert world.restarts == 3 and world.desk.figures.watches == 3
-    assert all(len(node.balancer.listing.ready) == 18 and node.alive for node in world.nodes)
+    assert all(len(node.balancer.listing.ready) == 18 and node.alive for node in world.nodes.values())
 
 
 def test_lean_balancers_send_what_others_do():
@@ -201,3 +203,73 @@
         process.kill()
     assert process.returncode == 130 and b"interrupted" in said and b"Traceback" not in said
     assert gone(started)
+
+
+def real_plan(**changes):
+    return plan(**({"time": "real", "balancers": 6, "real": 3, "servers": 9, "warm_up": 3.0, "duration": 2.0,
+                    "clients": {"standing": 2, "life": 1.0}} | changes))
+
+
+def test_hollow_and_real_balancers_hear_one_another_on_real_sockets():
+    """A real one speaks for all: it hears the hollow ones and the other real ones, and each hears it."""
+    class Enough(Exception): ...
+
+    def look(at):
+        broadcast = any(tier.figures[number].broadcasts for number in tier.real)
+        told = all(sum(node.balancer.fill().values()) for node in tier.nodes.values())  # what all hold
+        if broadcast and told and tier.answers["up"] and all(
+                one.in_datagrams and one.out_datagrams for one in tier.figures):
+            raise Enough
+
+    async def played():
+        nonlocal tier
+        tier = real.RealTier(real_plan(warm_up=0.0, duration=60.0), 1, Guard(), asyncio.get_running_loop())
+        try:
+            await tier.play(look)
+        finally:
+            await tier.finish()
+
+    tier = None
+    with questions(Question), pytest.raises(Enough):
+        asyncio.run(played())
+    assert not any(node.counters["faults"] for node in tier.nodes.values())
+    assert all(len(node.balancer.listing.ready) == 9 for node in tier.nodes.values())
+    pids = [process.process.pid for process in tier.processes.values()]
+    assert len(pids) == 3 and gone(pids)
+
+
+def test_a_real_run_stops_with_its_processes_when_memory_runs_out():
+    class Mean(Guard):
+        def look(self, when, children=()):
+            super().look(when, children)
+            if children:
+                self.limit = 0.0  # from the second look on
+
+    seen = []
+    with mock.patch.object(real.Process, "kill", autospec=True, side_effect=real.Process.kill) as kill:
+        with pytest.raises(ScenarioError, match="stopped"):
+            real.play(real_plan(duration=60.0), 1, Mean(), seen.append)
+        pids = [call.args[0].process.pid for call in kill.call_args_list]
+    assert len(pids) == 3 and gone(pids)
+
+
+def test_an_interrupted_run_on_real_sockets_ends_its_processes(tmp_path):
+    file = tmp_path / "long.toml"
+    file.write_text("""name = "long"
+time = "real"
+balancers = 6
+real = 3
+duration = 3600.0
+memory_sizes = []
+""")
+    process = subprocess.Popen([sys.executable, "-m", "bellrack", "lab", "scale", "run", file, "--quiet"],
+                               cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
+                               start_new_session=True)
+    try:
+        started = until(lambda: len(children(process.pid)) == 3 and children(process.pid))
+        os.kill(process.pid, signal.SIGINT)
+        _, said = process.communicate(timeout=20)
+    finally:
+        process.kill()
+    assert process.returncode == 130 and b"interrupted" in said and b"Traceback" not in said
+    assert gone(started)
