Scale runs: fits need three sizes; tests of heads, roles, weighing and ends by id

Cause: the error of a slope through two sizes is nought whatever they are; some of the code had no test.

--- a/bellrack/lab/scale/fit.py
+++ b/bellrack/lab/scale/fit.py
@@ -15,7 +15,7 @@
 class Fit:
     slope: float
     factor: float
-    error: float  # standard error of the slope; nan from two sizes
+    error: float  # standard error of the slope
     residual: float  # the largest, relative to the fit
 
     def at(self, size: float) -> float:
@@ -23,10 +23,10 @@
 
 
 def fit_power(sizes: Sequence[float], values: Sequence[float]) -> Fit:
-    """Raises ValueError for fewer than two sizes, or values that are not over 0."""
-    if len(sizes) < 2 or len(sizes) != len(values) or min(*sizes, *values) <= 0:
-        raise ValueError("two or more sizes, and a value over 0 of each")
+    """Raises ValueError for fewer than three sizes, or values that are not over 0."""
+    if len(sizes) < 3 or len(sizes) != len(values) or min(*sizes, *values) <= 0:
+        raise ValueError("three sizes or more, and a value over 0 of each")
     line = linregress([math.log(size) for size in sizes], [math.log(value) for value in values])
     slope, factor = float(line.slope), math.exp(line.intercept)
     residual = max(abs(value / (factor * size ** slope) - 1) for size, value in zip(sizes, values))
-    return Fit(slope, factor, float(line.stderr) if len(sizes) > 2 else math.nan, residual)
+    return Fit(slope, factor, float(line.stderr), residual)
--- a/bellrack/lab/scale/report.py
+++ b/bellrack/lab/scale/report.py
@@ -32,7 +32,7 @@
         f"<h1>{name}</h1><p>Scale runs {face}, {first['seconds']:g} s counted, seed {first['seed']}{lean}. "
         f"Bytes are payload but where heads are named ({run.figures.HEAD} a datagram). Counts repeat with "
         f"the seed; shares of a core, turns and memory are this machine's.</p>{table(results)}{plots}"
-        f"<h2>Fits</h2>{f'<ul>{fitted}</ul>' if fitted else '<p>None: one size.</p>'}</html>\n")
+        f"<h2>Fits</h2>{f'<ul>{fitted}</ul>' if fitted else '<p>None: fewer than three sizes.</p>'}</html>\n")
 
 
 def rows_with(results: list[dict[str, Any]], key: str) -> list[dict[str, Any]]:
@@ -51,9 +51,8 @@
         for fit in fits:
             if fit["role"] == role and fit["key"] == key:
                 ends = min(size for size, _ in points), max(TARGET, *(size for size, _ in points))
-                error = "" if fit["error"] is None else f" ± {fit['error']:.2f}"
                 axes.plot(ends, [fit["factor"] * size ** fit["slope"] for size in ends], "--", color=colour,
-                          lw=1, label=f"size to the {fit['slope']:.2f}{error}")
+                          lw=1, label=f"size to the {fit['slope']:.2f} ± {fit['error']:.2f}")
     if budget:
         axes.axhline(budget, color="#c98a1b", lw=1.2, label=f"budget {budget:g}")
     axes.set_xscale("log")
--- a/bellrack/lab/scale/run.py
+++ b/bellrack/lab/scale/run.py
@@ -9,7 +9,6 @@
 import contextlib
 import ctypes
 import json
-import math
 import os
 import signal
 import subprocess
@@ -26,6 +25,8 @@
 from bellrack.lab.scenario import ScenarioError
 
 VERSION = 1
+LEAST = 3  # sizes of a fit
+GROWS = 0.05  # slope under which a budget is never reached, for all that the fit can tell
 DIE_WITH_PARENT = 1  # PR_SET_PDEATHSIG
 LAST_WORD = 5.0  # seconds that a child gets to end
 WEIGHED_FOR = 20.0  # virtual seconds after which memory is taken: all that stands a while has been said once
@@ -140,8 +141,9 @@
 
 
 def fits(results: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    """A power law through the sizes of each figure that has a value over 0 at two or more."""
-    if len({result["balancers"] for result in results}) < 2:
+    """A power law through each figure that has a value over 0 at three sizes or more: of two, the error of a
+    slope says nothing."""
+    if len({result["balancers"] for result in results}) < LEAST:
         return []
     from bellrack.lab.scale.fit import fit_power
 
@@ -150,14 +152,13 @@
         of_role = [row for result in results for row in rows(result) if row["role"] == role]
         for what, key, budget in FITTED:
             points = [(row["balancers"], row[key]) for row in of_role if row[key]]
-            if len(points) < 2:
+            if len(points) < LEAST:
                 continue
             fit = fit_power(*zip(*points))
-            breaks = (budget / fit.factor) ** (1 / fit.slope) if budget and fit.slope > 0 else None
+            breaks = (budget / fit.factor) ** (1 / fit.slope) if budget and fit.slope > GROWS else None
             told.append({"role": role, "what": what, "key": key, "points": points, "budget": budget,
                          "slope": fit.slope, "factor": fit.factor, "residual": fit.residual,
-                         "error": fit.error if math.isfinite(fit.error) else None,
-                         "at_target": fit.at(TARGET), "breaks_at": breaks})
+                         "error": fit.error, "at_target": fit.at(TARGET), "breaks_at": breaks})
     return told
 
 
@@ -165,10 +166,9 @@
     """Plain text of them."""
     told = []
     for row in fitted:
-        error = "" if row["error"] is None else f" +- {row['error']:.3f}"
         line = (f"{row['role']}: {row['what']} = {row['factor']:.4g} * balancers ** {row['slope']:.3f}"
-                f"{error}, residual at most {row['residual']:.1%}; at {TARGET} extrapolated "
-                f"{row['at_target']:.4g}")
+                f" +- {row['error']:.3f}, residual at most {row['residual']:.1%}; "
+                f"at {TARGET} extrapolated {row['at_target']:.4g}")
         line += f", budget {row['budget']:g}" if row["budget"] else ""
         told.append(line + (f", reached at {row['breaks_at']:.0f}" if row["breaks_at"] else ""))
     return told
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import types
 from pathlib import Path
 from unittest import mock
 
@@ -189,6 +190,62 @@
     assert "budget 3000" in page.read_text() and "aggregator" in page.read_text()
 
 
+def test_a_process_is_ended_by_us_when_we_are_interrupted_while_it_works():
+    seen = []
+
+    def interrupted(process, asked):
+        seen.append(process.pid)
+        raise KeyboardInterrupt
+
+    with mock.patch.object(subprocess.Popen, "communicate", interrupted), pytest.raises(KeyboardInterrupt):
+        run.child("run", plan(duration=3600.0), 1, True)
+    assert len(seen) == 1 and gone(seen)  # and not by our own end
+
+
+def test_a_process_that_cannot_do_it_says_why():
+    with pytest.raises(ScenarioError, match="over the limit of 5 MB: stopped$"):
+        run.child("run", plan(limits={"memory_mb": 5}), 1, True)
+
+
+def test_memory_of_a_balancer_is_the_difference_of_two_sizes():
+    """Before the same servers, whatever else a process takes."""
+    def child(kind, asked, seed, quiet, size):
+        assert kind == "weigh" and (asked.servers, asked.lean, asked.tier) == (18, False, 12)
+        return {"rss_mb": 100.0 + 0.25 * size}
+
+    with mock.patch.object(run, "child", child):
+        assert run.weighed(plan(memory_sizes=[8, 40], lean=True), 1) == 0.25
+
+
+def test_roles_go_by_what_was_done_and_heads_count_with_each_datagram():
+    plain, aggregator = figures.Figures(), figures.Figures()
+    plain.sent(b"\x02" + bytes(6), 1, False)  # two records, to one
+    aggregator.got(b"\x02" + bytes(6))
+    aggregator.sent(b"\x03" + bytes(3), 9, True)
+    plain.got(b"\x03" + bytes(3))
+    plain.list_in = 100
+    told = {name: figures.role(some, 2.0) for name, some in figures.roles([plain, aggregator]).items()}
+    assert {name: one["balancers"] for name, one in told.items()} == {
+        "plain": 1, "aggregator": 1, "busiest": 1}
+    assert told["plain"]["wire"] == {"in": (4 + 28 + 100) / 2, "out": (7 + 28) / 2, "fan": (7 + 28) / 2,
+                                     "most": (4 + 28 + 100 + 7 + 28) / 2}
+    assert told["aggregator"]["wire"]["fan"] == 9 * (4 + 28) / 2 and told["aggregator"]["wire"]["out"] == 16.0
+    assert told["busiest"] == told["aggregator"] and told["aggregator"]["forms"] == {"3": 1}
+    assert (told["plain"]["total"]["records_out"], told["plain"]["total"]["records_in"]) == (2, 1)
+    times = {name: {"core_most": 0.04} for name in told}
+    over = {(row["role"], row["what"]): row["over"] for row in figures.budgets(told, times, 65.0)}
+    assert over["plain", "core"] and over["plain", "memory MB"] and not over["plain", "bytes a second"]
+
+
+def test_scale_roles_is_handed_its_own_arguments(monkeypatch):
+    seen = []
+    fake = types.SimpleNamespace(main=lambda arguments: seen.append(arguments) or 3)
+    monkeypatch.setitem(sys.modules, "bellrack.lab.scale.roles", fake)
+    monkeypatch.setattr("bellrack.lab.scale.roles", fake, raising=False)
+    assert cli.main(["scale", "roles", "--of=parser", "--json=-"]) == 3
+    assert seen == [["--of=parser", "--json=-"]]
+
+
 def test_an_interrupted_sweep_ends_its_processes(tmp_path):
     file = tmp_path / "long.toml"
     file.write_text('name = "long"\nbalancers = 12\nservers = 18\nduration = 3600.0\nmemory_sizes = []')
