docs/CAPACITY.md: each role at 4,800 balancers, from slopes that were measured

Rows give result, formula, command, mark, budget, ratio, the size at which it breaks and the mechanism; tests redo the arithmetic from the slopes in the page, the fits from its values, and some counts from the build.

--- a/bellrack/lab/scale/fit.py
+++ b/bellrack/lab/scale/fit.py
@@ -12,6 +12,7 @@
 import numpy
 from scipy import linalg, stats
 
+ROUNDING = 1e-12  # of the largest value: what adds less to any is nought
 LEAST = 3  # different sizes: of two the error of a slope is nought, whatever they are
 
 
@@ -73,7 +74,8 @@
     found = stats.linregress([math.log(size) for size in sizes], [math.log(value) for value in values])
     slope, factor = float(found.slope), math.exp(found.intercept)
     residual = largest([factor * size ** slope for size in sizes], values)
-    return Fit(slope, factor, float(found.stderr), residual)
+    error = float(found.stderr) if len(set(values)) > 1 else 0.0  # where all are the same scipy has none
+    return Fit(slope, factor, error, residual)
 
 
 def fit_line(sizes: Sequence[float], values: Sequence[float]) -> Line:
@@ -86,6 +88,9 @@
     scale = numpy.abs(table).max(axis=0)  # guards against figures lost where a base is thousands of units
     (base, per_unit), *_ = linalg.lstsq(table / scale, wanted)
     base, per_unit = float(base / scale[0]), float(per_unit / scale[1])
+    least = ROUNDING * max(map(abs, values))
+    base = base if abs(base) > least else 0.0
+    per_unit = per_unit if abs(per_unit) * max(sizes) > least else 0.0
     left = float(((table @ [base, per_unit] - wanted) ** 2).sum()) / max(1, len(sizes) - 2)
     spread = linalg.inv((table / scale).T @ (table / scale))[1, 1] / scale[1] ** 2
     fitted = [base + per_unit * size for size in sizes]
--- a/bellrack/lab/scale/roles.py
+++ b/bellrack/lab/scale/roles.py
@@ -55,7 +55,8 @@
 STANDING, CHURN = 30, 4  # connections that a balancer has there, and that come and go a second
 PER_BALANCER = 1.2  # servers a balancer, as in the rough play that this one repeats
 BEGUN = 1000.0  # on the clock of plays
-REPEATS = 5
+REPEATS, TRIES = 5, 8
+CLEARLY, EXACT = 0.7, 1e-9  # of the line's largest residual; both are nought up to this
 
 SERVER_SIZES, QUICK_SERVERS = (60, 200, 600, 2000, 6000), (20, 40, 80, 160)
 
@@ -74,11 +75,10 @@
     fit: Fit | Line | None = None
 
     def fitted(self) -> Figure:
-        """With the form whose largest residual is least."""
-        forms = [fit_line(self.sizes, self.values)]
-        if min(self.values) > 0:
-            forms.append(fit_power(self.sizes, self.values))
-        return replace(self, fit=min(forms, key=lambda form: form.residual))
+        """With a line, unless a power's largest residual is clearly less."""
+        line = fit_line(self.sizes, self.values)
+        power = fit_power(self.sizes, self.values) if min(self.values) > 0 else line
+        return replace(self, fit=power if power.residual < CLEARLY * line.residual - EXACT else line)
 
 
 def figure(role: str, name: str, unit: str, of: str, sizes: Any, values: Any,
@@ -450,10 +450,11 @@
         self.chance, self.now = random.Random(seed), BEGUN
         self.servers = [lines.mark(f"server-{n:06d}") for n in range(round(PER_BALANCER * balancers))]
         self.listed = dict.fromkeys((mark & sums.MARK for mark in self.servers), True)
-        self.out: deque[tuple[int | None, bytes]] = deque()
+        self.out: deque[tuple[int, int | None, bytes]] = deque()
         self.all = [sums.Sums(n, balancers, lambda peer, data, n=n: self.out.append((n, peer, data)))
                     for n in range(balancers)]
-        self.reports = self.report_bytes = self.broadcast_bytes = self.replies = self.spent = 0
+        self.reports = self.report_bytes = self.broadcast_bytes = self.replies = 0
+        self.spent = self.heard = 0  # nanoseconds of the aggregator, and of who hears it
         self.standing: list[list[tuple[int, int]]] = [[] for _ in self.all]
         for own in range(balancers):
             for _ in range(STANDING):
@@ -495,23 +496,26 @@
         self.spent += time.process_time_ns() - begun
         self.reports += len(arrived)
         self.report_bytes += sum(len(data) for _, data in arrived)
-        for _, to, data in self.out:
-            if to is None:
-                self.broadcast_bytes += len(data)
-                hears.heard(self.now, 0, data, self.listed)
-            else:
-                self.replies += len(data)
+        said = [data for _, to, data in self.out if to is None]
+        self.replies += sum(len(data) for _, to, data in self.out if to is not None)
+        self.broadcast_bytes += sum(map(len, said))
         self.out.clear()
+        begun = time.process_time_ns()
+        for data in said:
+            hears.heard(self.now, 0, data, self.listed)
+        self.heard += time.process_time_ns() - begun
 
     def play(self, seconds: float, warm: float = 10.0) -> dict[str, float]:
         """A second's costs, once it has run warm."""
         while self.now < BEGUN + warm:
             self.turn()
-        self.reports = self.report_bytes = self.broadcast_bytes = self.replies = self.spent = 0
+        self.reports = self.report_bytes = self.broadcast_bytes = self.replies = 0
+        self.spent = self.heard = 0  # nanoseconds of the aggregator, and of who hears it
         for _ in range(int(seconds / sums.WORD_EACH)):
             self.turn()
         return {"datagrams": self.reports / seconds, "in": self.report_bytes / seconds,
                 "plain": self.broadcast_bytes / seconds, "spent": self.spent / seconds / 1000,
+                "heard": self.heard / seconds / 1000,
                 "out": (self.broadcast_bytes * (len(self.all) - 1) + self.replies) / seconds}
 
 
@@ -522,7 +526,8 @@
             ("datagrams", "datagrams in", "1/s", True), ("in", "bytes in", "B/s", True),
             ("out", "bytes out, to each balancer apart", "B/s", True),
             ("plain", "bytes in at a plain balancer", "B/s", True),
-            ("spent", "processor time", "us/s", False)):
+            ("spent", "processor time", "us/s", False),
+            ("heard", "processor time of hearing it at a plain balancer", "us/s", False)):
         yield figure("aggregator", name, unit, "balancers", sizes, [one[key] for one in played], counted)
 
     def kept(count: int) -> int:
@@ -653,6 +658,19 @@
                      came, [one[1] / 1000 for one in over])
     yield Figure(role, "connections that came over", "1", "connections standing", list(pairs),
                  came, False)
+    yield from restarts(quick)
+
+
+def restarts(quick: bool) -> Iterator[Figure]:
+    """How often a process that is started beside one that serves takes over from it."""
+    tries, sizes = (1, (2, 4, 8, 16)) if quick else (TRIES, (2, 100, 600, 1000, 3000))
+
+    async def play(count: int) -> bool:
+        async with standins.StandIns(deployment(), rows, servers=count) as around:
+            return await standins.met(around)
+
+    yield Figure("shutdown", f"hot restarts that came about, of {tries}", "1", "servers", list(sizes),
+                 [sum(asyncio.run(play(count)) for _ in range(tries)) for count in sizes], False)
 
 
 def start(quick: bool) -> Iterator[Figure]:
--- a/bellrack/lab/scale/standins.py
+++ b/bellrack/lab/scale/standins.py
@@ -245,6 +245,13 @@
     return spent - gave, took, around.counted(comes, "taken_over")
 
 
+async def met(around: StandIns) -> bool:
+    """Does a process that is started beside another one get its listening socket?"""
+    await around.start()
+    await asyncio.sleep(SETTLE)
+    return "after=True" in (await around.start()).text()
+
+
 async def started(around: StandIns) -> tuple[int, int]:
     """Processor nanoseconds and resident bytes of a child that serves and has no connection."""
     child = await around.start()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,6 +2,8 @@
 import asyncio
 import json
 import math
+import re
+import signal
 from pathlib import Path
 
 import pytest
@@ -13,6 +15,8 @@
 from bellrack.peers import sums
 
 SIZES = [50, 100, 200, 400, 800]
+PAGE = Path(__file__).parents[1] / "docs" / "CAPACITY.md"
+MARKS = ["measured", "extrapolated", "assumed"]
 
 
 def test_a_power_is_found_to_the_digit_and_its_error_is_that_of_the_textbook():
@@ -41,6 +45,8 @@
     flat = fit_line(SIZES, [247] * 5)
     assert (flat.base, flat.per_unit, flat.residual) == (
         pytest.approx(247), pytest.approx(0, abs=1e-9), pytest.approx(0, abs=1e-9))
+    assert flat.per_unit == 0 and fit_power(SIZES, [247] * 5).error == 0
+    assert fit_line(SIZES, [3 * n for n in SIZES]).base == 0
     # A tenth too much at the largest size: by plain least squares the smallest would be off by half.
     off = fit_line([10, 100, 1000, 10000], [11.0, 101.0, 1001.0, 11000.0])
     assert abs(off.at(10) / 11.0 - 1) < 0.05 and 0.04 < off.residual < 0.1
@@ -182,6 +188,19 @@
     assert not Path(folder).exists() and child.process.poll() is not None
 
 
+def test_a_process_that_is_met_and_one_that_is_not_are_told_apart(monkeypatch):
+    monkeypatch.setattr(standins, "SETTLE", 0.0)
+
+    async def play(name, after):
+        monkeypatch.setattr(standins.Child, "text", lambda self: f"event=serving name=b0 listen={name} "
+                                                                 f"after={self is children[-1] and after}")
+        async with standins.StandIns(roles.deployment(), roles.rows) as around:
+            children = around.children
+            return await standins.met(around)
+
+    assert asyncio.run(play("127.0.0.1:1", True)) and not asyncio.run(play("127.0.0.1:1", False))
+
+
 def test_connections_that_stand_are_counted_and_lines_come_through(monkeypatch):
     monkeypatch.setattr(standins, "SETTLE", 0.0)
 
@@ -189,7 +208,143 @@
         async with standins.StandIns(roles.deployment(), roles.rows) as around:
             memory = await standins.idle_pairs(around, [3, 6])
             spent = await standins.relayed(around, around.children[0], [5], 100)
-            return memory, spent, len(around.upstream), len(around.clients)
+            return memory, spent, len(around.upstream), len(around.clients), around.children
 
-    memory, spent, upstream, clients = asyncio.run(play())
+    memory, spent, upstream, clients, children = asyncio.run(play())
     assert min(memory) > 0 and spent[0] > 0 and upstream == clients == 6
+    assert [child.process.returncode for child in children] == [-signal.SIGKILL]  # none is left behind
+
+
+# The page.
+
+
+def figure_of(text):
+    """A number as the page writes it."""
+    return float(text.strip(" `").replace(",", "").removesuffix("%"))
+
+
+def tables(head):
+    """The rows of all tables of the page with these first columns, as mappings by column."""
+    lines_of = PAGE.read_text(encoding="utf-8").splitlines()
+    for at, line in enumerate(lines_of):
+        if line.startswith(f"| {head} |"):
+            columns = [cell.strip() for cell in line.strip("|").split("|")]
+            for row in lines_of[at + 2:]:
+                if not row.startswith("|"):
+                    break
+                cells = [cell.strip() for cell in row.strip("|").split("|")]
+                assert len(cells) == len(columns), row
+                yield dict(zip(columns, cells))
+
+
+class Slope:
+    """A row of the slopes: what was measured at a size, else its formula."""
+
+    def __init__(self, row):
+        self.row, self.unmeasured = row, 0
+        self.values = {int(size): figure_of(value) for size, _, value in
+                       (pair.partition(":") for pair in row["values by n"].split(";"))}
+
+    def __call__(self, size):
+        if size in self.values:
+            return self.values[size]
+        self.unmeasured += 1
+        return self.formula(size)
+
+    def formula(self, size):
+        return eval(self.row["formula"].strip("`"), {"__builtins__": {}}, {"n": size})
+
+
+def page():
+    slopes = {row["id"]: Slope(row) for row in tables("id")}
+    names = {row["name"].strip("`"): row for row in tables("name")}
+    values = {name: figure_of(row["value"]) for name, row in names.items()}
+    return slopes, names, values, list(tables("role | resource"))
+
+
+def result(row, slopes, values, **others):
+    """What the row's formula gives, with other values of names."""
+    return eval(row["how"].strip("`"), {"__builtins__": {}}, slopes | values | others)
+
+
+def near(value, text, digits=4):
+    """Is it what is written, to the digits that the page gives?"""
+    return math.isclose(value, figure_of(text), rel_tol=0.6 * 10 ** (1 - digits), abs_tol=1e-12)
+
+
+def test_each_row_of_the_page_names_a_command_a_mark_and_a_mechanism():
+    slopes, names, _, rows = page()
+    assert len(rows) > 50 and len(slopes) > 40
+    for row in rows:
+        used = set(re.findall(r"\b[A-Z]\d+(?=\()", row["how"]))
+        commands = {slopes[one].row["command"] for one in used} or {"arithmetic"}
+        assert set(row["command"].split(", ")) == commands, row
+        assert row["mark"] in MARKS and row["mechanism"] and row["role"] and row["resource"], row
+        named = set(re.findall(r"[a-z_]{2,}", row["how"]))
+        assert named <= set(names), row
+        if any(names[name]["where from"].startswith("assumed") for name in named) or not used:
+            assert row["mark"] == "assumed", row
+    for slope in slopes.values():
+        assert slope.row["command"].strip("`") in roles.ROLES
+        assert len(slope.values) >= 4
+    assert all(row["if it doubles"] and row["where from"] for row in names.values())
+
+
+def test_what_is_beyond_the_sizes_that_were_measured_is_not_marked_as_measured():
+    slopes, _, values, rows = page()
+    for row in rows:
+        for slope in slopes.values():
+            slope.unmeasured = 0
+        result(row, slopes, values)
+        if any(slope.unmeasured for slope in slopes.values()):
+            assert row["mark"] != "measured", row
+
+
+def test_each_result_follows_from_the_slopes_and_each_ratio_from_its_budget():
+    slopes, _, values, rows = page()
+    for row in rows:
+        told = row["at target"].split()[0]
+        assert near(result(row, slopes, values), told), row
+        if row["budget"] == "none":
+            assert row["ratio"] == row["breaks at"] == "-", row
+        else:
+            assert near(figure_of(told) / figure_of(row["budget"]), row["ratio"], 3), row
+
+
+def test_where_a_row_says_that_it_breaks_its_formula_meets_the_budget():
+    slopes, _, values, rows = page()
+    found = 0
+    for row in rows:
+        if row["breaks at"] not in ("-", "no size"):
+            name, size = row["breaks at"].split()
+            least, most = (result(row, slopes, values, **{name: figure_of(size) * by}) for by in (0.99, 1.01))
+            assert least <= figure_of(row["budget"]) <= most, row
+            found += 1
+            over = figure_of(size) < values[name]
+            assert over == (figure_of(row["ratio"]) > 1), row
+    assert found > 20
+
+
+def test_the_formulas_of_the_page_are_the_fits_of_its_values():
+    slopes, _, _, _ = page()
+    for name, slope in slopes.items():
+        if slope.row["formula"] == "none":
+            continue
+        sizes = list(slope.values)
+        form = fit_power if "**" in slope.row["formula"] else fit_line
+        fit = form(sizes, list(slope.values.values()))
+        for size in sizes:
+            assert slope.formula(size) == pytest.approx(fit.at(size), rel=2e-3), (name, size)
+        assert figure_of(slope.row["residual"]) == pytest.approx(100 * fit.residual, abs=0.2), name
+        assert figure_of(slope.row["error"]) == pytest.approx(fit.error, rel=0.1, abs=1e-3 * abs(
+            fit.slope if "**" in slope.row["formula"] else fit.per_unit or 1.0)), name
+
+
+def test_what_the_page_counts_is_what_is_counted_now():
+    """Cheap ones, to the digit: whoever changes a form renews the page."""
+    slopes, _, _, _ = page()
+    assert all(slopes["C1"].values[n] == len(roles.listing(n)) for n in (60, 6000))
+    assert slopes["G5"].values[600] == roles.unspoken(600)
+    assert slopes["F1"].values[4800] == len(json.dumps(roles.config_of(4800)))
+    change = roles.listing(6000, "draining", whole=False, generation=2)
+    assert slopes["C2"].values[6000] == len(roles.chunk(change))
