--- a/bellrack/lab/scale/figures.py
+++ b/bellrack/lab/scale/figures.py
@@ -59,9 +59,9 @@
 def records(data: bytes) -> int:
     """Of a datagram in a form whose records are of one size; of another, none."""
     form = data[0] if data else -1
-    if form in (sums.REPORT, sums.WORD):
+    if form in (sums.REPORT, sums.BROADCAST):
         return (len(data) - 1) // 3
-    return (len(data) - 1) // 4 if form in (sums.GROUPS, sums.PLACES) else 0
+    return (len(data) - 1) // 4 if form in (sums.GROUPS, sums.PLACEMENTS) else 0
 
 
 class Desk:
