A change counts as told 6 s after: discovery is tried within that, or the list is doubtful

Cause (read, not played): tries came up to 12 s apart and an unanswered call was given up after 4.5 s. Pacing and the list's age leave the policy file for bellrack/discovery_retry.py: connects are given up after 1.5 s, gaps are 2 s at most or the tier's 30 repeats a second; beside a call that says nothing a second goes out, the first is kept. Who is refused beyond 6 s and the grace sends new connections only to servers that took one lately.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -11,6 +11,7 @@
 
 from bellrack import model
 from bellrack.chance import Chance, step
+from bellrack.discovery_retry import Retry
 from bellrack.model import Call, Door, Leg, Result, Server, Settings
 from bellrack.peers.word import Word
 
@@ -30,7 +31,6 @@
 LOTS = 3  # servers, in the order of a call's lots, that are asked for room
 HOLDERS_FOR, HOLDS = 0.5, 2  # of the setup target only holders of its group are asked; connections make one
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
-WATCH_SPREAD, WATCH_RETRY = 0.5, 1.0  # seconds until the list service is first asked; and again, doubling
 SPARE_SHARE = 0.25  # of a call's wait, at most, is kept for the answer's way
 GROWTH, LEAST_PACE = 0.5, 8.0  # legs a second to a warm server: share of what it holds; never held back
 AHEAD, PACE = 2.0, 2.0  # a cold server is filled at most so much faster than evenly; legs, than that needs
@@ -138,9 +138,7 @@
 class Listed(Stage):
     """Rule 3: nothing new to a draining or gone server, from the moment we hear of it."""
 
-    def __init__(self, rack: Balancer):
-        super().__init__(rack)
-        self.ready: list[Server] = []  # as of the last change of the list
+    ready: list[Server] = []  # as of the last change of the list
 
     def take(self, call: Call) -> None:
         call.places = self.ready
@@ -466,7 +464,7 @@
         self.looks = False  # a look at them is due
         self.sizes: dict[int, float] = {}  # by kind of machine, where listed weights are live
         self.held = 0  # own connections and legs out, everywhere
-        self.watch_wait = WATCH_RETRY
+        self.retry = Retry(settings, self.chance)
         self.seen: dict[int, list[float]] = {}  # by zone: late servers and all that we hear of
         self.answer, self.listing, self.effect = Answer(self), Listed(self), Effect(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
@@ -476,7 +474,7 @@
         if settings.tells:
             door.wake(door.now + TELL_EVERY * (1 + self.chance.draw()), "tell")
         if settings.asks:
-            door.wake(door.now + WATCH_SPREAD * self.chance.draw(), "watch")
+            door.wake(door.now + self.retry.first(), "watch")
 
     def chain(self, *stages: Stage) -> None:
         for one, other in zip(stages, stages[1:]):
@@ -559,8 +557,7 @@
         self.kept.append(call)
 
     def listed(self, servers: list[Server]) -> None:
-        self.watch_wait = WATCH_RETRY
-        self.zone.looked = -math.inf
+        self.retry.answered()
         first = not self.fleet
         for server in servers:
             if server.stand is None:
@@ -571,10 +568,14 @@
                 # Guards against a restart that takes servers half warm for cold: others knew them before us.
                 self.starts(server, server.since if first else self.door.now, server.since)
                 server.stand.since = server.since
-        self.listing.ready = [s for s in self.fleet if s.state == model.READY and not s.out]
-        self.filled = (-math.inf, {})
+        self.refresh()
         self.word.listed(self.fleet)
 
+    def refresh(self) -> None:
+        """Other servers may be used, or some no longer."""
+        self.listing.ready = [s for s in self.fleet if s.usable]
+        self.zone.looked, self.filled = -math.inf, (-math.inf, {})
+
     def starts(self, server: Server, told: float, since: float) -> None:
         """It is cold since then, and we were told then; what it did before counts no more."""
         stand = server.stand
@@ -608,8 +609,7 @@
         fit = self.draw.healthy(server) and not self.draw.told_late(server)
         return server not in self.listing.ready or not fit
 
-    def unlisted(self) -> None:
-        """The list service failed: ask again later, each time later, never in step with the others."""
+    def unlisted(self, reached: bool = True) -> None:
+        """Discovery failed us; `reached` unless it did not even take the call."""
         if self.settings.asks:
-            self.door.wake(self.door.now + self.watch_wait * (0.5 + self.chance.draw()), "watch")
-            self.watch_wait = min(8.0, self.settings.ask_within, 2 * self.watch_wait)
+            self.door.wake(self.door.now + self.retry.gap(reached), "watch")
--- /dev/null
+++ b/bellrack/discovery_retry.py
@@ -0,0 +1,109 @@
+"""How calls to discovery follow one another, and how long the list in hand may be used without an answer.
+
+Owns the gaps between calls and the age of the list. It never opens a connection, never reads a clock (times
+are seconds, handed in) and never chooses a server.
+
+A change counts as told TOLD seconds after discovery had it and could be reached, whatever became of our
+calls; nothing new may be sent to a server that drains beyond the grace of a drain after that. At worst, with
+T the instant from which discovery can be reached and has the change, and a tier of TIER_RATE * GAP_MOST
+balancers or fewer:
+
+    a call that hangs while it connects began just before T: given up at T + CONNECT, T + 1.5
+    the next one begins GAP_MOST later at the latest, at T + 3.5
+    or one that was taken and is silent began just before T: another goes out by T + OVERLAP + LOOK, T + 2.25
+    2.5 s of the TOLD are left for the answer, and the grace for what is under way
+
+In a larger tier calls that were refused, or wait in turn, are repeated at the tier's rate: TIER_RATE a second
+over all balancers, whatever their number, so a gap may be longer than that. Who has no answer in time then,
+for whatever reason, has a doubtful list (`ListAge.doubtful`): discovery was reached since the list was last
+known to be good, and that is a window (TOLD, the grace, less SPARE) ago. From then on only servers that took
+a connection within the last window may get a new one: a server that drains turns new ones away, so one that
+took it was not yet draining, and a drain since then counts as told no sooner than TOLD after. While discovery
+cannot be reached at all nothing counts as told, and the list stands.
+"""
+from __future__ import annotations
+
+from bellrack.chance import Chance, step
+from bellrack.model import Settings
+
+TOLD = 6.0  # seconds from when discovery had a change, and could be reached, until it counts as told
+SPARE = 0.5  # seconds of that and of the grace which we leave: looks and what is under way
+CONNECT = 1.5  # seconds in which a connection to discovery has to come up
+GAP_FIRST, GAP_MOST = 0.5, 2.0  # seconds until the first call and the first repeat, at most; a later one
+OVERLAP = 2.0  # seconds without an answer after which a second call goes out beside the first, at most
+TIER_RATE = 30.0  # repeats a second, about, by all balancers of a tier, if discovery refuses them
+PATIENCE = 10.0  # seconds for which the first of two calls is kept: its place in the queue is the better one
+JITTER = 0.5  # the share of a gap that chance takes off: balancers lose their watches all at once
+DOUBLINGS = 10  # at most
+
+
+class Retry:
+    """The gaps between the calls of one balancer."""
+
+    def __init__(self, settings: Settings, chance: Chance):
+        self.settings, self.chance = settings, chance
+        self.own = Chance(step(chance.state))  # so that a call beside another moves no draw of the decisions
+        self.failures = self.overlaps = 0  # since the list last came
+
+    @property
+    def share(self) -> float:
+        """Seconds between two repeats of ours at the tier's rate."""
+        return self.settings.peers / TIER_RATE
+
+    @property
+    def patience(self) -> float:
+        return PATIENCE * max(1.0, self.share)
+
+    def answered(self) -> None:
+        self.failures = self.overlaps = 0
+
+    def first(self) -> float:
+        """Seconds from the start until the first call."""
+        return GAP_FIRST * self.chance.draw()
+
+    def gap(self, reached: bool = True) -> float:
+        """Seconds until the next call after one that failed. Where discovery was not even reached a call
+        costs it nothing, so the tier's size does not count."""
+        cap = min(GAP_MOST, max(GAP_FIRST, self.share)) * 2 ** self.failures
+        self.failures = min(DOUBLINGS, self.failures + 1)
+        most = min(GAP_MOST, self.settings.ask_within)
+        return self._drawn(min(cap, max(most, self.share) if reached else most), self.chance)
+
+    def overlap(self) -> float:
+        """Seconds that a call may be silent before another goes out beside it."""
+        cap = max(OVERLAP, self.share * 2 ** self.overlaps)
+        self.overlaps = min(DOUBLINGS, self.overlaps + 1)
+        return self._drawn(cap, self.own)
+
+    def window(self) -> float:
+        """Seconds for which the last proof, of the list or of a server, stands."""
+        # Guards against a tier so large that a gap is longer than a list stands without a call: from then on
+        # each change counts as told that long after it was made.
+        told = TOLD if self.share <= self.settings.ask_within else min(TOLD, self.settings.ask_within)
+        return told + self.settings.drain_grace - SPARE
+
+    def _drawn(self, cap: float, chance: Chance) -> float:
+        return cap * (1 - JITTER * chance.draw())
+
+
+class ListAge:
+    """Since when the list in hand may lack a change that counts as told."""
+
+    def __init__(self, now: float):
+        self.good, self.reached = now, False  # reached: discovery took a call of ours since then
+
+    def confirmed(self, now: float) -> None:
+        """Discovery wrote that this is the list, or what has changed of it."""
+        self.good, self.reached = now, False
+
+    def met(self) -> None:
+        """It took a connection of ours: from now on it counts as one that could be reached."""
+        self.reached = True
+
+    def unreached(self, begun: float) -> None:
+        """It could not be reached by a call that began then."""
+        if not self.reached:
+            self.good = max(self.good, begun)
+
+    def doubtful(self, now: float, window: float) -> bool:
+        return self.reached and now - self.good >= window
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -4,7 +4,8 @@
 
     listed(servers)      these servers are new to the list or their entries changed
     withheld(server, out)  operators took this server out, or put it back
-    unlisted()           the list service failed us; what was listed stays
+    unlisted(reached)    discovery failed us, or was not even reached; what was listed stays
+    refresh()            which servers are usable has changed, by no list
     arrived(call)        a call to decide; it is owed one final answer
     resumed(leg)         a connection that stood before the instance started
     stands(leg)          the leg's connection is up
@@ -94,9 +95,16 @@
     kind: int = 0  # of machine
     since: float = 0.0  # its last start; 0 for long ago
     out: bool = False  # taken out by hand, whatever the list says
+    proved: float = -math.inf  # when a new connection was last sent to it that it took
+    doubtful: bool = False  # the list is, and this server proved too little since
     stand: Any = None
     host: Any = None  # the host's own record of it
 
+    @property
+    def usable(self) -> bool:
+        """May it get anything new?"""
+        return self.state == READY and not self.out and not self.doubtful
+
 
 class Stand:
     """What the decisions keep of one server: what this balancer has seen of it."""
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -1,23 +1,27 @@
 """The list of servers, over HTTP/1.1.
 
-Owns the questions to the list service: one standing watch and single fetches, each on a connection of its
-own, and the change to another address of that service. It never decides when to ask where the decisions do,
-never keeps the list, and takes silence for failure.
+Owns the calls to discovery: one standing watch, a younger call beside it while it says nothing, and single
+lists, each on a connection of its own; the change to another address; and what follows when the list in hand
+is doubtful. It never decides when to call where the decisions do, never keeps the list, and takes silence for
+failure. Gaps and ages are worked out in `bellrack/discovery_retry.py`.
 """
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
 from typing import Any
 
-from bellrack.net import lines
+from bellrack import discovery_retry
+from bellrack.net import lines, log
 from bellrack.net.servers import Outgoing
 
-SILENT = 4.5  # seconds without a whole line: an empty one comes every 2 s
+SILENT = 4.5  # seconds without a whole line on a watch that has begun: an empty one comes every 2 s
 LOOK = 0.25  # seconds between looks for that
 AGAIN = 0.25  # of the grace of a drain: where lists are pushed a change counts as told while no watch is open
 
 
 class Question(Outgoing):
-    """One call of the list service."""
+    """One call to discovery: a watch, or a list."""
 
     side = "discovery"
     leads = True  # list changes go first in a batch
@@ -25,15 +29,27 @@
     def __init__(self, node: Any, address: tuple[str, int], watch: bool):
         super().__init__(node)
         self.address, self.watch = address, watch
-        self.reply, self.body, self.asked, self.heard = lines.Answer(), b"", False, node.now
+        self.reply, self.body, self.asked = lines.Answer(), b"", False
+        self.started = self.heard = node.now
         self.objects, self.begun = lines.Objects(), False
-        self.open(address, SILENT)
+        self.open(address, discovery_retry.CONNECT)
         if not watch:
-            self.lasts(SILENT, self.fail, "fetch-silent")  # a watch is looked after for as long as it lasts
+            self.lasts(SILENT, self.fail, "list-silent")  # a watch is looked after for as long as it lasts
+
+    @property
+    def reached(self) -> bool:
+        """Discovery took the connection, whatever came of it."""
+        return self.transport is not None
+
+    @property
+    def waits(self) -> bool:
+        """Has no head yet: it may have to wait for its turn."""
+        return not self.reply.status
 
     def ready(self) -> None:
-        if not self.asked and not self.ended:
+        if self.reached and not self.asked:
             self.asked = True
+            self.node.discovery.met(self)
             query = f"?watch=1&after={self.node.version}" if self.watch else ""
             self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
                        f"Accept: application/json\r\n\r\n".encode())
@@ -51,28 +67,33 @@
             elif self.watch:
                 self.changes()
             elif self.reply.done or self.ended == "fin" and self.reply.left is None and self.reply.status:
-                self.finish("fetched")
+                self.finish("listed")
                 if self.address == self.node.discovery.address:
                     self.node.learn(lines.listing(lines.parsed(self.body)), fetched=True)
+                    self.node.discovery.confirmed(self.started)
         except lines.LineError as error:
             self.fail(str(error).partition(":")[0])
         if self.ended or self.reply.done:
             self.fail(f"list-{self.ended or 'done'}")
 
     def changes(self) -> None:
+        discovery = self.node.discovery
         while b"\n" in self.body and not self.over:
             line, end, self.body = self.body.partition(b"\n")
             if news := self.objects.feed(line + end):
                 news = lines.listing(news)
-                self.node.discovery.told(self)
-                self.node.learn(news, counts=self is not self.node.discovery.former)
+                discovery.spoke(self, news=True)
+                self.node.learn(news, counts=self is not discovery.former)
             elif self.objects.whole and not self.begun:
+                discovery.spoke(self, news=False)
                 self.node.confirmed()  # it stands and has nothing new
-            self.begun = True
             if self.objects.whole:
+                self.begun = True
                 # Guards against a watch kept alive by bytes that never make a line, or lines that never make
                 # an object: what it would have to tell counts as told all the same.
                 self.heard = self.node.now
+                if self is discovery.standing:
+                    discovery.confirmed(self.node.now)
 
     def fail(self, reason: str) -> None:
         if not self.over:
@@ -86,62 +107,128 @@
 
 
 class Discovery:
-    """The watch, while one stands or is asked for, and fetches."""
+    """The watch, while one stands or is asked for, the call beside it, and lists."""
 
-    def __init__(self, node: Any, address: tuple[str, int]):
-        self.node, self.address = node, address
-        self.standing: Question | None = None
-        self.former: Question | None = None  # of the address before, until the new one has told its list
+    def __init__(self, node: Any, address: tuple[str, int], call: Callable[..., Any] = Question):
+        self.node, self.address, self.call = node, address, call
+        self.standing: Any = None  # the watch, or the oldest call for one
+        self.younger: Any = None  # the call beside one that says nothing
+        self.former: Any = None  # of the address before, until the new one has told its list
+        self.overlap_at = math.inf  # when the next goes out beside the standing one
+        self.age = discovery_retry.ListAge(node.begun)
+        self.doubts = False  # the list is doubtful
 
     def watch(self, on: bool = True) -> None:
         if on and self.standing:
             return  # guards against a late retry that ends the watch which a change of address has brought
         self.end("watch-ended")
         if on:
-            self.standing = Question(self.node, self.address, True)
+            self.standing = self.call(self.node, self.address, True)
+            self.overlap_at = self.node.now + self.node.balancer.retry.overlap()
 
     def end(self, reason: str) -> None:
-        if self.standing:
-            self.standing.stop(reason)
-            self.standing = None
+        for question in (self.standing, self.younger):
+            if question:
+                question.stop(reason)
+        self.standing = self.younger = None
 
     def fetch(self) -> None:
-        Question(self.node, self.address, False)
+        self.call(self.node, self.address, False)
 
     def move(self, address: tuple[str, int]) -> None:
         """Another address from now on. Its versions are its own, so the first list is asked for whole; till
         it has come, the watch at the old address tells what it still has to."""
         self.address, self.node.version = address, 0
-        if self.standing and self.standing.reply.status:
+        self.node.balancer.retry.answered()
+        if self.standing and not self.standing.waits:
             self.former, self.standing = self.standing, self.former
         self.end("watch-replaced")
         self.watch()
 
-    def told(self, question: Question) -> None:
-        """A watch brings news. The first of a new address replaces the old one's."""
-        if question is self.standing and self.former:
+    def spoke(self, question: Any, news: bool) -> None:
+        """A call has brought a whole line, about to be heeded. Of two the one that speaks first is the watch;
+        the first list of a new address replaces the old one's."""
+        if question is self.former:
+            return
+        if question is self.younger:
+            self.standing, self.younger = self.younger, self.standing
+        if self.younger:
+            self.younger.stop("watch-overtaken")
+            self.younger = None
+        if self.former and news:
             self.former.stop("watch-replaced")
             self.former = None
 
-    def failed(self, question: Question) -> None:
+    def met(self, question: Any) -> None:
+        """Discovery took this call."""
+        if question is not self.former:
+            self.age.met()
+
+    def confirmed(self, since: float) -> None:
+        """The list is what discovery had then, and was heeded."""
+        self.age.confirmed(since)
+        self.node.balancer.retry.answered()
+        self.judge()
+
+    def failed(self, question: Any) -> None:
         if question is self.former:
             self.former = None  # expected, so not a failure of the list
             return
+        if not question.reached:
+            self.age.unreached(question.started)
+        if question is self.younger or question is self.standing and self.younger:
+            # The other one may still be answered; the next beside it goes out as if there were none.
+            self.standing = self.younger if question is self.standing else self.standing
+            self.younger = None
+            self.node.counters["list_failures"] += 1
+            self.overlap_at = self.node.now + self.node.balancer.retry.gap(question.reached)
+            return
         if question is self.standing:
             self.standing = None
             if not self.node.settings.asks:  # changes come unasked there, so the host holds the watch
                 self.node.after(AGAIN * self.node.settings.drain_grace, self.watch)
-        self.node.unlisted()
+        self.node.unlisted(question.reached)
 
     def look(self) -> None:
-        """A watch that is cut off says nothing. One that had been answered is renewed at once: guards against
-        a drain that is told meanwhile and counts as heard 6 s later. One that never was has failed."""
+        """A watch that is cut off says nothing. One that had begun is renewed at once: guards against a drain
+        that is told meanwhile and counts as heard 6 s later. One that has not begun may only wait for its
+        turn, and who gives that up goes to the end of the queue: it is kept, and another sent beside it."""
         self.node.after(LOOK, self.look)
-        if self.former and self.node.now - self.former.heard > SILENT:
+        now = self.node.now
+        if self.former and now - self.former.heard > SILENT:
             self.former.fail("watch-silent")
-        if self.standing and self.node.now - self.standing.heard > SILENT:
-            if self.standing.reply.status:
+        if (watch := self.standing) and not watch.waits and now - watch.heard > SILENT:
+            if watch.begun:
                 self.end("watch-silent")
                 self.watch()
             else:
-                self.standing.fail("watch-silent")
+                watch.fail("watch-silent")  # half an answer
+        elif watch and not watch.begun and now >= self.overlap_at:
+            self.overlap()
+        self.judge()
+
+    def overlap(self) -> None:
+        """The standing call has not been answered for long."""
+        self.node.counters["list_failures"] += 1
+        retry = self.node.balancer.retry
+        if self.younger and self.node.now - self.standing.started > retry.patience:
+            self.standing, self.younger = self.younger, self.standing
+        if self.younger:
+            self.younger.stop("watch-late")
+        self.younger = self.call(self.node, self.address, True)
+        self.overlap_at = self.node.now + retry.overlap()
+
+    def judge(self) -> None:
+        """May the list still be used for whatever it names?"""
+        window = self.node.balancer.retry.window()
+        doubts = self.age.doubtful(self.node.now, window)
+        if doubts != self.doubts:
+            self.doubts = doubts
+            self.node.counters["doubtful_lists"] += doubts
+            log.tell("list", doubtful=doubts)
+            if not doubts:
+                self.node.doubt(math.inf)
+        if doubts:
+            self.node.doubt(window)
+        if self.age.doubtful(self.node.now, window / 2):
+            self.node.prove(window / 2)
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -33,7 +33,7 @@
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
 DATAGRAM = 256  # bytes
-LISTED = 2.0  # seconds after the start for which we are not ready without a word of the list service
+LISTED = 2.0  # seconds after the start for which we are not ready without a word of discovery
 WAIT = 0.02  # seconds between looks for that
 
 
@@ -50,7 +50,7 @@
         self.clients: dict[Client, None] = {}
         self.callers: dict[Caller, None] = {}  # operators whose call is not whole, oldest first
         self.version = 0
-        self.heard = False  # from the list service, since the start
+        self.heard = False  # from discovery, since the start
         self.machines: dict[str, int] = {}  # kinds by name, as the list brings them
         self.out: dict[int, str] = {}  # servers taken out by hand: those once listed, by mark
         self.peers: Peers | None = None
@@ -232,6 +232,7 @@
             self.resume(leg)
         else:
             leg.call.host.counted_as("completed")
+            leg.server.proved = max(leg.server.proved, leg.sent)
             self.stand(leg)
         if self.leaving and not self.giver:
             self.move(leg.call)
@@ -296,9 +297,27 @@
         self.heard = True
         self.balancer.listed([])
 
-    def unlisted(self) -> None:
+    def unlisted(self, reached: bool) -> None:
         self.counters["list_failures"] += 1
-        self.balancer.unlisted()
+        self.balancer.unlisted(reached)
+
+    def doubt(self, window: float) -> None:
+        """The list may lack what counts as told: new connections go only to servers that took one within the
+        window (seconds). Infinite: the list is good again."""
+        changed = []
+        for server in self.servers.values():
+            doubtful = self.now - server.proved > window
+            if server.doubtful != doubtful:
+                server.doubtful = doubtful
+                changed.append(server)
+        if changed:
+            self.balancer.refresh()
+
+    def prove(self, since: float) -> None:
+        """Servers that took no connection for so long (seconds) get the next one: guards against a list that
+        becomes doubtful, and then only servers that took one lately, fewer and fewer, may be used."""
+        for server in self.balancer.listing.ready:
+            server.stand.missed = server.stand.missed or self.now - server.proved > since
 
     def look(self) -> None:
         """Once a second: tell of servers whose messages are late, and end what has gone silent."""
@@ -378,7 +397,7 @@
         await self.hear()
 
     async def hear(self) -> None:
-        """Until the list service has said something, or failed, or for a while."""
+        """Until discovery has said something, or failed, or for a while."""
         end = self.begun + LISTED
         while not self.heard and not self.counters["list_failures"] and self.clock() < end:
             await asyncio.sleep(WAIT)
@@ -449,7 +468,7 @@
             self.reopening = self.loop.create_task(self.doors.reopen())
 
     def can_serve(self) -> bool:
-        """It takes calls and knows servers, by the list service or, if that says nothing, from before."""
+        """It takes calls and knows servers, by discovery or, if that says nothing, from before."""
         listed = self.heard or bool(self.servers) and self.clock() - self.begun > LISTED
         return listed and self.doors.listener is not None and not self.leaving
 
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -129,7 +129,7 @@
         server = self.leg.server
         if self.answered_already():
             self.end(model.NO_CONN, "client-answered")
-        elif not self.resumes and (server.state != model.READY or server.out):
+        elif not self.resumes and not server.usable:
             self.end(model.NO_CONN, "drain-heard")
         else:
             self.written = True
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,502 @@
+"""Told after 6 s: whatever becomes of calls to discovery, nothing new goes to a server that drains later than
+6 s and the grace after discovery had it and could be reached. On virtual time, with many balancers at a
+service of ten lists a second, and on real connections."""
+import asyncio
+import heapq
+import itertools
+import json
+import socket
+
+import pytest
+from helpers import Peer, World, played, settings
+from test_net import HEAD, chunk
+
+from bellrack import discovery_retry, model
+from bellrack.books import Books
+from bellrack.chance import Chance
+from bellrack.model import Call, Result
+from bellrack.net import discovery
+from bellrack.net import node as host
+from bellrack.net.discovery import Discovery
+from bellrack.net.log import Counters
+from bellrack.net.servers import ServerLink
+
+A_SECOND, PATIENCE = 10, 2.0  # lists that the service writes; seconds until a call in its queue gets 503
+BOUND = discovery_retry.TOLD + 1.0  # and the grace
+DRAINS, SERVERS = 3, 8  # the one that drains, by its mark; all
+
+
+class Modelled:
+    """A call to discovery whose far side is modelled; what Discovery reads of a Question, and no more."""
+
+    def __init__(self, node, address, watch):
+        self.node, self.started, self.heard = node, node.now, node.now
+        self.reached = self.begun = self.over = False
+        self.waits = True
+        node.service.called(self)
+
+    def fail(self, reason):
+        if not self.over:
+            self.over = True
+            self.node.discovery.failed(self)
+
+    def stop(self, reason):
+        self.over = True
+
+
+class Service:
+    """Discovery as the page has it: calls in turn, 503 for one that waited too long. It works on calls that
+    were given up too, as it may not notice."""
+
+    def __init__(self, world):
+        self.world, self.queue, self.standing, self.calls, self.busy = world, [], [], 0, False
+        self.mode, self.most_open = "", 0  # up, refused, lost, 503 or silent
+        self.drained, self.open = False, {}
+
+    def called(self, call):
+        self.calls += 1
+        mine = [one for one in self.open.get(call.node, ()) if not one.over] + [call]
+        self.open[call.node] = mine
+        self.most_open = max(self.most_open, len(mine))
+        wait = discovery_retry.CONNECT if self.mode == "lost" else 0.001
+        self.world.after(call.node, wait, self.connected, call, self.mode)
+
+    def connected(self, call, mode):
+        if call.over or not mode:
+            return
+        if mode in ("refused", "lost"):
+            call.fail(mode)
+            return
+        call.reached = True
+        call.node.discovery.met(call)
+        if mode == "503":
+            call.fail("status-503")
+        elif mode == "up":
+            self.queue.append(call)
+            self.world.after(call.node, PATIENCE, self.waited, call)
+            if not self.busy:
+                self.work()
+
+    def waited(self, call):
+        if call in self.queue:
+            self.queue.remove(call)
+            call.fail("status-503")
+
+    def work(self):
+        self.busy = bool(self.queue)
+        if self.busy:
+            call = self.queue.pop(0)
+            if self.mode == "up":
+                self.world.after(call.node, 1 / A_SECOND, self.answer, call)
+            self.world.after(None, 1 / A_SECOND, self.work)
+
+    def answer(self, call):
+        if not call.over and self.mode == "up":
+            call.waits, call.begun, call.heard = False, True, call.node.now
+            call.node.discovery.spoke(call, news=True)
+            call.node.listed(self.drained)
+            call.node.discovery.confirmed(call.node.now)
+            self.standing.append(call)
+            self.world.after(call.node, 2.0, self.empty_line, call)
+
+    def empty_line(self, call):
+        if not call.over and call in self.standing:
+            call.heard = call.node.now
+            call.node.discovery.confirmed(call.node.now)
+            self.world.after(call.node, 2.0, self.empty_line, call)
+
+    def becomes(self, mode):
+        """Those that stand or wait end, but where it only falls silent: then they stay open, and say nothing
+        any more for ever."""
+        self.mode, self.queue, waiting = mode, [], self.queue
+        standing, self.standing = self.standing, []
+        for call in standing + waiting if mode not in ("silent", "up") else ():
+            self.world.after(call.node, 0.0, call.fail, "list-rst")
+
+
+class Modelling(Books):
+    """A balancer with the program's own Discovery and decisions, on the clock of its world."""
+
+    unlisted, doubt, prove, begun = host.Node.unlisted, host.Node.doubt, host.Node.prove, 100.0
+
+    def __init__(self, world, number, peers):
+        self.world, self.service, self.counters = world, world.service, Counters()
+        super().__init__(settings(peers=peers), 7 + 104729 * number, world.now)
+        self.has, self.draws = False, Chance(number)
+        self.sent, self.turned, self.doubtful = [], [], []  # times; of legs also to whom
+        self.discovery = Discovery(self, ("", 0), Modelled)
+        self.listed(False)
+        world.after(self, 0.25 * self.draws.draw(), self.discovery.look)
+
+    def listed(self, drained):
+        self.has = drained
+        self.entries([(mark, model.DRAINING if drained and mark == DRAINS else model.READY, 0, 0, 1.0, 0.0, 0)
+                      for mark in range(SERVERS)], True)
+
+    def after(self, wait, what, *values):
+        self.world.after(self, wait, what, *values)
+
+    def wake(self, when, what):
+        self.world.after(self, when - self.now, self.woke, what)
+
+    def woke(self, what):
+        self.balancer.woke(what)
+
+    def watch(self, on=True):
+        self.discovery.watch(on)
+
+    def comes(self):
+        """A client."""
+        self.after(0.4 + 0.2 * self.draws.draw(), self.comes)
+        self.balancer.arrived(Call(self.settings.types[0], self.now + 3.0, self.now))
+
+    def send(self, call, server, until):
+        leg = self.begin(call, server)
+        self.sent.append((self.now, server.mark))
+        self.after(0.005, self.settles, leg)
+        return leg
+
+    def settles(self, leg):
+        if leg.server.mark == DRAINS and self.now > self.world.drain_at:
+            self.ended(leg, Result(model.FULL), leg.call.done)  # a server that drains turns new ones away
+        else:
+            leg.server.proved = max(leg.server.proved, leg.sent)
+            self.stand(leg)
+            self.after(0.3, self.ended, leg, Result(model.COMPLETED), True)
+
+    def reject(self, call, wait=0.0):
+        call.done = True
+        self.turned.append(self.now)
+
+    release = reject
+
+    def move(self, call): ...
+    def probe(self, server): ...
+    def tell(self, peer, data): ...
+    def log(self, text): ...
+
+
+class Tier:
+    """So many balancers, whose watches stand, and their discovery. Drains are known to discovery at once."""
+
+    def __init__(self, peers, clients=0):
+        self.now, self.order, self.agenda, self.drain_at = 100.0, itertools.count(), [], float("inf")
+        self.service = Service(self)
+        self.nodes = [Modelling(self, number, peers) for number in range(peers)]
+        for node in self.nodes:
+            node.discovery.watch()
+            call = node.discovery.standing
+            call.reached = True
+            self.service.mode = "up"
+            self.service.answer(call)
+            self.service.mode = ""
+            if node in self.nodes[:clients]:
+                self.after(node, node.draws.draw(), node.comes)
+        self.service.calls, self.service.mode = 0, "up"
+
+    def after(self, node, wait, what, *values):
+        heapq.heappush(self.agenda, (self.now + wait, next(self.order), node, what, values))
+
+    def run(self, seconds, look=None):
+        end = self.now + seconds
+        while self.agenda[0][0] <= end:
+            self.now, _, node, what, values = heapq.heappop(self.agenda)
+            if node:
+                node.now = self.now
+            what(*values)
+            if look:
+                look()
+        self.now = end
+
+    def drain(self):
+        self.drain_at = self.now
+        self.service.drained = True
+
+    @property
+    def untold(self):
+        """Balancers that may still send something new to the server that drains."""
+        return [node for node in self.nodes if node.servers[DRAINS].usable]
+
+    @property
+    def without(self):
+        return [node for node in self.nodes if not node.has]
+
+
+@pytest.mark.parametrize("how", ["refused", "lost", "503"])
+@pytest.mark.parametrize("peers", [1, 3, 20])
+def test_down_8_s_and_back_with_a_change_made_meanwhile_has_come_6_s_later(peers, how):
+    tier = Tier(peers)
+    tier.run(3.3)
+    tier.service.becomes(how)
+    tier.run(4.0)
+    tier.drain()
+    tier.run(4.0)
+    tier.service.becomes("up")
+    tier.run(discovery_retry.TOLD)
+    assert not tier.without
+
+
+@pytest.mark.parametrize("peers", [1, 3, 20])
+def test_a_call_that_is_taken_and_never_answered_has_another_beside_it_and_no_third(peers):
+    # Guards against a call that hangs for good: those before the change of mode are dead.
+    for at in (2.0, 3.1, 4.7):  # while watches stand, while they are renewed, while those calls hang
+        tier = Tier(peers)
+        tier.run(3.0)
+        tier.service.becomes("silent")
+        tier.run(at + 4.5)
+        tier.drain()
+        tier.service.becomes("up")
+        tier.run(discovery_retry.TOLD)
+        assert not tier.without and tier.service.most_open == 2
+
+
+def test_while_discovery_cannot_be_reached_the_list_stands():
+    for how in ("refused", "lost"):
+        tier = Tier(3)
+        tier.service.becomes(how)
+        tier.run(60.0)
+        assert len(tier.untold) == 3 and not any(node.discovery.doubts for node in tier.nodes)
+
+
+def sends_after(tier, when):
+    return [at for node in tier.nodes for at, mark in node.sent if mark == DRAINS and at > when]
+
+
+def test_refused_for_20_s_200_balancers_have_the_list_in_time_or_leave_what_may_drain(capsys):
+    """And they neither storm a service of ten lists a second, nor stop serving."""
+    tier = Tier(200, clients=20)
+    tier.run(5.0)
+    tier.service.becomes("503")
+    tier.run(0.5)
+    tier.drain()
+    told = tier.now + BOUND
+    tier.run(BOUND)
+    assert not tier.untold and len(tier.without) == 200
+    tier.run(20.0 - 0.5 - BOUND)
+    refused = tier.service.calls
+    tier.service.becomes("up")
+    begun = tier.now
+    while tier.without:
+        tier.run(1.0, lambda: None)
+        assert tier.now < begun + 90
+        assert not tier.untold
+    sent = sum(at > told for node in tier.nodes for at, _ in node.sent)
+    turned = sum(at > told for node in tier.nodes for at in node.turned)
+    with capsys.disabled():
+        print(f"\n200 balancers refused for 20 s: {refused} calls meanwhile, {tier.service.calls} in all; "
+              f"all have the list {tier.now - begun:.0f} s after")
+        print(f"20 of them with clients, in doubt: {sent} legs, {turned} turned away")
+    assert not sends_after(tier, told)
+    assert refused <= 20 * 2 * discovery_retry.TIER_RATE and tier.service.calls <= 10 * 200
+    assert turned < sent / 4
+
+
+def test_down_8_s_200_balancers_have_the_list_in_time_or_leave_what_may_drain(capsys):
+    tier = Tier(200, clients=20)
+    tier.run(5.0)
+    tier.service.becomes("refused")
+    tier.run(3.0)
+    tier.drain()
+    tier.run(5.0)
+    assert len(tier.untold) == 200
+    before = tier.service.calls
+    tier.service.becomes("up")
+    tier.run(1.0)
+    assert not any(node.discovery.doubts for node in tier.nodes)  # it counts from the return
+    tier.run(BOUND - 1.0)
+    had = 200 - len(tier.without)
+    assert not tier.untold
+    told = tier.now
+    tier.run(40.0)
+    with capsys.disabled():
+        print(f"\n200 balancers, discovery down for 8 s: {had} have the list in time, {before} calls while "
+              f"down, {tier.service.calls - before} after")
+    assert had > 0.8 * A_SECOND * (BOUND - discovery_retry.GAP_MOST)
+    assert not tier.without and not sends_after(tier, told) and tier.service.calls - before <= 5 * 200
+
+
+def test_a_large_tier_repeats_at_its_own_rate_and_a_small_one_within_the_bound():
+    for peers in (1, 60, 200, 4800):
+        retry = discovery_retry.Retry(settings(peers=peers), Chance(5))
+        gaps = [retry.gap() for _ in range(400)][10:]
+        rate = peers / (sum(gaps) / len(gaps))
+        assert rate <= 1.5 * discovery_retry.TIER_RATE or peers < 60
+        assert max(gaps) <= discovery_retry.GAP_MOST or peers > 60
+        assert max(retry.gap(reached=False) for _ in range(40)) <= discovery_retry.GAP_MOST
+
+
+def test_the_arithmetic_of_the_bound():
+    worst = discovery_retry.CONNECT + discovery_retry.GAP_MOST + discovery.LOOK
+    assert worst <= discovery_retry.TOLD - 2.0
+    assert worst >= discovery_retry.OVERLAP + discovery.LOOK
+    retry = discovery_retry.Retry(settings(drain_grace=0.0), Chance(5))
+    assert discovery.SILENT + discovery.LOOK < retry.window() < discovery_retry.TOLD
+    # Of a tier whose gaps are longer than a list stands without a call, each change is told that soon.
+    assert discovery_retry.Retry(settings(peers=4800, ask_within=3.0), Chance(5)).window() < 3.0 + 1.0
+
+
+# On real connections. Times are a tenth, order and counts are looked at.
+
+@pytest.fixture
+def quick(monkeypatch):
+    for name, value in {"GAP_FIRST": 0.05, "GAP_MOST": 0.2, "OVERLAP": 0.2, "CONNECT": 0.15}.items():
+        monkeypatch.setattr(discovery_retry, name, value)
+    monkeypatch.setattr(discovery, "LOOK", 0.025)
+
+
+def news(world, number=0, version=50):
+    """The change that a server drains."""
+    entry = world.entry(number, world.entries[number]["hostPort"], "terminating")
+    return chunk(json.dumps({"generation": version, "reset": False, "instances": [entry]}) + "\n")
+
+
+def server(world, number):
+    return next(one for one in world.node.servers.values() if one.host.name == f"s-{number}")
+
+
+async def drained(world, number=0):
+    await world.until(lambda: server(world, number).state == model.DRAINING)
+
+
+HALVES = [b"", b"HTTP/1.1 200 OK\r\nTransfer-Enc", HEAD, HEAD + b"3f\r\n{\"generation\": 5"]
+
+
+@pytest.mark.parametrize("said", HALVES)
+@pytest.mark.parametrize("first", [True, False])
+@played
+async def test_half_an_answer_brings_another_call_and_whichever_speaks_is_heeded(quick, said, first):
+    async with World(servers=2) as world:
+        one, _ = await world.question()
+        one.writer.write(said)
+        other, target = await world.question()
+        assert target.endswith("?watch=1&after=41") and world.node.counters["list_failures"] == 1
+        speaks, ends = (one, other) if first and said in (b"", HEAD) else (other, one)
+        speaks.writer.write(HEAD * (speaks is other or not said) + news(world))
+        await drained(world)
+        assert await ends.line() == "rst"
+        assert world.node.discovery.standing.begun and world.node.discovery.younger is None
+
+
+@played
+async def test_when_the_elder_of_two_calls_fails_the_younger_goes_on_alone(quick):
+    async with World(servers=2) as world:
+        one, _ = await world.question()
+        two, _ = await world.question()
+        world.node.discovery.overlap_at = float("inf")
+        one.end("rst")
+        await world.until(lambda: world.node.counters["list_failures"] == 2)
+        world.node.discovery.overlap_at = float("inf")
+        await world.until(lambda: world.node.discovery.standing and not world.node.discovery.younger)
+        two.writer.write(HEAD + news(world))
+        await drained(world)
+        assert world.questions.empty()
+
+
+@played
+async def test_a_reset_after_the_head_and_a_refusal_are_followed_by_another_call(quick):
+    async with World(servers=2) as world:
+        one, _ = await world.question()
+        one.writer.write(HEAD)
+        await world.until(lambda: not world.node.discovery.standing.waits)
+        one.end("rst")
+        two, _ = await world.question()
+        two.writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        three, _ = await world.question()
+        three.writer.write(HEAD + news(world))
+        await drained(world)
+        assert world.node.counters["list_failures"] == 2
+
+
+def full_door():
+    """A listener whose queue is full: a connection to it does not come up. And what fills it."""
+    door = socket.socket()
+    door.bind(("127.0.0.1", 0))
+    door.listen(0)
+    door.setblocking(False)
+    fillers = []
+    for _ in range(4):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(door.getsockname())
+        fillers.append(filler)
+    return door, fillers
+
+
+@played
+async def test_moved_into_a_dead_address_it_tries_on_and_has_the_list_when_that_lives(quick):
+    async with World(servers=2) as world:
+        old, _ = await world.question()
+        old.writer.write(HEAD + chunk("\n"))
+        await world.until(lambda: world.node.heard)
+        door, fillers = full_door()
+        world.node.queue(world.node.discovery.move, door.getsockname())
+        await world.until(lambda: world.node.counters["list_failures"] >= 3)
+        old.writer.write(news(world, 1, 51))  # the old one still tells what it has to
+        await drained(world, 1)
+        assert not world.node.discovery.age.reached and world.node.version == 0
+        for filler in fillers:
+            filler.close()
+        asked = asyncio.Queue()
+        world.listeners.append(await asyncio.start_server(
+            lambda *both: asked.put_nowait(Peer(*both)), sock=door))
+        while True:
+            new = await asyncio.wait_for(asked.get(), 5)
+            if (await new.line()).startswith("GET"):  # the others are what filled it, and calls given up
+                break
+        new.writer.write(HEAD + news(world, 0, 3))
+        await drained(world)
+        assert world.node.version == 3 and await old.line() == "rst"
+
+
+@played
+async def test_refused_beyond_the_bound_it_uses_only_servers_that_took_one_lately(quick, monkeypatch):
+    monkeypatch.setattr(discovery_retry, "TOLD", 1.0)
+    monkeypatch.setattr(discovery_retry, "SPARE", 0.1)
+    rules = {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7, "stopSendingWithinUs": 1e5}
+    async with World(servers=3, obligations=rules) as world:
+        refusing = True
+
+        async def refuse():
+            while refusing:
+                peer, _ = await world.question()
+                peer.writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        answering = asyncio.create_task(refuse())
+        client = await world.call()
+        proved, peer, _ = await world.leg()
+        peer.say("UP 1")
+        await client.line()
+        others = [server(world, number) for number in range(3) if number != proved]
+        while not world.node.discovery.doubts:  # the one is used on and on
+            server(world, proved).proved = world.node.clock()
+            await asyncio.sleep(0.005)
+        assert server(world, proved).usable and not any(one.usable for one in others)
+        for _ in range(6):
+            client = await world.call()
+            number, peer, _ = await world.leg()
+            peer.say("UP 1")
+            assert number == proved and await client.line() == "UP 1"
+        await world.until(lambda: not server(world, proved).usable)  # nothing was sent there for a second
+        client = await world.call()
+        assert (await client.line()).startswith("BUSY") and world.arrived.empty()
+        answering.cancel()
+        watch, _ = await world.question()
+        watch.writer.write(HEAD + news(world, proved))
+        await world.until(lambda: not world.node.discovery.doubts)
+        assert all(one.usable for one in others) and not server(world, proved).usable
+        assert world.node.counters["doubtful_lists"] == 1
+
+
+@played
+async def test_a_connection_that_comes_up_when_its_server_is_doubtful_is_not_written_to(monkeypatch):
+    made = ServerLink.made
+
+    def late(link):
+        link.leg.server.doubtful = True
+        made(link)
+    monkeypatch.setattr(ServerLink, "made", late)
+    async with World() as world:
+        client = await world.call()
+        _, _, line = await world.leg()
+        assert line in ("fin", "rst") and not world.node.counters["upstream_requests"]
+        await world.until(lambda: world.node.counters["leg_no_connection"])
+        client.end("fin")
