--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -18,7 +18,7 @@
 STATES = {"in_service": model.READY, "terminating": model.DRAINING, "terminated": model.GONE}
 ANSWERS = {"UP": "up", "BYE": model.COMPLETED, "MOVE": model.CANCELLED, "ERR": model.ERROR,
            "BUSY": model.FULL}
-MOST = 1 << 22  # bytes of one line or head of the list service
+MOST = 1 << 22  # bytes of one line or head of discovery
 DIGITS = 16  # of a number on a line
 LINE = 4096  # bytes of a line of clients and servers, its end included
 # Printable but for the comma, and for the name no equals sign; names of other tongues come as UTF-8.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -168,7 +168,7 @@
 
 
 class World:
-    """A node on loopback between a list service and servers, whose sides the test plays."""
+    """A node on loopback between discovery and servers, whose sides the test plays."""
 
     def __init__(self, servers=1, effect="retryable", sockets=256, known=True, control=False,
                  listen="127.0.0.1:0", apart=False, patience=0.05, **changes):
@@ -176,7 +176,7 @@
                     "limits": {"sockets": sockets}, "settings": raw_settings(effect, **changes)}
         self.count, self.known, self.entries, self.control = servers, known, [], control
         self.apart = apart  # each server in a zone and a cell of its own
-        self.patience = patience  # with a list service that pushes and says nothing at the start
+        self.patience = patience  # with discovery that pushes and says nothing at the start
         self.numbers = itertools.count(1)
         self.arrived, self.questions = asyncio.Queue(), asyncio.Queue()
 
@@ -253,7 +253,7 @@
         return client, server
 
     async def question(self):
-        """The next question to the list service, as its target."""
+        """The next question to discovery, as its target."""
         peer = await asyncio.wait_for(self.questions.get(), 5)
         target = (await peer.line()).split()[1]
         while await peer.line():
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -40,7 +40,7 @@
 async def test_calls_and_what_is_said_to_bad_ones():
     async with World(control=True) as world:
         question, _ = await world.question()
-        assert (await world.ask("/_ready"))[0] == 503  # nothing was heard of the list service yet
+        assert (await world.ask("/_ready"))[0] == 503  # nothing was heard of discovery yet
         head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         news = '{"generation":42,"reset":false,"instances":[]}\n'
         question.writer.write(f"{head}{len(news):x}\r\n{news}\r\n".encode())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -454,35 +454,42 @@
     monkeypatch.setattr(discovery_retry, "SPARE", 0.1)
     rules = {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7, "stopSendingWithinUs": 1e5}
     async with World(servers=3, obligations=rules) as world:
-        refusing = True
-
         async def refuse():
-            while refusing:
+            while True:
                 peer, _ = await world.question()
                 peer.writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-        answering = asyncio.create_task(refuse())
-        client = await world.call()
-        proved, peer, _ = await world.leg()
-        peer.say("UP 1")
-        await client.line()
-        others = [server(world, number) for number in range(3) if number != proved]
-        while not world.node.discovery.doubts:  # the one is used on and on
-            server(world, proved).proved = world.node.clock()
-            await asyncio.sleep(0.005)
-        assert server(world, proved).usable and not any(one.usable for one in others)
-        for _ in range(6):
+        took = []
+
+        async def serve():
+            """Only the first takes what comes; the others are full."""
+            while True:
+                number, peer = await world.arrived.get()
+                await peer.line()
+                took.append(number)
+                peer.say("BUSY" if number else "UP 1")
+        answering, serving = asyncio.create_task(refuse()), asyncio.create_task(serve())
+        first, *others = (server(world, number) for number in range(3))
+
+        async def served():
             client = await world.call()
-            number, peer, _ = await world.leg()
-            peer.say("UP 1")
-            assert number == proved and await client.line() == "UP 1"
-        await world.until(lambda: not server(world, proved).usable)  # nothing was sent there for a second
-        client = await world.call()
-        assert (await client.line()).startswith("BUSY") and world.arrived.empty()
+            line = await client.line()
+            client.end("fin")
+            await asyncio.sleep(0.02)  # a pace, and no wait for anything
+            return line == "UP 1"
+        while not world.node.discovery.doubts:
+            await served()
+        assert set(took) == {0, 1, 2} and first.usable and not any(one.usable for one in others)
+        took.clear()
+        assert [await served() for _ in range(6)] == [True] * 6 and set(took) == {0}
+        await world.until(lambda: not first.usable)  # nothing was sent there for long
+        took.clear()
+        assert not await served() and not took
+        serving.cancel()
         answering.cancel()
         watch, _ = await world.question()
-        watch.writer.write(HEAD + news(world, proved))
+        watch.writer.write(HEAD + news(world))
         await world.until(lambda: not world.node.discovery.doubts)
-        assert all(one.usable for one in others) and not server(world, proved).usable
+        assert all(one.usable for one in others) and not first.usable
         assert world.node.counters["doubtful_lists"] == 1
 
 
