--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -10,7 +10,7 @@
 
     a call that hangs while it connects began just before T: given up at T + CONNECT, T + 1.5
     the next one begins GAP_MOST later at the latest, at T + 3.5
-    or one that was taken and is silent began just before T: another goes out by T + OVERLAP + LOOK, T + 2.25
+    or one that was taken and is silent began just before T: another goes out by T + OVERLAP + LOOK, T + 3.5
     2.5 s of the TOLD are left for the answer, and the grace for what is under way
 
 In a larger tier calls that were refused, or wait in turn, are repeated at the tier's rate: TIER_RATE a second
@@ -30,7 +30,7 @@
 SPARE = 0.5  # seconds of that and of the grace which we leave: looks and what is under way
 CONNECT = 1.5  # seconds in which a connection to discovery has to come up
 GAP_FIRST, GAP_MOST = 0.5, 2.0  # seconds until the first call and the first repeat, at most; a later one
-OVERLAP = 2.0  # seconds without an answer after which a second call goes out beside the first, at most
+OVERLAP = 3.25  # seconds without an answer after which a second call goes out beside the first
 TIER_RATE = 30.0  # repeats a second, about, by all balancers of a tier, if discovery refuses them
 PATIENCE = 10.0  # seconds for which the first of two calls is kept: its place in the queue is the better one
 JITTER = 0.5  # the share of a gap that chance takes off: balancers lose their watches all at once
@@ -71,9 +71,10 @@
 
     def overlap(self) -> float:
         """Seconds that a call may be silent before another goes out beside it."""
-        cap = max(OVERLAP, self.share * 2 ** self.overlaps)
+        cap = self.share * 2 ** self.overlaps
         self.overlaps = min(DOUBLINGS, self.overlaps + 1)
-        return self._drawn(cap, self.own)
+        # Not sooner: guards against a second place in the queue for each caller that only waits in turn.
+        return max(OVERLAP, self._drawn(cap, self.own))
 
     def window(self) -> float:
         """Seconds for which the last proof, of the list or of a server, stands."""
