--- a/bellrack/lab/scale/hollow.py
+++ b/bellrack/lab/scale/hollow.py
@@ -72,7 +72,7 @@
     def stop(self) -> None:
         """It is killed: whatever timers still bring, nothing is done any more."""
         self.alive = False
-        for question in (self.discovery.standing, self.discovery.former):
+        for question in (self.discovery.standing, self.discovery.younger, self.discovery.former):
             if question and question.transport:
                 question.transport.abort()
             elif question:
--- a/bellrack/lab/starts.py
+++ b/bellrack/lab/starts.py
@@ -7,13 +7,13 @@
 
 Options:
   --processes=N    How many at once, 200 at most [default: 20].
-  --discovery=WAY  What the list service does: answers, refuses, says-nothing or slow [default: slow].
+  --discovery=WAY  What discovery does: answers, refuses, says-nothing or slow [default: slow].
   --known=WHAT     The list known before: given or none [default: given].
   --lists=WAY      How lists come: ask or push [default: push].
-  --rate=R         Lists a second of a slow list service, calls in turn [default: 10].
+  --rate=R         Lists a second of a slow discovery, calls in turn [default: 10].
   --seconds=S      The measurement ends after so many [default: 60].
 
-Owns the processes that it starts, each of which listens at a port of its own, and a list service for all. It
+Owns the processes that it starts, each of which listens at a port of its own, and a discovery for all. It
 touches no other process, and whatever it prints is of this machine and of how busy it was.
 """
 from __future__ import annotations
@@ -43,7 +43,7 @@
 
 
 class Lists:
-    """The list service of all that start."""
+    """Discovery for all that start."""
 
     def __init__(self, way: str, rate: float):
         self.way, self.pause, self.turn, self.told = way, 1 / rate, asyncio.Lock(), 0
@@ -122,7 +122,7 @@
         try:
             for _ in range(count):
                 tasks.append(asyncio.create_task(start(path, processes)))
-                await asyncio.sleep(0)  # guards against a list service that stands while all are started
+                await asyncio.sleep(0)  # guards against a discovery that stands while all are started
             await asyncio.wait(tasks, timeout=seconds)
         finally:
             for task in tasks:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -38,7 +38,7 @@
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
 AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
 DATAGRAM = 256  # bytes
-LISTED = 2.0  # seconds after the start for which we wait for a word of the list service if we know a list
+LISTED = 2.0  # seconds after the start for which we wait for a word of discovery if we know a list
 TIME_SLICE = 0.02  # seconds after which a turn stops: the sockets are polled well within 0.1
 
 
@@ -60,7 +60,7 @@
         self.peers: Peers | None = None
         self.limits = limits.Limits(config.sockets)
         self.begun, self.dealing = self.clock(), False  # a new call has come
-        # Where lists are pushed, what the list service has counts as told from our first moment on.
+        # Where lists are pushed, what the discovery has counts as told from our first moment on.
         self.readiness, self.changed = Readiness(self.begun, LISTED, config.settings.asks), asyncio.Event()
         self.leaving: Leaving | None = None
         self.over = asyncio.Event()
@@ -248,6 +248,7 @@
             self.resume(leg)
         else:
             leg.call.host.counted_as("completed")
+            leg.server.proved = max(leg.server.proved, leg.sent)
             self.stand(leg)
         if self.leaving and not self.giver:
             self.move(leg.call)
@@ -322,11 +323,29 @@
         self.changed.set()
         self.balancer.listed([])
 
-    def unlisted(self) -> None:
+    def unlisted(self, reached: bool) -> None:
         self.counters["list_failures"] += 1
         self.readiness.on_list_failure()
         self.changed.set()
-        self.balancer.unlisted()
+        self.balancer.unlisted(reached)
+
+    def doubt(self, window: float) -> None:
+        """The list may lack what counts as told: new connections go only to servers that took one within the
+        window (seconds). Infinite: the list is good again."""
+        changed = []
+        for server in self.servers.values():
+            doubtful = self.now - server.proved > window
+            if server.doubtful != doubtful:
+                server.doubtful = doubtful
+                changed.append(server)
+        if changed:
+            self.balancer.refresh()
+
+    def prove(self, since: float) -> None:
+        """Servers that took no connection for so long (seconds) get the next one: guards against a list that
+        becomes doubtful, and then only servers that took one lately, fewer and fewer, may be used."""
+        for server in self.balancer.listing.ready:
+            server.stand.missed = server.stand.missed or self.now - server.proved > since
 
     def look(self) -> None:
         """Once a second: tell of servers whose messages are late, and end what has gone silent."""
@@ -481,7 +500,7 @@
             self.reopening = self.loop.create_task(self.doors.reopen())
 
     def can_serve(self) -> bool:
-        """It takes calls and has a list, by the list service or, if that is late, from before."""
+        """It takes calls and has a list, by discovery or, if that is late, from before."""
         return self.readiness.listed(self.clock()) and self.doors.listener is not None and not self.leaving
 
     async def open_peers(self) -> None:
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -134,8 +134,7 @@
            "settings": raw_settings(discovery=mode)} | changes
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(node, "LISTED", patience)
-        patch.setattr("bellrack.choice.WATCH_SPREAD", 0.01)
-        patch.setattr("bellrack.choice.WATCH_RETRY", 0.02)
+        patch.setattr("bellrack.discovery_retry.GAP_FIRST", 0.02)
         patch.delenv("TMPDIR", raising=False)
         world = World()
         world.node = Node(parse_config(raw), asyncio.get_running_loop())
