--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -9,8 +9,8 @@
 from bellrack.model import Call, Leg, Result, Server, Settings
 
 # Of a server, by the names of the decisions; not what is open there: that comes with the connections.
-LEARNED = ("weight", "fails", "bad_until", "told_start", "warm_at", "delay", "told", "holds", "ceiling",
-           "cut", "out_since")
+LEARNED = ("weight", "fails", "bad_until", "issued", "issued_at", "taken", "warm_at", "delay", "told",
+           "holds", "ceiling", "cut", "out_since")
 
 
 class Books:
--- a/bellrack/chance.py
+++ b/bellrack/chance.py
@@ -2,6 +2,9 @@
 
 Owns the generator. It never reads a clock or the system's randomness, since days are played again from seeds.
 """
+import math
+
+GOLDEN = (math.sqrt(5) - 1) / 2  # multiples of it, less their whole parts, lie evenly however many they are
 
 
 def step(state: int) -> int:
@@ -16,3 +19,9 @@
     def draw(self) -> float:
         self.state = step(self.state)
         return (self.state >> 33) / 2147483648.0
+
+    def part(self, number: int, mark: int) -> float:
+        """A draw that lies as even as can be over the numbers of a tier, at the server of this mark; by
+        chance where the number is not known (under 0)."""
+        drawn = self.draw()
+        return drawn if number < 0 else (number * GOLDEN + step(step(mark)) / 2**64) % 1.0
--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -33,7 +33,8 @@
 WATCH_SPREAD, WATCH_RETRY = 0.5, 1.0  # seconds until the list service is first asked; and again, doubling
 SPARE_SHARE = 0.25  # of a call's wait, at most, is kept for the answer's way
 GROWTH, LEAST_PACE = 0.5, 8.0  # legs a second to a warm server: share of what it holds; never held back
-AHEAD, PACE = 2.0, 2.0  # a cold server is filled at most so much faster than evenly; legs, than that needs
+AHEAD = 2.0  # a cold server is filled at most so much faster than evenly
+RUSH = 1.5  # calls to a cold server that a rush brings, by own connections usual on a warm one
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
 FRESH, FULL_FRESH, ASKED_FOR = 1.0, 2.0, 0.1  # seconds: a report stands, a full one, a call waits for it
 FULL, STEEP = 0.9, 0.2  # of what a server can do, it takes nothing new; less at each further lot
@@ -165,35 +166,37 @@
         return 1.0 - (1.0 - self.settings.cold_share) * min(1.0, left) if left > 0 else 1.0
 
     def usual(self) -> float:
-        """Own open connections by size on warm servers: what a server is known to bear."""
+        """Own open connections by size on warm servers that are not late: what a server is known to bear."""
         if self.door.now >= self.looked + LOOK:
-            self.looked = now = self.door.now
-            warm = [s for s in self.rack.listing.ready if s.stand.warm_at <= now]
+            self.looked, late = self.door.now, self.rack.draw.told_late
+            warm = [s for s in self.rack.listing.ready if s.stand.warm_at <= self.looked and not late(s)]
             size = sum(s.size for s in warm)
             self.borne = max(self.borne, sum(s.stand.open for s in warm) / size if size else 0.0)
         return max(self.borne, FIRST_FILL / self.settings.peers)
 
     def room(self, server: Server) -> bool:
-        if self.door.now < server.stand.next_leg:
-            return False
-        # Evenly over part of its warm-up; the first by a lot drawn once, lest each balancer start with one.
-        # From when we were told: the list is seconds late, and a late start would come as one push.
-        fill = min(1.0, AHEAD * (self.door.now - server.stand.told_start) / self.settings.ramp_time)
-        under = server.stand.open + server.stand.part < self.usual() * server.size * fill
+        under = server.stand.open + server.stand.part < self.usual() * server.size and self.tokens(server)
         return under and self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
 
+    def tokens(self, server: Server) -> int:
+        """Set-ups that may go there now: of all balancers at most the budget in any window. They come evenly
+        from when we were told; those not used in time are lost, lest a rush find all of them kept."""
+        stand, rules, bears = server.stand, self.settings, self.usual() * server.size
+        budget, anew = rules.cold_budget(self.borne, server.size * self.warm(server))
+        rate = min(AHEAD * bears / rules.ramp_time, anew / rules.fall_time)
+        kept = (budget - rate * rules.fall_time) * max(1.0, 1 / (RUSH * bears))
+        stand.issued, stand.issued_at = stand.issued + rate * (self.door.now - stand.issued_at), self.door.now
+        stand.taken = max(stand.taken, math.floor(stand.issued - kept))
+        return math.floor(stand.issued) - stand.taken
+
     def sent(self, server: Server) -> None:
-        """Guards against churn: connections that end at once free their place, but each set-up is work."""
-        if self.warm(server) < 1.0:
-            gap = self.settings.ramp_time / (AHEAD * PACE * self.usual() * server.size)
-        else:
-            sure, calm = self.usual() * server.size, self.rack.draw.calm(server.zone)
-            # Slower the more servers are late: guards against a fleet that sheds and is filled at once again.
-            gap = 1 / max(GROWTH * max(server.stand.open, sure), LEAST_PACE / self.settings.peers) / calm
-            # Guards against a mass reconnect that is kept and rejected while servers stand empty.
-            sure = max(sure, 2) if self.rack.word.hears(self.door.now) else sure
-            gap *= server.stand.open >= sure or calm < SPILLOVER_RATIO
-        server.stand.next_leg = self.door.now + gap
+        """Slower the more servers are late: guards against a fleet that sheds and is filled at once again."""
+        sure, calm = self.usual() * server.size, self.rack.draw.calm(server.zone)
+        gap = 1 / max(GROWTH * max(server.stand.open, sure), LEAST_PACE / self.settings.peers) / calm
+        # Guards against a mass reconnect that is kept and rejected while servers stand empty.
+        sure = max(sure, 2) if self.rack.word.hears(self.door.now) else sure
+        gap *= self.warm(server) == 1.0 and (server.stand.open >= sure or calm < SPILLOVER_RATIO)
+        server.stand.taken, server.stand.next_leg = server.stand.taken + 1, self.door.now + gap
 
 
 class Zone(Stage):
@@ -402,9 +405,7 @@
     def lot(self, call: Call, server: Server) -> float:
         """A lot whose least value falls on servers in proportion to their weights. A group's lots are the
         same at every draw and balancer, so its connections gather and share what they cost a server."""
-        weight = server.stand.weight * server.size
-        if server.stand.warm_at > self.door.now:
-            weight *= self.rack.cold.warm(server)
+        weight = server.stand.weight * server.size * self.rack.cold.warm(server)
         if not call.group:
             return -math.log(self.rack.chance.draw() + 1e-12) / weight
         even = step(step(call.group ^ server.mark * 0x9E3779B97F4A7C15))
@@ -564,7 +565,7 @@
         first = not self.fleet
         for server in servers:
             if server.stand is None:
-                server.stand = model.Stand(self.chance.draw())
+                server.stand = model.Stand(self.chance.part(self.settings.number, server.mark))
                 self.fleet.append(server)
             self.sized(server)
             if server.since != server.stand.since:  # restarted under the same id
@@ -578,8 +579,8 @@
     def starts(self, server: Server, told: float, since: float) -> None:
         """It is cold since then, and we were told then; what it did before counts no more."""
         stand = server.stand
-        stand.told_start, stand.warm_at = told, since + self.settings.ramp_time
-        stand.fails, stand.bad_until, stand.weight = 0, 0.0, 1.0
+        stand.issued, stand.issued_at, stand.warm_at = 1 - stand.part, told, since + self.settings.ramp_time
+        stand.fails, stand.taken, stand.bad_until, stand.weight = 0, 0, 0.0, 1.0
 
     def withheld(self, server: Server, out: bool) -> None:
         """Taken out by hand, it gets nothing new and what stands is moved. Put back, it is cold."""
--- a/bellrack/lab/legs.py
+++ b/bellrack/lab/legs.py
@@ -48,6 +48,7 @@
         """Book a leg that is on its way."""
         world = self.world
         out.attempt.out = out
+        out.machine.within(out.machine.aimed, world.now)
         world.counters["legs"] += 1
         world.counters["crossings"] += out.machine.zone != out.node.zone
         world.trace.add(world.now, "leg", out.attempt.id, out.number, out.node.name, out.machine.name)
--- a/bellrack/lab/live.py
+++ b/bellrack/lab/live.py
@@ -621,7 +621,8 @@
         "specifics": {"messageAimUs": [micros(kind.message_aim) for kind in scenario.type],
                       "tellsDelay": True, "tellsLoad": False},
         "obligations": {"answerSlackUs": micros(rules.answer_slack), "coldShare": settings.cold_share,
-                        "rampTimeUs": micros(settings.ramp_time)}}
+                        "rampTimeUs": micros(settings.ramp_time),
+                        "overloadFactor": settings.overload_factor, "fallUs": micros(settings.fall_time)}}
 
 
 def refuse_if_too_large(scenario: Scenario) -> None:
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -101,7 +101,7 @@
                         row["setupTargetUs"] / 1e6, aim / 1e6)
             for row, aim in zip(raw["trafficTypes"], aims, strict=True)
         ]
-        peers, number = int(raw["peersTotal"]), int(raw.get("slotNo", 0))
+        peers, number = int(raw["peersTotal"]), int(raw.get("slotNo", -1))
         for kind in types:
             over_nought("setupTargetUs", kind.setup_target)
             over_nought("messageAimUs", kind.message_aim)
@@ -115,6 +115,8 @@
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
             tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
             cold_share=float(rules["coldShare"]), ramp_time=rules["rampTimeUs"] / 1e6,
+            overload_factor=over_nought("overloadFactor", rules.get("overloadFactor", 1.0)),
+            fall_time=over_nought("fallUs", rules.get("fallUs", 1e6)) / 1e6,
             number=number, tells=bool(caps.get("mayTell")) and 0 <= number < peers and peers > PAIR,
             drain_grace=rules.get("stopSendingWithinUs", 1e6) / 1e6,
             ask_within=over_nought("askWithinUs", rules.get("askWithinUs", 1e7)) / 1e6)
