Twenty nodes on sockets keep to the budget of one cold server

The server counts lines and ends each connection at once; the window is longer than the test, so no clock is asserted on.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,11 +1,15 @@
 """Rule 4 for the sum over all balancers, on generated starts."""
+import asyncio
+import time
 from dataclasses import replace
 
 import pytest
+from helpers import World, played, raw_settings
 
 from bellrack import choice
 from bellrack.chance import Chance
 from bellrack.lab import cold
+from bellrack.lab.scenario import most_requests
 from bellrack.model import Settings
 
 STARTS = cold.starts(40, 7, (3, 20, 30))
@@ -52,3 +56,46 @@
     if mutant:
         mutant(monkeypatch)
     assert bool(falls([CROWD, STARTS[18], STARTS[6]])) == (mutant is not None)
+
+
+NODES, AGE, RAMP, WINDOW, FACTOR = 20, 30.0, 60.0, 30.0, 0.8
+
+
+class HalfWarm(World):
+    def entry(self, number, place, **fields):
+        return super().entry(number, place, started=(time.time() - AGE) * 1000, **fields)
+
+
+@played
+async def test_twenty_nodes_on_sockets_keep_to_the_budget_of_one_cold_server():
+    """All have it as their only server, and three calls each; what is sent there ends at once. The window is
+    longer than the test, so whatever is sent lies in one."""
+    rules = raw_settings()["obligations"] | {"rampTimeUs": RAMP * 1e6, "overloadFactor": FACTOR,
+                                             "fallUs": WINDOW * 1e6}
+    async with HalfWarm(peersTotal=NODES, slotNo=0, obligations=rules) as world:
+        first, others = world.node, []
+        for number in range(1, NODES):
+            world.raw["settings"] = world.raw["settings"] | {"slotNo": number}
+            others.append(await world.start(name=f"n{number}", seed=f"{number * 7919:016x}"))
+        lines, said = [], []
+
+        async def ends_at_once():
+            while True:
+                _, server, line = await world.leg()
+                lines.append(line)
+                server.end("fin")
+
+        ending = asyncio.create_task(ends_at_once())
+        for node in [first, *(node for node, _ in others)]:
+            world.node = node
+            said += [await world.call() for _ in range(3)]
+        for client in said:
+            await client.line()
+        ending.cancel()
+        world.node = first
+        for node, serving in others:
+            node.over.set()
+            await serving
+    warm = 0.2 + 0.8 * (AGE / RAMP)
+    allowed = FACTOR * choice.FIRST_FILL * warm * WINDOW / RAMP
+    assert 0 < len(lines) <= most_requests(allowed), lines
