--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -506,7 +506,9 @@
     def error_received(self, error: Exception) -> None: ...
 
     def tell(self, peer: int | None, data: bytes) -> None:
-        address = self.node.config.peers_all if peer is None else self.node.config.peers[peer]
+        config = self.node.config
+        # Guards against a tier that is larger than the list of its addresses in this file.
+        address = config.peers_all if peer is None else (config.peers[peer:peer + 1] or [None])[0]
         if address:
             self.transport.sendto(data, address)
 
--- a/bellrack/peers/overload.py
+++ b/bellrack/peers/overload.py
@@ -16,8 +16,9 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
+from bellrack.chance import Chance
 from bellrack.model import Server, Settings
-from bellrack.peers import sums
+from bellrack.peers import gossip, sums
 
 RECENT, RECENT_FOR = 24, 4.0  # set-ups, and seconds, from which the usual is taken,
 USUAL = 0.4  # as this share of them from below,
@@ -36,9 +37,13 @@
     """One balancer's part. `late(server, delay)` hears what is found."""
 
     def __init__(self, settings: Settings, tell: Callable[[int | None, bytes], None],
-                 late: Callable[[Server, float], None]):
+                 late: Callable[[Server, float], None], large: int | None = None):
         self.settings, self.late = settings, late
-        self.sums = sums.Sums(settings.number, settings.peers, tell)
+        own, peers = settings.number, settings.peers
+        self.sums: sums.Sums | gossip.Gossip = sums.Sums(own, peers, tell)
+        if peers > (gossip.LARGE if large is None else large):
+            self.sums = gossip.Gossip(own, peers, tell, Chance(own).draw, WAITS * settings.quickest)
+        self.filled: tuple[float, dict[Server, float]] = -math.inf, {}
         self.servers: dict[int, Server | None] = {}  # by short mark; None where two share it
         self.took: deque[tuple[float, float]] = deque(maxlen=RECENT)  # set-ups: when, how long
         self.slow: dict[int, tuple[float, float]] = {}  # by mark: how late lately, and when last seen
@@ -50,8 +55,10 @@
         """The servers that may be spoken of. Guards against evidence taken for another server's."""
         self.servers = {}
         for server in fleet:
-            short = server.mark & sums.MARK
+            short = server.mark & self.sums.id_bits
             self.servers[short] = None if short in self.servers else server
+        self.sums.listed(self.servers, self.settings.zone)
+        self.filled = -math.inf, {}
         known = {server.mark for server in self.servers.values() if server}
         self.slow = {mark: seen for mark, seen in self.slow.items() if mark in known}
         self.said = {mark: seen for mark, seen in self.said.items() if mark in known}
@@ -132,9 +139,15 @@
     def fill(self, servers: list[Server], now: float) -> dict[Server, float]:
         """What all balancers hold of each; nothing if that is not known of most. Where it is not known of one
         it is taken to be as full as the others."""
-        known = {server: self.sums.total(server.mark, now) for server in servers} if self.hears(now) else {}
+        if not self.hears(now):
+            return {}
+        if now < self.filled[0] + self.sums.refresh:
+            return self.filled[1]
+        known = {server: self.sums.total(server.mark, now) for server in servers
+                 if self.sums.covers(server.mark)}
         told = {server: total for server, total in known.items() if total is not None}
         if not told or len(told) < LEAST_KNOWN * len(known):
             return {}
         mean = sum(told.values()) / sum(server.size for server in told)
-        return {server: told.get(server, mean * server.size) for server in servers}
+        self.filled = now, {server: told.get(server, mean * server.size) for server in servers}
+        return self.filled[1]
--- a/bellrack/peers/sums.py
+++ b/bellrack/peers/sums.py
@@ -82,6 +82,8 @@
 class Sums:
     """One balancer's part. `tell(peer, data)` sends; None is everybody."""
 
+    id_bits, refresh = MARK, 0.0  # of a hashed identifier; seconds for which sums may be used again
+
     def __init__(self, own: int, peers: int, tell: Callable[[int | None, bytes], None]):
         self.own, self.peers, self.tell = own, peers, tell
         self.held: dict[int, int] = {}  # by short mark: own connections; nought until that is told
@@ -99,6 +101,13 @@
         self.round: list[tuple[int, int]] = []  # as the aggregator: pairs still to be said again
         self.paired: dict[int, tuple[float, set[tuple[int, int]]]] = {}  # as the aggregator: by balancer
 
+    def listed(self, servers: dict[int, object], zone: int) -> None:
+        """All are summed, wherever they are."""
+
+    def covers(self, mark: int) -> bool:
+        """Is this a server that sums are about?"""
+        return True
+
     def holds(self, mark: int, count: int, group: int, of_group: int) -> None:
         """Own connections at a server are so many now, and so many of this group."""
         self.held[mark & MARK], self.changed = count, True
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -396,8 +396,8 @@
     net = {"bellrack.net." + path.stem for path in files}
     assert {name for name in modules if name.startswith("bellrack.")} == net | {
         "bellrack.__main__", "bellrack.books", "bellrack.chance", "bellrack.choice", "bellrack.model",
-        "bellrack.net", "bellrack.peers", "bellrack.peers.overload", "bellrack.peers.sums",
-        "bellrack.settings"}
+        "bellrack.net", "bellrack.peers", "bellrack.peers.gossip", "bellrack.peers.overload",
+        "bellrack.peers.sums", "bellrack.settings"}
 
 
 def test_the_report_is_one_page_that_loads_nothing_and_repeats_itself(tmp_path):
