--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -276,6 +276,14 @@
     assert 15 <= len(out) <= 23
 
 
+def test_each_server_of_the_zone_is_polled_in_its_turn():
+    node, _, out = pair()
+    node.listed({mark: model.Server(mark) for mark in range(1, 4 * gossip.MOST + 1)}, 0)
+    for turn in range(4):
+        node.turn(10.0 + turn, 0.02)
+    assert sorted(one for _, data in out for one, _ in gossip.unpack(data)[2]) == list(node.near)
+
+
 def test_an_old_datagram_that_comes_again_is_one_vote_that_the_next_replaces():
     node, listed, _ = pair()
     old = poll([300] + [30] * 9)
@@ -320,6 +328,7 @@
     node.report(sums.TOOK, 3, 85)  # by a whole aim
     for mark in range(1, 11):
         node.report(sums.LATE, mark, 0.9)
+    assert len(node.news) == gossip.MOST_LATE
     for turn in range(2, 8):
         node.turn(10.0 + turn, 0.02)
     told = [len(gossip.unpack(data)[1]) for _, data in out]
