--- a/bellrack/lab/cold.py
+++ b/bellrack/lab/cold.py
@@ -173,7 +173,7 @@
         self.seats = []
         for number in range(start.balancers):
             mine = Settings(**vars(rules) | {"number": number, "zone": number % 2,
-                                             "tells": start.tells and start.balancers > 2})
+                                             "may_publish": start.tells and start.balancers > 2})
             self.seats.append(Seat(self, number, mine, self.chance.getrandbits(62), decides))
 
     def at(self, when: float, what: Callable, *values: Any) -> None:
