Clients never take the descriptors of discovery, operators, probes and a hand-off

Seen in real processes: asyncio accepts before it is counted, so crowds held 130 to 190 descriptors at a limit of 64, 394 at 256 and 1,062 at 1,024, and legs took the whole reserve. Callers: 14, 4 at 64; before 24, 8.

--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -1,13 +1,15 @@
 """The doors: the sockets that listen, for clients, for operators and for the process that comes after us.
 
-Owns when each is open. It never looks at who comes through one, and never closes the clients' door while
-connections wait in it that no other process takes.
+Owns when each is open, and who is accepted: counted from the moment that the kernel gives the descriptor, and
+left in the kernel's queue when there is none to spare. It never looks at who comes through one, and never
+closes the clients' door while connections wait in it that no other process takes.
 """
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from bellrack.net import handover, limits, log
@@ -15,27 +17,97 @@
 from bellrack.net.control import Caller
 
 
+class Listener:
+    """Accepts at a socket while it may. asyncio's own accepts until the kernel fails, and counts too late."""
+
+    def __init__(self, node: Any, sock: socket.socket, may: Callable[[], bool], made: Callable[[], Any]):
+        self.node, self.may, self.made = node, may, made
+        self.sockets = [sock]
+        self.tasks: set[asyncio.Task] = set()  # the last that came, until they are connections
+        self.reading = False
+        sock.setblocking(False)
+        self.read()
+
+    def read(self) -> None:
+        if not self.reading and self.sockets:
+            self.reading = True
+            self.node.loop.add_reader(self.sockets[0].fileno(), self.accept)
+
+    def accept(self) -> None:
+        """Those that wait, as many as may come in at one go."""
+        for _ in range(limits.ACCEPTS):
+            if not self.may():
+                self.pause()
+                return
+            try:
+                self.take()
+            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
+                return
+            except OSError as error:
+                log.tell("accept", error=error)
+                self.pause()
+                return
+
+    def take(self) -> None:
+        sock, _ = self.sockets[0].accept()
+        sock.setblocking(False)
+        self.node.limits.counted(1)
+        task = self.node.loop.create_task(self.connect(sock))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def connect(self, sock: socket.socket) -> None:
+        try:
+            await self.node.loop.connect_accepted_socket(self.made, sock)
+        except OSError:
+            sock.close()  # it has gone again
+        finally:
+            self.node.limits.counted(-1)  # its connection counts itself
+
+    def pause(self) -> None:
+        """Who waits stays with the kernel until there is room."""
+        self.stop()
+        self.node.after(limits.PAUSE, self.resume)
+
+    def resume(self) -> None:
+        self.node.limits.room(self.node.now)
+        self.read()
+
+    def stop(self) -> None:
+        if self.reading:
+            self.reading = False
+            self.node.loop.remove_reader(self.sockets[0].fileno())
+
+    def close(self) -> None:
+        """Accept no more. The socket itself stays open: it is another's to close."""
+        self.stop()
+        self.sockets = []
+
+
 class Doors:
     def __init__(self, node: Any):
         self.node = node
         self.socket: socket.socket | None = None  # the clients' door; held also while the other accepts
-        self.listener: asyncio.Server | None = None
-        self.desk: asyncio.Server | None = None
+        self.listener: Listener | None = None
+        self.desk: Listener | None = None
         self.meeting: handover.Meeting | None = None
-        self.coming: set[asyncio.Task] = set()  # the last that came, until they are clients
+        self.last_in: set[asyncio.Task] = set()  # who waited in the clients' door when it closed for good
         # Only where operators call may another process of ours be started beside us.
         self.shared = node.config.control is not None
         self.path = handover.place(node.config.name, node.config.listen) if self.shared else None
 
     async def open_desk(self) -> None:
         if place := self.node.config.control:
-            self.desk = await self.node.loop.create_server(lambda: Caller(self.node), *place)
             self.node.limits.counted(1)
+            sock = socket.create_server(place, backlog=limits.CALLERS)
+            self.desk = Listener(
+                self.node, sock, lambda: not self.node.limits.spent(), lambda: Caller(self.node))
 
     async def open(self, taken: socket.socket | None) -> None:
         """Accept from now on, at the door of the process before us if it gave it."""
         self.socket = taken or socket.create_server(self.node.config.listen, reuse_port=self.shared)
-        await self.accept()
+        self.node.limits.counted(1)
+        self.accept()
         self.meet()
 
     def meet(self) -> None:
@@ -46,12 +118,10 @@
             except OSError as error:
                 log.tell("handover", offered="nothing", error=error)
 
-    async def accept(self) -> None:
-        # A copy, since asyncio closes what it listens at and the door itself must last.
-        self.node.limits.counted(1)
-        self.listener = await self.node.loop.create_server(
-            lambda: Client(self.node), sock=self.socket.dup(), backlog=limits.ACCEPTS)
-        self.socket.listen(limits.BACKLOG)  # after asyncio, which takes one figure for both
+    def accept(self) -> None:
+        self.socket.listen(limits.BACKLOG)
+        self.listener = Listener(
+            self.node, self.socket, lambda: not self.node.limits.crowded(2), lambda: Client(self.node))
 
     def shut(self, for_good: bool = False) -> None:
         """The other process accepts now. Who has come in stays with us; who waits in the door goes to it. Or
@@ -59,7 +129,6 @@
         if self.listener:
             self.listener.close()
             self.listener = None
-            self.node.limits.counted(-1)
         if self.meeting:
             if for_good:
                 self.meeting.leave()
@@ -69,31 +138,27 @@
     def last(self) -> int:
         """Close the clients' door for good, and take in whoever the machine has accepted there: how many are
         still on their way in. Guards against the instant between our last look at the door and its end."""
-        waiting = []
         if self.listener:
-            self.socket.setblocking(False)
             with contextlib.suppress(OSError):  # nobody waits any more, or none can be taken in
-                while True:
-                    waiting.append(self.socket.accept()[0])
+                while not self.node.limits.crowded(2):
+                    self.listener.take()
+                return len(self.listener.tasks)  # more wait than there are descriptors for
+            self.last_in = self.listener.tasks
             self.shut(for_good=True)
             self.socket.close()
-        for sock in waiting:
-            sock.setblocking(False)
-            task = self.node.loop.create_task(
-                self.node.loop.connect_accepted_socket(lambda: Client(self.node), sock))
-            self.coming.add(task)
-            task.add_done_callback(self.coming.discard)
-        return len(self.coming)
+        return len(self.last_in)
 
     async def reopen(self) -> None:
         """The other process is gone before its time: guards against a door that nobody answers."""
         if self.socket and not self.listener:
-            await self.accept()
+            self.accept()
             self.meet()
 
     def close(self) -> None:
         self.shut(for_good=True)
         if self.desk:
+            sock, = self.desk.sockets
             self.desk.close()
+            sock.close()
         if self.socket:
             self.socket.close()
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -123,7 +123,7 @@
     def held(self) -> None:
         """Descriptors count together, so each knows what the other holds."""
         if not self.transport.is_closing():
-            self.say(held=self.node.limits.descriptors)
+            self.say(held=self.node.limits.descriptors, passed=self.giver.passed if self.giver else 0)
             self.node.loop.call_later(TELL_EVERY, self.held)
 
 
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -11,13 +11,16 @@
 
 BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
 ACCEPTS = 16  # of them accepted at one go
-RESERVE = 48  # descriptors kept free: three such goes, as many as may come before a turn sees the first
+PAUSE = 0.02  # seconds until accepting is tried again, when there was no descriptor to spare
+RESERVE = 48  # descriptors kept free, or 3/8 of few: half for clients that are told so, half for control
 FIRST_LINE = 2.75  # seconds from connecting for a whole first line: some write for 2; an end is owed within 3
 PINGS = 8  # on one connection
 YOUNG = 0.1  # seconds for which a connection without a word stays even if room is needed
 LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
 SEEN = 1024  # ids remembered beside the open ones
 PROBES = 32  # that are out at once: more are not sent, and what they were for goes on without
+PROBES_PART = 12  # of the reserve, one in so many is for probes when there is nothing but the reserve
+CONTROL = 6  # descriptors beside: two watches and a fetch of the list, three of a hand-off
 CALLERS = 32  # operators' calls that are under way at once
 CALL = 6.0  # seconds from connecting in which an operator's call must be whole
 TAKE_UP = 40.0  # seconds after the start in which connections from before it may be taken up
@@ -28,7 +31,7 @@
         self.allow(sockets)
         self.probes = 0  # that are out
         self.beside = 0  # descriptors of our other process: the two are counted as one
-        self.descriptors = len(os.listdir("/proc/self/fd"))
+        self.descriptors = len(os.listdir("/proc/self/fd")) - 1  # but the one that it is read by
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
         self.writing: dict[Any, float] = {}  # links with a part of a first line, by when they last wrote
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
@@ -37,14 +40,14 @@
     def allow(self, sockets: int) -> None:
         hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.limit = min(sockets, hard if hard > 0 else sockets)
-        self.reserve = min(RESERVE, self.limit // 4)
+        self.reserve = min(RESERVE, 3 * self.limit // 8)
 
     def counted(self, by: int) -> None:
         self.descriptors += by
 
     def probe(self) -> bool:
-        """May one more probe go out? A call's own connection comes first."""
-        return self.probes < PROBES and not self.crowded()
+        """May one more probe go out? A few have their part of the reserve."""
+        return self.probes < (self.reserve // PROBES_PART if self.crowded() else PROBES) and not self.spent()
 
     def known(self, mark: str) -> bool:
         """An id is new with every connection. Guards against another client's: servers refuse it with
@@ -62,8 +65,12 @@
         return self.descriptors + self.beside + self.reserve // part >= self.limit
 
     def full(self, more: int) -> bool:
-        """Not even that many more by the reserve."""
-        return self.descriptors + self.beside + more > self.limit
+        """Not even that many more by the part of the reserve that clients may have."""
+        return self.descriptors + self.beside + more + self.reserve // 2 > self.limit
+
+    def spent(self) -> bool:
+        """No descriptor at all, for whatever it is."""
+        return self.descriptors >= self.limit
 
     def wrote(self, link: Any, now: float) -> None:
         """A part of its first line came."""
@@ -89,5 +96,5 @@
 
     @property
     def callers(self) -> int:
-        """Operators' calls that may be under way: half the reserve, which clients cannot take, bears them."""
-        return max(1, min(CALLERS, self.reserve // 2))
+        """Operators' calls that may be under way: what is left of the half of the reserve for control."""
+        return max(1, min(CALLERS, self.reserve // 2 - self.reserve // PROBES_PART - CONTROL))
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -444,7 +444,9 @@
 
     def told_beside(self, said: dict[str, Any]) -> None:
         if "held" in said:
-            self.limits.beside = int(said["held"])
+            # What is on its way counts too: guards against hundreds that neither holds for an instant.
+            on_the_way = int(said.get("passed", 0)) - self.taker.passed if self.taker else 0
+            self.limits.beside = int(said["held"]) + max(0, on_the_way)
             self.limits.room(self.now)
         if "out" in said or "back" in said:
             self.withhold(said.get("out") or said["back"], "out" in said)
--- a/bellrack/net/passing.py
+++ b/bellrack/net/passing.py
@@ -46,6 +46,7 @@
 
     def __init__(self, node: Any, sock: socket.socket):
         self.node, self.sock = node, sock
+        self.passed = 0  # descriptors that went over so far
         sock.setblocking(False)
         node.limits.counted(1)
 
@@ -89,6 +90,7 @@
                 if not link.paused:
                     link.transport.resume_reading()
             return False
+        self.passed += len(fds)
         self.gone(client, links)
         return True
 
@@ -127,6 +129,8 @@
                 if not data:
                     self.close()
                     return
+                self.passed += len(fds)
+                self.node.limits.counted(len(fds))  # from now on, and not only once they are connections
                 self.node.queue(self.take, data, fds)
 
     def take(self, data: bytes, fds: list[int]) -> None:
@@ -142,6 +146,7 @@
             log.tell("handover", taken="not one connection", error=repr(error))
             for fd in fds:
                 os.close(fd)
+            self.node.limits.counted(-len(fds))
             return
         task = self.node.loop.create_task(self.connect(links, [socket.socket(fileno=fd) for fd in fds]))
         self.tasks.add(task)
@@ -177,6 +182,7 @@
                 sock.setblocking(False)
                 await self.node.loop.connect_accepted_socket(lambda link=link: link, sock)
         finally:
+            self.node.limits.counted(-len(socks))  # each connection counts itself
             self.node.queue(self.up, links)
 
     def up(self, links: list[Link]) -> None:
