A call that fails at once found discovery down; refusals are repeated six times a second a tier

Down is told by 503 there, at once; a call that waited is told after its wait. Proving no longer waits for a server without room.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -340,7 +340,8 @@
         mean = ABOVE_MEAN * sum([held[s] for s in places]) / sum(sizes)
         low = [s for s, size in zip(places, sizes) if held[s] < 1 + mean * size] or places
         # Guards against a server put back that waits long for its lot, by the weight of a cold one.
-        missed = [s for s in low if s.stand.missed and self.rack.cold.bears(s)]
+        missed = [s for s in low if s.stand.missed and now >= s.stand.next_leg
+                  and self.rack.cold.bears(s) and self.room(s, FULL)]
         held = missed or call.group and not self.beyond(call) and [
             s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS
             or self.rack.word.holder(s, call.group, now)]
--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -16,10 +16,11 @@
 In a larger tier calls that were refused, or wait in turn, are repeated at the tier's rate: TIER_RATE a second
 over all balancers, whatever their number, so a gap may be longer than that. Who has no answer in time then,
 for whatever reason, has a doubtful list (`ListAge.doubtful`): discovery was reached since the list was last
-known to be good, and that is a window (TOLD, the grace, less SPARE) ago. From then on only servers that took
-a connection within the last window may get a new one: a server that drains turns new ones away, so one that
-took it was not yet draining, and a drain since then counts as told no sooner than TOLD after. While discovery
-cannot be reached at all nothing counts as told, and the list stands.
+known to be good, and that is a window (TOLD, the grace, less SPARE) ago. A call fails because it waited too
+long or because discovery is down (the protocol page): one that fails AT_ONCE found it down. From then on only
+servers that took a connection within the last window may get a new one: a server that drains turns new ones
+away, so one that took it was not yet draining, and a drain since then counts as told no sooner than TOLD
+after. While discovery cannot be reached at all nothing counts as told, and the list stands.
 """
 from __future__ import annotations
 
@@ -31,7 +32,8 @@
 CONNECT = 1.5  # seconds in which a connection to discovery has to come up
 GAP_FIRST, GAP_MOST = 0.5, 2.0  # seconds until the first call and the first repeat, at most; a later one
 OVERLAP = 3.25  # seconds without an answer after which a second call goes out beside the first
-TIER_RATE = 30.0  # repeats a second, about, by all balancers of a tier, if discovery refuses them
+TIER_RATE = 6.0  # repeats a second, about, by all balancers of a tier, while discovery refuses them
+AT_ONCE = 0.25  # seconds within which a call fails if discovery is down, and not for having waited too long
 PATIENCE = 10.0  # seconds for which the first of two calls is kept: its place in the queue is the better one
 JITTER = 0.5  # the share of a gap that chance takes off: balancers lose their watches all at once
 DOUBLINGS = 10  # at most
@@ -91,18 +93,18 @@
     """Since when the list in hand may lack a change that counts as told."""
 
     def __init__(self, now: float):
-        self.good, self.reached = now, False  # reached: discovery took a call of ours since then
+        self.good, self.reached = now, False  # reached: by a call of ours since then
 
     def confirmed(self, now: float) -> None:
         """Discovery wrote that this is the list, or what has changed of it."""
         self.good, self.reached = now, False
 
     def met(self) -> None:
-        """It took a connection of ours: from now on it counts as one that could be reached."""
+        """It let a call of ours wait, or began to answer: it counts as reached from now on."""
         self.reached = True
 
     def unreached(self, begun: float) -> None:
-        """It could not be reached by a call that began then."""
+        """It could not be reached by a call that began then, or was down."""
         if not self.reached:
             self.good = max(self.good, begun)
 
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -30,7 +30,7 @@
         super().__init__(node)
         self.address, self.watch = address, watch
         self.reply, self.body, self.asked = lines.Answer(), b"", False
-        self.started = self.heard = node.now
+        self.started = self.heard = self.asked_at = node.now
         self.objects, self.begun = lines.Objects(), False
         self.open(address, discovery_retry.CONNECT)
         if not watch:
@@ -41,6 +41,12 @@
         """Discovery took the connection, whatever came of it."""
         return self.transport is not None
 
+    @property
+    def met(self) -> bool:
+        """Did discovery begin to answer it, or let it wait? One that fails at once found it down."""
+        waited = self.node.now - self.asked_at > discovery_retry.AT_ONCE
+        return self.reached and (self.reply.status == 200 or self.asked and waited)
+
     @property
     def waits(self) -> bool:
         """Has no head yet: it may have to wait for its turn."""
@@ -48,8 +54,7 @@
 
     def ready(self) -> None:
         if self.reached and not self.asked:
-            self.asked = True
-            self.node.discovery.met(self)
+            self.asked, self.asked_at = True, self.node.now
             query = f"?watch=1&after={self.node.version}" if self.watch else ""
             self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
                        f"Accept: application/json\r\n\r\n".encode())
@@ -159,11 +164,6 @@
             self.former.stop("watch-replaced")
             self.former = None
 
-    def met(self, question: Any) -> None:
-        """Discovery took this call."""
-        if question is not self.former:
-            self.age.met()
-
     def confirmed(self, since: float) -> None:
         """The list is what discovery had then, and was heeded."""
         self.age.confirmed(since)
@@ -174,7 +174,9 @@
         if question is self.former:
             self.former = None  # expected, so not a failure of the list
             return
-        if not question.reached:
+        if question.met and not question.begun:  # the end of a watch tells nothing of what comes after it
+            self.age.met()
+        elif not question.met:
             self.age.unreached(question.started)
         if question is self.younger or question is self.standing and self.younger:
             # The other one may still be answered; the next beside it goes out as if there were none.
@@ -220,6 +222,8 @@
 
     def judge(self) -> None:
         """May the list still be used for whatever it names?"""
+        if any(call and not call.begun and call.met for call in (self.standing, self.younger)):
+            self.age.met()
         window = self.node.balancer.retry.window()
         doubts = self.age.doubtful(self.node.now, window)
         if doubts != self.doubts:
