--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 6 s and the grace after discovery had it and could be reached. On virtual time, with many balancers at a
 service of ten lists a second, and on real connections."""
 import asyncio
+import contextlib
 import heapq
 import itertools
 import json
@@ -462,11 +463,17 @@
     monkeypatch.setattr(discovery_retry, "SPARE", 0.1)
     rules = {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7, "stopSendingWithinUs": 1e5}
     async with World(servers=3, obligations=rules) as world:
-        async def refuse():
+        living = asyncio.Event()
+
+        async def answer():
+            """One call after another; those that were given up meanwhile are passed over."""
             while True:
-                peer, _ = await world.question()
-                await asyncio.sleep(2 * discovery_retry.AT_ONCE)  # as one that waited too long is told
-                peer.writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+                peer = await world.questions.get()
+                with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                    await peer.reader.readuntil(b"\r\n\r\n")
+                    await asyncio.sleep(2 * discovery_retry.AT_ONCE)  # as one that waited too long is told
+                    refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+                    peer.writer.write(HEAD + news(world) if living.is_set() else refusal)
         took = []
 
         async def serve():
@@ -476,7 +483,7 @@
                 await peer.line()
                 took.append(number)
                 peer.say("BUSY" if number else "UP 1")
-        answering, serving = asyncio.create_task(refuse()), asyncio.create_task(serve())
+        answering, serving = asyncio.create_task(answer()), asyncio.create_task(serve())
         first, *others = (server(world, number) for number in range(3))
 
         async def served():
@@ -494,12 +501,11 @@
         took.clear()
         assert not await served() and not took
         serving.cancel()
-        answering.cancel()
-        watch, _ = await world.question()
-        watch.writer.write(HEAD + news(world))
+        living.set()
         await world.until(lambda: not world.node.discovery.doubts)
         assert all(one.usable for one in others) and not first.usable
         assert world.node.counters["doubtful_lists"] == 1
+        answering.cancel()
 
 
 @played
