--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -266,6 +266,15 @@
         assert len(tier.untold) == 3 and not any(node.discovery.doubts for node in tier.nodes)
 
 
+def test_of_a_discovery_that_takes_calls_and_says_nothing_the_list_is_doubtful_in_time():
+    tier = Tier(3)
+    tier.run(0.1)
+    tier.service.becomes("silent")
+    tier.drain()
+    tier.run(BOUND)
+    assert not tier.untold and len(tier.without) == 3
+
+
 def sends_after(tier, when):
     return [at for node in tier.nodes for at, mark in node.sent if mark == DRAINS and at > when]
 
@@ -401,6 +410,25 @@
         assert world.questions.empty()
 
 
+@played
+async def test_a_refusal_at_once_tells_that_discovery_is_down_and_a_late_one_that_it_was_reached(
+        quick, monkeypatch):
+    refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    monkeypatch.setattr(discovery_retry, "AT_ONCE", 60.0)
+    async with World() as world:
+        age = world.node.discovery.age
+        for number in range(3):
+            before = age.good
+            call, _ = await world.question()
+            call.writer.write(refusal)
+            await world.until(lambda least=number: world.node.counters["list_failures"] > least)
+            assert age.good > before and not age.reached
+        monkeypatch.setattr(discovery_retry, "AT_ONCE", 0.0)
+        call, _ = await world.question()
+        call.writer.write(refusal)
+        await world.until(lambda: age.reached)
+
+
 @played
 async def test_a_reset_after_the_head_and_a_refusal_are_followed_by_another_call(quick):
     async with World(servers=2) as world:
