--- a/bellrack/lab/scale/run.py
+++ b/bellrack/lab/scale/run.py
@@ -26,7 +26,7 @@
 
 VERSION = 1
 LEAST = 3  # sizes of a fit
-GROWS = 0.05  # slope under which a budget is never reached, for all that the fit can tell
+GROWS, FAR = 0.05, 10  # slope, and times the target, from which on no size is named that reaches a budget
 DIE_WITH_PARENT = 1  # PR_SET_PDEATHSIG
 LAST_WORD = 5.0  # seconds that a child gets to end
 WEIGHED_FOR = 20.0  # virtual seconds after which memory is taken: all that stands a while has been said once
@@ -158,6 +158,7 @@
                 continue
             fit = fit_power(*zip(*points))
             breaks = (budget / fit.factor) ** (1 / fit.slope) if budget and fit.slope > GROWS else None
+            breaks = breaks if breaks and breaks <= FAR * TARGET else None
             told.append({"role": role, "what": what, "key": key, "points": points, "budget": budget,
                          "slope": fit.slope, "factor": fit.factor, "residual": fit.residual,
                          "error": fit.error, "at_target": fit.at(TARGET), "breaks_at": breaks})
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -187,6 +187,7 @@
     assert [result["servers"] for result in told["results"]] == [9, 18, 36]
     grown = next(fit for fit in told["fits"] if (fit["role"], fit["key"]) == ("aggregator", "in"))
     assert 0.8 < grown["slope"] < 1.2 and grown["error"] is not None
+    assert all((fit["breaks_at"] or 0) <= 48_000 for fit in told["fits"])
     assert "budget 3000" in page.read_text() and "aggregator" in page.read_text()
 
 
