A reset closes its server and cuts deep where nothing else tells that it is late

Draw.cut and Word.dropped: blind and with no notice for 30 s, a reset closes for 3 s and cuts to 0.6. Where others or notices tell, nothing changes. Tests in test_blind.py; each red with its mutant: SHED 0.95, no closing, notices unheeded, a pair taken for blind.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -20,8 +20,8 @@
 SOON = 2.0  # a connection dropped within this many seconds of standing was a failed set-up
 SWAMPED = 0.5  # a message delay of this share of the shortest message aim closes a server to new connections
 SWAMPED_FOR, SEEN_FOR = 1.5, 3.0  # seconds that one notice of delay holds; that other signs of it do
-CEILING, CEILING_GROWTH = 0.95, 0.03  # of what a swamped server held then; regrown a second
-JAM_CUT = 0.9  # of what is held in all, each second that zones on the mean are less calm than the ratio
+CEILING, SHED = 0.95, 0.6  # of what a swamped server held then; where none says so before it resets
+CEILING_GROWTH, JAM_CUT = 0.03, 0.9  # regrown a second; of all held, each second that zones are not calm
 FEW = 8  # own connections, of which a share measures nothing where that of all is known
 CUT_EVERY = 0.9  # seconds between cuts of a ceiling
 MOVE_SHARE, MOVE_MOST = 0.15, 4.0  # of own connections moved at a late notice; most times that, by delay
@@ -321,14 +321,14 @@
 
     def cut(self, server: Server) -> None:
         """Lower the server's ceiling, at most once in the time that a notice holds."""
-        stand = server.stand
-        if self.door.now - stand.cut > CUT_EVERY:
+        stand, now = server.stand, self.door.now
+        if now - stand.cut > CUT_EVERY:
             # As if warm: guards against a ceiling found while cold that would outlast the warm-up.
             held = stand.open / self.rack.cold.warm(server)
-            self.lower(server, CEILING * min(stand.ceiling, held))
-            if self.door.now - stand.cut > CALM:
+            self.lower(server, (SHED if self.rack.word.unsaid(now) else CEILING) * min(stand.ceiling, held))
+            if now - stand.cut > CALM:
                 self.door.log(f"server swamped: held {stand.open}, ceiling {stand.ceiling:.1f}")
-            stand.cut = self.door.now
+            stand.cut = now
 
     def pick(self, call: Call, places: list[Server]) -> Server | None:
         """The first lot with room, of few: guards against groups that scatter over what each thinks open.
--- a/bellrack/peers/word.py
+++ b/bellrack/peers/word.py
@@ -63,6 +63,10 @@
         """Servers send notices of late messages, or report their load: evidence that goes before this."""
         return bool(self.settings.report) or now - self.noticed <= NOTICED_FOR
 
+    def unsaid(self, now: float) -> bool:
+        """Neither servers nor other balancers say that messages are late: a reset tells first."""
+        return self.settings.blind and not self.better(now)
+
     def holder(self, server: Server, group: int, now: float) -> bool:
         """Is this group known to stand there?"""
         return self.hears(now) and self.sums.holder(server.mark, group, now)
@@ -91,6 +95,9 @@
         if self.hears(now):
             self.sums.tells(sums.LATE, server.mark, DROPPED)
             self.sign(server, DROPPED, now)
+        elif self.unsaid(now):
+            self.judged += 1
+            self.late(server, DROPPED)
 
     def sign(self, server: Server, late: float, now: float) -> None:
         before, when = self.slow.get(server.mark, (0.0, -math.inf))
--- a/tests/test_blind.py
+++ b/tests/test_blind.py
@@ -97,3 +97,48 @@
 def test_who_is_told_what_others_hold_or_sees_most_itself_asks_a_groups_further_servers(told):
     assert settings(peers=BALANCERS).blind
     assert not settings(**{"peers": BALANCERS} | told).blind
+
+
+def shed(**changes):
+    """A balancer whose server, one of two, resets what stands on it: the two, and what that one held."""
+    bench = Bench(settings(**{"peers": BALANCERS} | changes))
+    one, other = bench.fleet(0, 0)
+    for _ in range(60):
+        bench.run(bench.now + 1)
+        bench.call()
+        bench.stand(bench.sent[-1][0])
+    bench.run(bench.now + 10)
+    held = one.stand.open
+    for leg in list(one.stand.legs):
+        bench.back(leg, model.RESET)
+    return bench, one, other, held
+
+
+def test_a_reset_closes_its_server_where_nothing_else_tells_that_it_is_late():
+    bench, one, _, held = shed()
+    room = bench.rack.draw.room
+    assert held > 2 and one.stand.ceiling == pytest.approx(0.6 * held)
+    assert not one.stand.open and not room(one)
+    bench.run(bench.now + 2.9)
+    assert not room(one)
+    bench.run(bench.now + 0.2)
+    assert not bench.rack.draw.told_late(one)
+    bench.run(bench.now + 10)
+    assert room(one)
+
+
+@pytest.mark.parametrize("told", [{"peers": model.PAIR}, {"peers": 1}])
+def test_who_hears_of_lateness_before_a_reset_cuts_little_and_closes_nothing(told):
+    _, one, _, held = shed(**told)
+    assert one.stand.ceiling == pytest.approx(0.95 * held)
+    assert one.stand.delay == 0
+
+
+def test_a_notice_goes_before_what_a_reset_tells():
+    bench, one, other, _ = shed()
+    ceiling = one.stand.ceiling
+    bench.run(bench.now + 5)
+    bench.rack.delayed(next(iter(other.stand.legs)), 0.01)
+    one.stand.cut, one.stand.told, one.stand.delay = 0.0, 0.0, 0.0
+    bench.rack.word.dropped(one, bench.now)
+    assert one.stand.delay == 0 and one.stand.ceiling == ceiling
