--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -322,11 +322,11 @@
 
     def cut(self, server: Server) -> None:
         """Lower the server's ceiling, at most once in the time that a notice holds."""
-        stand, now = server.stand, self.door.now
+        stand, now, rack = server.stand, self.door.now, self.rack
         if now - stand.cut > CUT_EVERY:
             # As if warm: guards against a ceiling found while cold that would outlast the warm-up.
-            held = stand.open / self.rack.cold.warm(server)
-            self.lower(server, (SHED if self.rack.word.unsaid(now) else CEILING) * min(stand.ceiling, held))
+            held = stand.open / rack.cold.warm(server)
+            self.lower(server, (SHED if rack.overload.unsaid(now) else CEILING) * min(stand.ceiling, held))
             if now - stand.cut > CALM:
                 self.door.log(f"server swamped: held {stand.open}, ceiling {stand.ceiling:.1f}")
             stand.cut = now
--- a/bellrack/lab/sockets.py
+++ b/bellrack/lab/sockets.py
@@ -34,7 +34,7 @@
 class Lines(asyncio.Protocol):
     """A connection of lines; those that derive from it say what is done with each."""
 
-    transport: asyncio.Transport
+    transport: asyncio.Transport | None = None  # until the connection is up
 
     def __init__(self) -> None:
         self.rest = b""
@@ -42,6 +42,8 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        if self.over:
+            transport.abort()  # guards against a line that was ended before it was up, and then stays
 
     def data_received(self, data: bytes) -> None:
         *whole, self.rest = (self.rest + data).split(b"\n")
@@ -68,12 +70,15 @@
         """End it as agreed; nothing is told to `lost` any more."""
         if not self.over:
             self.over = True
-            self.transport.close()
+            if self.transport:
+                self.transport.close()
 
     def reset(self) -> None:
         """End it as the kernel does for a process that is gone."""
         if not self.over:
             self.over = True
+            if not self.transport:
+                return
             sock = self.transport.get_extra_info("socket")
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -41,10 +41,12 @@
 
 
 class Former:
-    """The process that serves, as the one that starts finds it: its door and what it told."""
+    """The process that serves, as the one that starts finds it: its door, what it told, and bytes of what it
+    has begun to say after that."""
 
-    def __init__(self, sock: socket.socket, door: socket.socket, way: socket.socket | None, told: dict):
-        self.sock, self.door, self.way, self.told = sock, door, way, told
+    def __init__(self, sock: socket.socket, door: socket.socket, way: socket.socket | None, told: dict,
+                 rest: bytes = b""):
+        self.sock, self.door, self.way, self.told, self.rest = sock, door, way, told, rest
 
 
 def meet(path: str) -> Former | None:
@@ -57,17 +59,18 @@
         if not same_user(sock):
             raise OSError("another user's")
         text = b""
-        while not text.endswith(b"\n"):
+        while b"\n" not in text:  # what it says next may come in the same read
             part, got, _, _ = socket.recv_fds(sock, PART, 2)
             fds += got
             text += part
             if not part or len(text) > LONGEST:
                 raise OSError("cut off")
+        text, _, rest = text.partition(b"\n")
         told = json.loads(text)
         if not fds or not isinstance(told, dict):
             raise OSError("no door came")
         door, *ways = (socket.socket(fileno=fd) for fd in fds)
-        return Former(sock, door, ways[0] if ways else None, told)
+        return Former(sock, door, ways[0] if ways else None, told, rest)
     except (OSError, ValueError) as error:
         if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
             log.tell("handover", taken="nothing", error=repr(error))
@@ -80,8 +83,9 @@
 class Other(asyncio.Protocol):
     """The other process of this balancer, while there is one: a message is a line, one JSON object."""
 
-    def __init__(self, node: Any, giver: passing.Giver | None = None):
+    def __init__(self, node: Any, giver: passing.Giver | None = None, early: bytes = b""):
         self.node, self.giver, self.rest = node, giver, b""  # the way over, where it came after us
+        self.early = early  # bytes of it that were read with the door
         self.unsaid = b""  # until the connection is up
         self.transport: Any = None
 
@@ -90,6 +94,7 @@
         self.node.limits.counted(1)
         transport.write(self.unsaid)
         self.held()
+        self.data_received(self.early)
 
     def data_received(self, data: bytes) -> None:
         *whole, self.rest = (self.rest + data).split(b"\n")
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -420,7 +420,7 @@
             # Guards against what another version tells in a form of its own.
             log.tell("handover", taken="in part", error=repr(error))
         self.readiness.at_once = False  # there is no haste: the other serves
-        self.join(former.sock)
+        self.join(former.sock, early=former.rest)
         self.taker = former.way and passing.Taker(self, former.way)
         await self.joining
 
@@ -459,8 +459,8 @@
         """A process came after us and has our door."""
         return self.giver is not None
 
-    def join(self, sock: socket.socket, giver: passing.Giver | None = None) -> None:
-        self.other = handover.Other(self, giver)
+    def join(self, sock: socket.socket, giver: passing.Giver | None = None, early: bytes = b"") -> None:
+        self.other = handover.Other(self, giver, early)
         self.joining = self.loop.create_task(
             self.loop.create_unix_connection(lambda: self.other, sock=sock))
 
--- a/tests/test_blind.py
+++ b/tests/test_blind.py
@@ -141,5 +141,5 @@
     bench.run(bench.now + 5)
     bench.rack.delayed(next(iter(other.stand.legs)), 0.01)
     one.stand.cut, one.stand.told, one.stand.delay = 0.0, 0.0, 0.0
-    bench.rack.word.dropped(one, bench.now)
+    bench.rack.overload.dropped(one, bench.now)
     assert one.stand.delay == 0 and one.stand.ceiling == ceiling
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,7 +5,9 @@
 import os
 import socket
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from unittest import mock
 
 import pytest
 from helpers import Peer, World, played
@@ -363,3 +365,28 @@
     entry, = lines.listing(json.loads(json.dumps(lines.told([row])))).entries
     assert (entry.name, entry.address, entry.zone, entry.machine) == ("s-1", ("127.0.0.1", 9), "a", "m2")
     assert entry.row == ("draining", 3, 1.5, 100.25)
+
+
+def test_what_is_said_right_after_the_door_may_come_in_the_same_read(tmp_path):
+    path = str(tmp_path / "meeting")
+    with socket.socket(socket.AF_UNIX) as meeting, socket.socket() as door:
+        meeting.bind(path)
+        meeting.listen()
+
+        def gives():
+            sock, _ = meeting.accept()
+            socket.send_fds(sock, [b'{"version": 1}\n{"held": 7}\n{"pas'], [door.fileno(), door.fileno()])
+            return sock
+
+        with ThreadPoolExecutor(1) as pool:
+            giving = pool.submit(gives)
+            former = handover.meet(path)
+            giving.result().close()
+    assert former and former.told == {"version": 1}
+    host = mock.Mock(**{"limits.descriptors": 0})
+    other = handover.Other(host, early=former.rest)
+    other.connection_made(mock.Mock(is_closing=lambda: False))
+    other.data_received(b'sed": 3}\n')
+    assert [call.args[1] for call in host.queue.call_args_list] == [{"held": 7}, {"passed": 3}]
+    for sock in (former.sock, former.door, former.way):
+        sock.close()
