Review: a doubtful list raises no cold budget, gaps don't grow for ever, groups stay put in doubt

Now the list's own servers count, the gap is the tier's, marks are for calls without a group and end with the doubt, tokens have to be over 0.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -33,8 +33,7 @@
 ABOVE_MEAN = 1.25  # a server this far over the mean of open load is passed over
 SPARE_SHARE = 0.25  # of a call's wait, at most, is kept for the answer's way
 GROWTH, LEAST_PACE = 0.5, 8.0  # legs a second to a warm server: share of what it holds; never held back
-AHEAD = 2.0  # a cold server is filled at most so much faster than evenly
-RUSH = 1.5  # calls to a cold server that a rush brings, by own connections usual on a warm one
+AHEAD, RUSH = 2.0, 1.5  # a cold server's fill over an even one, at most; a rush's calls, by what is usual
 FIRST_FILL = 12.0  # open connections by listed size, of all balancers, that a server bears for sure
 FRESH, FULL_FRESH, ASKED_FOR = 1.0, 2.0, 0.1  # seconds: a report stands, a full one, a call waits for it
 FULL, STEEP = 0.9, 0.2  # of what a server can do, it takes nothing new; less at each further lot
@@ -164,26 +163,27 @@
         return 1.0 - (1.0 - self.settings.cold_share) * min(1.0, left) if left > 0 else 1.0
 
     def usual(self) -> float:
-        """Own open connections by size on warm servers that are not late: what a server is known to bear."""
+        """Own open connections by size on listed warm servers that are not late: what one surely bears."""
         if self.door.now >= self.looked + LOOK:
             self.looked, late = self.door.now, self.rack.draw.told_late
-            warm = [s for s in self.rack.listing.ready if s.stand.warm_at <= self.looked and not late(s)]
+            warm = [s for s in self.rack.fleet if s.ready and s.stand.warm_at <= self.looked and not late(s)]
             size = sum(s.size for s in warm)
             self.borne = max(self.borne, sum(s.stand.open for s in warm) / size if size else 0.0)
         return max(self.borne, FIRST_FILL / self.settings.peers)
 
     def room(self, server: Server) -> bool:
-        under = server.stand.open + server.stand.part < self.usual() * server.size and self.tokens(server)
-        return under and self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
+        under = server.stand.open + server.stand.part < self.usual() * server.size
+        calm = self.door.now - server.stand.told > SWAMPED_FOR and self.rack.draw.room(server)
+        return under and calm and self.tokens(server) > 0
 
     def tokens(self, server: Server) -> int:
         """Set-ups that may go there now: of all balancers at most the budget in any window. They come evenly
         from when we were told; those not used in time are lost, lest a rush find all of them kept."""
-        stand, rules, bears = server.stand, self.settings, self.usual() * server.size
+        stand, rules, now, bears = server.stand, self.settings, self.door.now, self.usual() * server.size
         budget, anew = rules.cold_budget(self.borne, server.size * self.warm(server))
         rate = min(AHEAD * bears / rules.ramp_time, anew / rules.fall_time)
         kept = (budget - rate * rules.fall_time) * max(1.0, 1 / (RUSH * bears))
-        stand.issued, stand.issued_at = stand.issued + rate * (self.door.now - stand.issued_at), self.door.now
+        stand.issued, stand.issued_at = stand.issued + rate * max(0.0, now - stand.issued_at), now
         stand.taken = max(stand.taken, math.floor(stand.issued - kept))
         return math.floor(stand.issued) - stand.taken
 
@@ -343,8 +343,8 @@
         mean = ABOVE_MEAN * sum([held[s] for s in places]) / sum(sizes)
         low = [s for s, size in zip(places, sizes) if held[s] < 1 + mean * size] or places
         # Guards against a server put back that waits long for its lot, by the weight of a cold one.
-        missed = [s for s in low if s.stand.missed and now >= s.stand.next_leg
-                  and self.rack.cold.bears(s) and self.room(s, FULL)]
+        missed = [s for s in low if (s.stand.missed or s.unproved and not call.group)
+                  and now >= s.stand.next_leg and self.rack.cold.bears(s) and self.room(s, FULL)]
         held = missed or call.group and not self.beyond(call) and [
             s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS
             or self.rack.overload.holder(s, call.group, now)]
--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -45,7 +45,7 @@
     def __init__(self, settings: Settings, chance: Chance):
         self.settings, self.chance = settings, chance
         self.own = Chance(step(chance.state))  # so that a call beside another moves no draw of the decisions
-        self.failures = self.overlaps = 0  # since the list last came
+        self.failures = 0  # since the list last came
 
     @property
     def share(self) -> float:
@@ -57,7 +57,7 @@
         return PATIENCE * max(1.0, self.share)
 
     def answered(self) -> None:
-        self.failures = self.overlaps = 0
+        self.failures = 0
 
     def first(self) -> float:
         """Seconds from the start until the first call."""
@@ -73,10 +73,9 @@
 
     def overlap(self) -> float:
         """Seconds that a call may be silent before another goes out beside it."""
-        cap = self.share * 2 ** self.overlaps
-        self.overlaps = min(DOUBLINGS, self.overlaps + 1)
         # Not sooner: guards against a second place in the queue for each caller that only waits in turn.
-        return max(OVERLAP, self._drawn(cap, self.own))
+        # Nor later each time: guards against gaps that grow while what took the calls is long dead.
+        return max(OVERLAP, self._drawn(self.share, self.own))
 
     def window(self) -> float:
         """Seconds for which the last proof, of the list or of a server, stands."""
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -119,13 +119,20 @@
     out: bool = False  # taken out by hand, whatever the list says
     proved: float = -math.inf  # when a new connection was last sent to it that it took
     doubtful: bool = False  # the list is, and this server proved too little since
+    tried: float = -math.inf  # when a new connection was last sent to it
+    unproved: bool = False  # neither for long, while the list ages: a call without a group goes there first
     stand: Any = None
     host: Any = None  # the host's own record of it
 
+    @property
+    def ready(self) -> bool:
+        """By the list and by hand."""
+        return self.state == READY and not self.out
+
     @property
     def usable(self) -> bool:
         """May it get anything new?"""
-        return self.state == READY and not self.out and not self.doubtful
+        return self.ready and not self.doubtful
 
 
 class Stand:
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -121,7 +121,7 @@
         self.former: Any = None  # of the address before, until the new one has told its list
         self.overlap_at = math.inf  # when the next goes out beside the standing one
         self.age = discovery_retry.ListAge(node.begun)
-        self.doubts = False  # the list is doubtful
+        self.doubts = self.ages = False  # the list is doubtful; it is on the way there
 
     def watch(self, on: bool = True) -> None:
         if on and self.standing:
@@ -234,5 +234,7 @@
                 self.node.doubt(math.inf)
         if doubts:
             self.node.doubt(window)
-        if self.age.doubtful(self.node.now, window / 2):
-            self.node.prove(window / 2)
+        ages = self.age.doubtful(self.node.now, window / 2)
+        if ages or self.ages:
+            self.node.prove(window / 2 if ages else math.inf)
+        self.ages = ages
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -125,7 +125,7 @@
     # What the balancer may do: each is carried out when the module has had the whole batch.
 
     def send(self, call: Call, server: Server, until: float) -> Leg:
-        leg = self.begin(call, server)
+        leg, server.tried, server.unproved = self.begin(call, server), self.now, False
         self.acts.append((self.connect, (leg, until)))
         return leg
 
@@ -342,10 +342,12 @@
             self.balancer.refresh()
 
     def prove(self, since: float) -> None:
-        """Servers that took no connection for so long (seconds) get the next one: guards against a list that
-        becomes doubtful, and then only servers that took one lately, fewer and fewer, may be used."""
-        for server in self.balancer.listing.ready:
-            server.stand.missed = server.stand.missed or self.now - server.proved > since
+        """Servers that took no connection for so long (seconds), nor were tried, get the next call without a
+        group: guards against a list that becomes doubtful, and then only servers that took one lately, fewer
+        and fewer, may be used. Infinite: the list is young. Groups stay where they are: each server more that
+        has one pays its price."""
+        for server in self.servers.values():
+            server.unproved = self.now - max(server.proved, server.tried) > since
 
     def look(self) -> None:
         """Once a second: tell of servers whose messages are late, and end what has gone silent."""
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -420,3 +420,26 @@
     bench.rack.withheld(fleet[0], False)
     bench.run(bench.now + 5.0)
     assert bench.call().legs[0].server is fleet[0]
+
+
+def test_a_doubtful_list_does_not_raise_what_a_cold_server_is_taken_to_bear():
+    # Guards against a mean over the few servers that are left to use, which hold most; it never falls again.
+    bench = Bench(settings(peers=20))
+    fleet = bench.fleet(*[0] * 10)
+    for server in fleet[:2]:
+        server.stand.open = 8
+    bench.run(bench.now + 1)
+    known = bench.rack.cold.usual()
+    for server in fleet[2:]:
+        server.doubtful = True
+    bench.rack.refresh()
+    bench.run(bench.now + 1)
+    assert bench.rack.listing.ready == fleet[:2] and bench.rack.cold.usual() == known == 1.6
+
+
+def test_a_cold_server_takes_nothing_where_a_clock_ran_back():
+    bench = Bench(settings(peers=3, ramp_time=20.0))
+    one, = bench.fleet(0)
+    bench.rack.starts(one, bench.now, bench.now)
+    one.stand.issued, one.stand.taken, one.stand.issued_at = 0.0, 5, bench.now + 100
+    assert not bench.rack.cold.room(one) and one.stand.issued == 0.0
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -248,7 +248,9 @@
 @pytest.mark.parametrize("peers", [1, 3, 10])
 def test_a_call_that_is_taken_and_never_answered_has_another_beside_it_and_no_third(peers):
     # Guards against a call that hangs for good: those before the change of mode are dead.
-    for at in (2.0, 3.1, 4.7):  # while watches stand, while they are renewed, while those calls hang
+    # While watches stand, while they are renewed, while those calls hang; and after long, when a gap that
+    # grew with each call in vain would be longer than all the time there is.
+    for at in (2.0, 3.1, 4.7, 20.0, 60.0, 300.0):
         tier = Tier(peers)
         tier.run(3.0)
         tier.service.becomes("silent")
@@ -277,6 +279,18 @@
     assert not tier.untold and len(tier.without) == 3
 
 
+def test_an_ageing_list_marks_servers_for_calls_without_a_group_and_a_young_one_none():
+    tier = Tier(3)
+    tier.run(0.1)
+    tier.service.becomes("silent")
+    tier.run(BOUND)
+    marked = [server for node in tier.nodes for server in node.servers.values() if server.unproved]
+    assert len(marked) == 3 * SERVERS and not any(server.stand.missed for server in marked)
+    tier.service.becomes("up")
+    tier.run(10.0)
+    assert not any(server.unproved for server in marked)
+
+
 def sends_after(tier, when):
     return [at for node in tier.nodes for at, mark in node.sent if mark == DRAINS and at > when]
 
