--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -24,6 +24,8 @@
 """
 from __future__ import annotations
 
+import math
+
 from bellrack.chance import Chance, step
 from bellrack.model import Settings
 
@@ -32,6 +34,8 @@
 CONNECT = 1.5  # seconds in which a connection to discovery has to come up
 GAP_FIRST, GAP_MOST = 0.5, 2.0  # seconds until the first call and the first repeat, at most; a later one
 OVERLAP = 3.25  # seconds without an answer after which a second call goes out beside the first
+GAP_REFUSED, GAP_BUSY = 1.5, 8.0  # the first repeat after a refusal, at most; the longest for hundreds
+TIER_MOST = 30.0  # repeats a second, about, by all balancers of a tier in which that is too often
 TIER_RATE = 6.0  # repeats a second, about, by all balancers of a tier, while discovery refuses them
 AT_ONCE = 0.25  # seconds within which a call fails if discovery is down, and not for having waited too long
 PATIENCE = 10.0  # seconds for which the first of two calls is kept: its place in the queue is the better one
@@ -50,7 +54,9 @@
     @property
     def share(self) -> float:
         """Seconds between two repeats of ours at the tier's rate."""
-        return self.settings.peers / TIER_RATE
+        even = self.settings.peers / TIER_RATE
+        # Guards against hundreds that lose their watches at once and then wait for longer than a list stands.
+        return even if even <= GAP_BUSY else max(GAP_BUSY, self.settings.peers / TIER_MOST)
 
     @property
     def patience(self) -> float:
@@ -66,7 +72,7 @@
     def gap(self, reached: bool = True) -> float:
         """Seconds until the next call after one that failed. Where discovery was not even reached a call
         costs it nothing, so the tier's size does not count."""
-        cap = min(GAP_MOST, max(GAP_FIRST, self.share)) * 2 ** self.failures
+        cap = min(GAP_REFUSED, max(GAP_FIRST, self.share)) * 2 ** self.failures
         self.failures = min(DOUBLINGS, self.failures + 1)
         most = min(GAP_MOST, self.settings.ask_within)
         return self._drawn(min(cap, max(most, self.share) if reached else most), self.chance)
@@ -93,10 +99,16 @@
 
     def __init__(self, now: float):
         self.good, self.reached = now, False  # reached: by a call of ours since then
+        self.proofs_from = -math.inf  # what servers showed before proves nothing
 
     def confirmed(self, now: float) -> None:
         """Discovery wrote that this is the list, or what has changed of it."""
-        self.good, self.reached = now, False
+        self.good, self.reached, self.proofs_from = now, False, -math.inf
+
+    def silent(self) -> None:
+        """A watch fell silent after its last line. All that it misses counts as told TOLD after that, even a
+        change just before then: a server that took a connection meanwhile may have drained since."""
+        self.proofs_from = self.good + TOLD
 
     def met(self) -> None:
         """It let a call of ours wait, or began to answer: it counts as reached from now on."""
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -201,6 +201,7 @@
             self.former.fail("watch-silent")
         if (watch := self.standing) and not watch.waits and now - watch.heard > SILENT:
             if watch.begun:
+                self.age.silent()
                 self.end("watch-silent")
                 self.watch()
             else:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -332,9 +332,9 @@
     def doubt(self, window: float) -> None:
         """The list may lack what counts as told: new connections go only to servers that took one within the
         window (seconds). Infinite: the list is good again."""
-        changed = []
+        changed, since = [], max(self.now - window, self.discovery.age.proofs_from)
         for server in self.servers.values():
-            doubtful = self.now - server.proved > window
+            doubtful = server.proved < since
             if server.doubtful != doubtful:
                 server.doubtful = doubtful
                 changed.append(server)
