--- a/bellrack/lab/live.py
+++ b/bellrack/lab/live.py
@@ -184,7 +184,7 @@
             self.leaving = True
             self.signal(signal.SIGTERM)
 
-    # The list service.
+    # Discovery.
 
     def watches(self, line: ListLine) -> None:
         self.watcher = line
@@ -216,7 +216,7 @@
             for machine, state, since in rows]}
 
     def unheard(self) -> None:
-        """The list service is down: its watch ends."""
+        """Discovery is down: its watch ends."""
         self.in_vain = True
         if self.watcher:
             self.watcher.reset()
--- a/bellrack/lab/node.py
+++ b/bellrack/lab/node.py
@@ -47,7 +47,7 @@
         self.world, self.name, self.number, self.zone = world, name, number, zone
         self.incarnation, self.alive, self.leaving = incarnation, True, False
         self.told: dict[Machine, tuple[str, float]] = {}
-        self.in_vain = False  # its last question to the list service failed
+        self.in_vain = False  # its last question to discovery failed
         self.line_at = 0.0  # when the last line of the list arrives
         self.attempts: dict[Attempt, None] = {}  # calls here that are not over
 
@@ -256,7 +256,7 @@
                                      for m, state, since in rows], whole)
 
     def unheard(self) -> None:
-        """A question to the list service failed, or a watch ended."""
+        """A question to discovery failed, or a watch ended."""
         self.in_vain = True
         self.turn(self.balancer.unlisted)
         if self.alive and not self.settings.asks:
--- a/bellrack/lab/referee.py
+++ b/bellrack/lab/referee.py
@@ -2,7 +2,7 @@
 
 Owns what counts as a breach of which rule. It reads entries in order of time and the scenario's figures,
 never the books of a host, the counters of a run or the state of a server; so it convicts a balancer by what
-clients, servers and the list service saw of it, on virtual time and on sockets alike.
+clients, servers and discovery saw of it, on virtual time and on sockets alike.
 """
 from __future__ import annotations
 
--- a/bellrack/lab/roster.py
+++ b/bellrack/lab/roster.py
@@ -1,4 +1,4 @@
-"""The list service in virtual time, and the front that deals out clients.
+"""Discovery in virtual time, and the front that deals out clients.
 
 Owns what the service knows of the servers and when it tells whom, and which balancers the front takes for
 alive. Neither sees a server's load, and neither decides where a call goes.
@@ -20,7 +20,7 @@
 
 
 class Roster:
-    """Servers as the list service knows them: late, and by their processes alone."""
+    """Servers as discovery knows them: late, and by their processes alone."""
 
     def __init__(self, world: World):
         self.world, self.form, self.stream = world, world.scenario.listing, world.chance["list"]
--- a/bellrack/lab/scale/desk.py
+++ b/bellrack/lab/scale/desk.py
@@ -1,6 +1,6 @@
 """The stand-in for discovery: the list of servers, its changes, and who watches it.
 
-Owns the list of a run and what is said of it on the lines of the lab's list service. It knows no balancer and
+Owns the list of a run and what is said of it on the lines of the lab's discovery. It knows no balancer and
 no loop but the one it is given; who hears of a change late or not at all is the run's.
 """
 from __future__ import annotations
@@ -34,7 +34,7 @@
 
 
 class Desk:
-    """Is its own `world` and `roster` to the lines of the list service: there is one list for all."""
+    """Is its own `world` and `roster` to the lines of discovery: there is one list for all."""
 
     down = False
 
--- a/bellrack/lab/scenario.py
+++ b/bellrack/lab/scenario.py
@@ -165,7 +165,7 @@
 
 
 class Listing(Form):
-    """The list service."""
+    """Discovery."""
 
     asks: bool = True  # changes come only to those who ask
     notice: Span = field(default_factory=lambda: [0.6, 1.5])  # from a change until the service knows
--- a/bellrack/lab/sockets.py
+++ b/bellrack/lab/sockets.py
@@ -1,4 +1,4 @@
-"""The sockets of the loopback face: clients, servers and the list service as the text protocol has them.
+"""The sockets of the loopback face: clients, servers and discovery as the text protocol has them.
 
 Owns bytes, lines and ports. What a line means to the model is told to the world that made the socket;
 nothing here decides when a server answers what. Stand-ins only: written for the lab, of the platform's
@@ -171,7 +171,7 @@
 
 
 class ListLine(Lines):
-    """A balancer's question to the list service: the whole list once, or a watch."""
+    """A balancer's question to discovery: the whole list once, or a watch."""
 
     def __init__(self, node: LiveNode):
         super().__init__()
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -1,4 +1,4 @@
-"""A toy to try the balancer with: a list service on 127.0.0.1:8500 and two servers, s-1 and s-2.
+"""A toy to try the balancer with: a discovery on 127.0.0.1:8500 and two servers, s-1 and s-2.
 
 Commands on standard input: `drain NAME`, `back NAME` (changes of the list), `say NAME LINE` (to its clients).
 """
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -199,7 +199,7 @@
         return self
 
     async def names_none(self):
-        """The list service says that there is no server: without a list nobody is let in."""
+        """Discovery says that there is no server: without a list nobody is let in."""
         self.watch, _ = await self.question()
         text = '{"generation":42,"reset":true,"instances":[]}\n'
         self.watch.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -66,7 +66,7 @@
 
 
 class Slow:
-    """A list service that answers ten calls a second in turn, and whose callers wait for as long."""
+    """A discovery that answers ten calls a second in turn, and whose callers wait for as long."""
 
     def __init__(self):
         self.free = 0.0
@@ -121,11 +121,11 @@
     assert ready == told and (90 <= len(ready) <= 100 if service == "slow" else not ready)
 
 
-# One process: what it does with each list it may know and each way of the list service.
+# One process: what it does with each list it may know and each way of discovery.
 
 @contextlib.asynccontextmanager
 async def starting(patience, **changes):
-    """A process at its start, with the questions it asks the list service."""
+    """A process at its start, with the questions it asks discovery."""
     asked = asyncio.Queue()
     listener = await asyncio.start_server(lambda *both: asked.put_nowait(Peer(*both)), "127.0.0.1")
     place = "{}:{}".format(*listener.sockets[0].getsockname())
