--- a/bellrack/lab/scale/plan.py
+++ b/bellrack/lab/scale/plan.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import math
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, field
 
-from bellrack.lab.scenario import Count, Delay, Form, ScenarioError, Seconds, Share, Trouble, Word
+from bellrack.lab.scenario import Count, Delay, Form, Seconds, Share, Trouble, Word, parse_tables, read_tables
 
 TARGET = 4800  # balancers, for which restarts are stated
 RESTARTS = 54.0  # an hour there: 1,300 of a day
@@ -104,25 +103,12 @@
 
 def read_plan(path: str | Path) -> Plan:
     """The plan of a file. Raises ScenarioError."""
-    try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ScenarioError(f"{path}: {error.strerror}") from error
-    except ValueError as error:  # no TOML, or no UTF-8
-        raise ScenarioError(f"{path}: {error}") from error
-    return parse_plan(raw, str(path))
+    return parse_plan(read_tables(path), str(path))
 
 
 def parse_plan(raw: dict[str, Any], source: str = "plan") -> Plan:
     """A plan from the tables of its file. Raises ScenarioError."""
-    try:
-        plan = msgspec.convert(raw, Plan)
-    except msgspec.ValidationError as error:
-        reason, _, place = str(error).partition(" - at `$")
-        raise ScenarioError(f"{source}: {place.strip('.`') or 'the file'}: {reason}") from error
-    for key, reason in _faults(plan):
-        raise ScenarioError(f"{source}: {key}: {reason}")
-    return plan
+    return parse_tables(raw, Plan, source, _faults)
 
 
 def _faults(plan: Plan):
--- a/bellrack/lab/scenario.py
+++ b/bellrack/lab/scenario.py
@@ -8,9 +8,10 @@
 
 import math
 import tomllib
+from collections.abc import Callable, Iterable
 from copy import deepcopy
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta, Struct, field
@@ -25,6 +26,7 @@
 Weight = Annotated[float, Meta(ge=0, le=1e6)]
 Count = Annotated[int, Meta(ge=0, le=100_000)]
 Word = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_-]{1,40}$")]
+Parsed = TypeVar("Parsed")
 
 
 class ScenarioError(ValueError):
@@ -351,27 +353,38 @@
         return requests > most_requests(self.rules.push_multiple * able)
 
 
-def read_scenario(path: str | Path) -> Scenario:
-    """The scenario of a file. Raises ScenarioError."""
+def read_tables(path: str | Path) -> dict[str, Any]:
+    """The tables of a TOML file. Raises ScenarioError."""
     try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ScenarioError(f"{path}: {error.strerror}") from error
     except ValueError as error:  # no TOML, or no UTF-8
         raise ScenarioError(f"{path}: {error}") from error
-    return parse_scenario(raw, str(path))
 
 
-def parse_scenario(raw: dict[str, Any], source: str = "scenario") -> Scenario:
-    """A scenario from the tables of its file. Raises ScenarioError."""
+def parse_tables(raw: dict[str, Any], form: type[Parsed], source: str,
+                 faults: Callable[[Parsed], Iterable[tuple[str, str]]]) -> Parsed:
+    """What the tables hold, in that form; `faults` names keys and what is wrong with each. Raises
+    ScenarioError."""
     try:
-        scenario = msgspec.convert(raw, Scenario)
+        parsed = msgspec.convert(raw, form)
     except msgspec.ValidationError as error:
         reason, _, place = str(error).partition(" - at `$")
         raise ScenarioError(f"{source}: {place.strip('.`') or 'the file'}: {reason}") from error
-    for key, reason in _faults(scenario):
+    for key, reason in faults(parsed):
         raise ScenarioError(f"{source}: {key}: {reason}")
-    return scenario
+    return parsed
+
+
+def read_scenario(path: str | Path) -> Scenario:
+    """The scenario of a file. Raises ScenarioError."""
+    return parse_scenario(read_tables(path), str(path))
+
+
+def parse_scenario(raw: dict[str, Any], source: str = "scenario") -> Scenario:
+    """A scenario from the tables of its file. Raises ScenarioError."""
+    return parse_tables(raw, Scenario, source, _faults)
 
 
 def server_names(scenario: Scenario) -> list[tuple[str, Servers]]:
