--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -13,14 +13,17 @@
     or one that was taken and is silent began just before T: another goes out by T + OVERLAP + LOOK, T + 3.5
     2.5 s of the TOLD are left for the answer, and the grace for what is under way
 
-In a larger tier calls that were refused, or wait in turn, are repeated at the tier's rate: TIER_RATE a second
-over all balancers, whatever their number, so a gap may be longer than that. Who has no answer in time then,
-for whatever reason, has a doubtful list (`ListAge.doubtful`): discovery was reached since the list was last
-known to be good, and that is a window (TOLD, the grace, less SPARE) ago. A call fails because it waited too
-long or because discovery is down (the protocol page): one that fails AT_ONCE found it down. From then on only
-servers that took a connection within the last window may get a new one: a server that drains turns new ones
-away, so one that took it was not yet draining, and a drain since then counts as told no sooner than TOLD
-after. While discovery cannot be reached at all nothing counts as told, and the list stands.
+In a larger tier calls that were refused, or wait in turn, are repeated at the tier's rate, so a gap may be
+longer than that: TIER_RATE a second over all balancers, but GAP_BUSY apart at most as long as that is no more
+than TIER_MOST a second, and TIER_MOST beyond. Who has no answer in time then, for whatever reason, has a
+doubtful list (`ListAge.doubtful`): discovery was reached since the list was last known to be good, and that
+is a window (TOLD, the grace, less SPARE) ago. A call fails because it waited too long or because discovery is
+down (the protocol page): one that fails AT_ONCE found it down. From then on only servers that took a
+connection within the last window may get a new one: a server that drains turns new ones away, so one that
+took it was not yet draining, and a drain since then counts as told no sooner than TOLD after. After a watch
+that fell silent this does not hold: all that it misses counts as told TOLD after that, so earlier proofs
+count for nothing (`ListAge.silent`). While discovery cannot be reached at all nothing counts as told, and the
+list stands.
 """
 from __future__ import annotations
 
