--- a/bellrack/lab/live.py
+++ b/bellrack/lab/live.py
@@ -381,7 +381,30 @@
             self.leaves(out)
 
 
-class LiveWorld(World):
+class Tasks:
+    """What runs beside a run on sockets. Whoever derives from it makes the three."""
+
+    loop: asyncio.AbstractEventLoop
+    fault: asyncio.Future
+    tasks: set[asyncio.Task]
+
+    def failed(self, error: BaseException) -> None:
+        """A fault of the lab's own ends the run."""
+        if not self.fault.done():
+            self.fault.set_exception(error)
+
+    def task(self, work: Any) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.task_over)
+
+    def task_over(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            self.failed(task.exception())
+
+
+class LiveWorld(Tasks, World):
     legs_form = LiveLegs
     nodes: list[LiveNode]
 
@@ -408,21 +431,6 @@
         self.ports = {machine: Port() for machine in self.machines}
         self.server_lines: dict[Machine, dict[ServerLine, None]] = {m: {} for m in self.machines}
 
-    def failed(self, error: BaseException) -> None:
-        """A fault of the lab's own ends the run."""
-        if not self.fault.done():
-            self.fault.set_exception(error)
-
-    def task(self, work: Any) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.task_over)
-
-    def task_over(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception():
-            self.failed(task.exception())
-
     @staticmethod
     def mark_of(attempt: Attempt) -> str:
         return f"{attempt.id:016x}"
--- a/bellrack/lab/scale/real.py
+++ b/bellrack/lab/scale/real.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from bellrack.lab.agenda import START
-from bellrack.lab.live import LATE, LiveAgenda
+from bellrack.lab.live import LATE, LiveAgenda, Tasks
 from bellrack.lab.scale import figures
 from bellrack.lab.scale.desk import Desk, Line
 from bellrack.lab.scale.guard import Guard, used_mb
@@ -132,7 +132,7 @@
                 await asyncio.wait_for(self.process.wait(), LAST_WORD)
 
 
-class RealTier(Tier):
+class RealTier(Tasks, Tier):
     def __init__(self, plan: Plan, seed: int, guard: Guard, loop: asyncio.AbstractEventLoop):
         super().__init__(plan, seed, guard)
         self.loop = loop
@@ -154,21 +154,6 @@
         self.started: dict[int, int] = {}  # ticks when counting began
         self.real_memory: dict[int, float] = {}
 
-    def failed(self, error: BaseException) -> None:
-        """A fault of the run's own ends it."""
-        if not self.fault.done():
-            self.fault.set_exception(error)
-
-    def task(self, work: Any) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.task_over)
-
-    def task_over(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception():
-            self.failed(task.exception())
-
     # The network.
 
     async def ear(self, heard: Callable[[tuple[str, int], bytes], None]) -> Ear:
