--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -14,6 +14,8 @@
 from bellrack.net.ring import Link
 from bellrack.net.servers import ServerLink
 
+RECHECK = 1.0  # seconds between looks whether the run has begun, for connections that have said nothing
+
 
 class Client(Link):
     side = "client"
@@ -42,11 +44,18 @@
     def stale(self) -> None:
         """Guards against connections that say nothing, or never end their line, and stay; and, by an answer,
         against the end of a line that came in with our end."""
-        if self.call is None and self.pings:
+        if self.call is None and self.node.resumed.may_precede_run():
+            # Guards against BUSY to a resumed connection whose client is slow to write.
+            self.lasts(RECHECK, self.stale)
+        elif self.call is None and self.pings:
             self.finish("no-first-line")
         elif self.call is None:
             self.turned_away("no-first-line")
 
+    def finish(self, reason: str, how: str = "fin", **figures: Any) -> None:
+        self.node.resumed.discard(self)
+        super().finish(reason, how, **figures)
+
     def spared(self) -> None:
         if not self.over:
             self.turned_away(how="now")
@@ -54,7 +63,7 @@
 
     def ready(self) -> None:
         if self.call is None and not self.node.limits.room(self.node.now, 2):
-            self.busy()  # before accepting fails: whatever it wants, it is told
+            self.crowded_out()
         while not self.over and self.call is None and (line := self.ring.line()):
             self.first(line)
         if self.over:
@@ -71,12 +80,21 @@
         elif self.done():
             self.gone()
 
+    def crowded_out(self) -> None:
+        """Before accepting fails: whatever it wants, it is told; but a resumed connection waits for room."""
+        expected = self.node.resumed.window.admits(self.node.now) and lines.names_server(self.ring.peek())
+        if not expected and not self.node.resumed.expects_more():
+            self.busy()
+
     def counted_as(self, outcome: str) -> None:
         """Its one outcome, by traffic type as the line names it."""
         self.node.counters[f"{outcome}.{self.wish.values['c']}"] += 1
 
     def first(self, line: bytes) -> None:
         if line.strip() == b"PING":
+            if not self.node.takes_requests:
+                self.finish("not-ready")  # as if nobody listened yet
+                return
             self.pings += 1
             self.node.counters["pings"] += 1
             if self.pings > limits.PINGS:
@@ -85,7 +103,7 @@
             return
         try:
             self.wish = lines.wish(line)
-            if not self.node.limits.room(self.node.now):
+            if "at" not in self.wish.values and not self.node.limits.room(self.node.now):
                 if self.wish.values.get("c") in self.node.names.types:
                     self.counted_as("rejected")
                 self.busy()
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/leaving.py
@@ -47,6 +47,7 @@
 
     def answer_rest(self) -> None:
         """Guards against a call that is kept, or out at a server that hangs, when our time is over."""
+        self.node.resumed.answer_all()
         for client in list(self.node.clients):
             if client.call and not client.call.done:
                 self.node.balancer.woke(client.call)
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -7,6 +7,7 @@
 
 import os
 import resource
+from collections.abc import Callable
 from typing import Any
 
 BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
@@ -16,6 +17,7 @@
 FIRST_LINE = 2.75  # seconds from connecting for a whole first line: some write for 2; an end is owed within 3
 PINGS = 8  # on one connection
 YOUNG = 0.1  # seconds for which a connection without a word stays even if room is needed
+SLOW_FIRST_LINE = 5.0  # seconds of the same while resumed connections are expected: some of them write late
 LONGEST_WAIT = 60.0  # seconds that a client may say it waits: its call is kept as long
 SEEN = 1024  # ids remembered beside the open ones
 PROBES = 32  # that are out at once: more are not sent, and what they were for goes on without
@@ -23,7 +25,6 @@
 CONTROL = 6  # descriptors beside: two watches and a fetch of the list, three of a hand-off
 CALLERS = 32  # operators' calls that are under way at once
 CALL = 6.0  # seconds from connecting in which an operator's call must be whole
-TAKE_UP = 40.0  # seconds after the start in which connections from before it may be taken up
 
 
 class Limits:
@@ -36,6 +37,7 @@
         self.writing: dict[Any, float] = {}  # links with a part of a first line, by when they last wrote
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
         self.seen: dict[str, None] = {}  # of calls that have ended, oldest first
+        self.expects_resumed: Callable[[], bool] = bool  # may those without a word be resumed connections?
 
     def allow(self, sockets: int) -> None:
         hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -78,6 +80,10 @@
         self.writing.pop(link, None)
         self.writing[link] = now
 
+    def forget(self, mark: str) -> None:
+        """The connection with this id is resumed by this process after another one had admitted it."""
+        self.seen.pop(mark, None)
+
     def no_longer(self, link: Any) -> None:
         """It has a call, or is gone."""
         self.spare.pop(link, None)
@@ -86,10 +92,11 @@
     def room(self, now: float, part: int = 1) -> bool:
         """Is there any? Guards against calls told BUSY for the sake of connections that say nothing, and slow
         writers let go before those that are silent or write no more."""
+        spared_for = SLOW_FIRST_LINE if self.expects_resumed() else YOUNG
         for waiting in (self.spare, self.writing):
             while self.crowded(part) and waiting:
                 link, since = next(iter(waiting.items()))
-                if now - since < YOUNG:
+                if now - since < spared_for:
                     break
                 link.spared()
         return not self.crowded(part)
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -71,6 +71,12 @@
     return Wish(line, name, int(key, 16), values)
 
 
+def names_server(data: bytes) -> bool:
+    """Do these bytes, whole lines or not, begin a resumed connection?"""
+    return any(line.startswith(b"OPEN ") and (b" at=" in line or b",at=" in line)
+               for line in data.split(b"\n"))
+
+
 def with_wait(asked: Wish, seconds: float) -> bytes:
     """The line as it goes on: unchanged, but for how long we will wait."""
     if "d" not in asked.values:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -21,7 +21,7 @@
 from bellrack import model
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
-from bellrack.net import figures, handover, limits, lines, log, passing
+from bellrack.net import figures, handover, limits, lines, log, passing, resumption
 from bellrack.net.clients import Client
 from bellrack.net.config import Config, reread
 from bellrack.net.control import Caller
@@ -29,6 +29,7 @@
 from bellrack.net.doors import Doors
 from bellrack.net.leaving import Leaving
 from bellrack.net.readiness import Readiness
+from bellrack.net.resumed import ResumedConnections
 from bellrack.net.servers import Place, Probe, ServerLink
 from bellrack.settings import SettingsError
 
@@ -36,7 +37,6 @@
 LOOK = 1.0  # seconds between notices of late messages, as the module expects them
 TOLD_FOR = 1.5  # seconds for which a server's own word on its messages stands before what we timed
 NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
-AT_RETRY = 0.25  # seconds between tries to take up a connection that stood before the start
 DATAGRAM = 256  # bytes
 LISTED = 2.0  # seconds after the start for which we wait for a word of discovery if we know a list
 TIME_SLICE = 0.02  # seconds after which a turn stops: the sockets are polled well within 0.1
@@ -59,7 +59,10 @@
         self.out: dict[int, str] = {}  # servers taken out by hand: those once listed, by mark
         self.peers: Peers | None = None
         self.limits = limits.Limits(config.sockets)
-        self.begun, self.dealing = self.clock(), False  # a new call has come
+        self.begun = self.clock()
+        self.resumed = ResumedConnections(self, self.begun, limits.FIRST_LINE)
+        self.limits.expects_resumed = self.resumed.expects_more
+        self.takes_requests = True  # but where it listens before it is ready
         # Where lists are pushed, what the discovery has counts as told from our first moment on.
         self.readiness, self.changed = Readiness(self.begun, LISTED, config.settings.asks), asyncio.Event()
         self.leaving: Leaving | None = None
@@ -202,13 +205,12 @@
         if kind is None:
             raise lines.LineError("unknown-type")
         wait = self.names.guards[kind] if wait is None else wait / 1000
-        if "at" in values:
-            wait = min(wait, limits.TAKE_UP)  # these say that they wait for an hour
-        elif wait > limits.LONGEST_WAIT:
+        resumes = "at" in values
+        if not resumes and wait > limits.LONGEST_WAIT:  # resumed ones say that they wait for an hour
             raise lines.LineError("bad-d")
         if self.limits.known(wish.id):
             raise lines.LineError("id-known")
-        if "at" in values and (self.dealing or self.now - self.begun > limits.TAKE_UP):
+        if resumes and not self.resumed.window.admits(self.now):
             raise lines.LineError("late-at")
         tenant = self.names.tenants.get(values.get("t", ""), 0)
         if "t" in values and self.names.tenants and values["t"] not in self.names.tenants:
@@ -220,30 +222,20 @@
         self.limits.ids[wish.id] = client
         self.limits.no_longer(client)
         client.lasts(None)
-        self.dealing = self.dealing or "at" not in values
-        if "at" in values:
-            self.reopen(client, self.now + wait)
-        elif self.leaving and not self.followed:
+        if resumes:
+            self.resumed.admit(client, wait if "d" in values else None)
+            return
+        self.resumed.window.on_request()
+        if not self.takes_requests or self.leaving and not self.followed:
             # Nothing was sent, so trying again is harmless; the front deals it to another balancer.
             self.reject(call)
         else:
             self.balancer.arrived(call)
 
-    def reopen(self, client: Client, until: float) -> None:
-        """Take up a connection that was open at a server before the start; no decision is in it."""
-        server = self.servers.get(lines.mark(client.wish.values["at"]))
-        if client.over or client.remote_closed():
-            return
-        if self.now >= until:
-            self.release(client.call)
-        elif server:
-            ServerLink(self, Leg(client.call, server, self.now), client, until, resumes=True)
-        else:
-            self.after(AT_RETRY, self.reopen, client, until)  # the list may yet name it
-
     def stands(self, leg: Leg, resumes: bool) -> None:
         self.counters["stood"] += 1
         if resumes:
+            self.resumed.on_established(leg.call.host)
             leg.call.legs.append(leg)
             self.resume(leg)
         else:
@@ -257,7 +249,7 @@
         leg = link.leg
         self.counters[f"leg_{kind.replace(' ', '_')}"] += 1
         if link.resumes and not leg.standing:
-            self.after(AT_RETRY, self.reopen, link.client, link.until)
+            self.resumed.on_attempt_ended(link, kind)
             return
         self.ended(leg, Result(kind, self.now - leg.sent), leg.standing or kind == model.COMPLETED)
         if kind == model.COMPLETED:
@@ -395,9 +387,11 @@
         former = await asyncio.to_thread(handover.meet, self.doors.path) if self.doors.path else None
         if former:
             await self.follow(former)
-        await self.hear()
+        await self.hear(alone=former is None)
         if not self.leaving:  # guards against a door that is opened only to be closed on who comes
-            await self.doors.open(former.door if former else None)
+            if not self.doors.listener:
+                await self.doors.open(former.door if former else None)
+            self.takes_requests = True
             self.tell_beside(took=True)
             self.address = self.doors.socket.getsockname()
             log.tell("serving", name=self.config.name, listen=lines.written(self.address),
@@ -418,6 +412,8 @@
             self.limits.seen = dict.fromkeys(told.get("seen", ()))
             self.recall(lines.listing(told.get("list")))
             self.taught(told.get("learned", {}))
+            # A hot restart does not extend the time in which resumed connections are admitted.
+            self.resumed.window.started = min(self.begun, float(told.get("started", self.begun)))
         except (ValueError, TypeError, AttributeError) as error:
             # Guards against what another version tells in a form of its own.
             log.tell("handover", taken="in part", error=repr(error))
@@ -426,15 +422,22 @@
         self.taker = former.way and passing.Taker(self, former.way)
         await self.joining
 
-    async def hear(self) -> None:
-        """Until there is a list that may be used, however late it comes, or we are asked to end."""
+    async def hear(self, alone: bool) -> None:
+        """Until there is a list that may be used, however late it comes, or we are asked to end. `alone`: no
+        other process listens for us, so we do, for resumed connections, once their clients may come."""
         if not self.readiness.known:
             log.tell("no-list", waits=lines.written(self.discovery.address))
+        listen_at = self.begun + resumption.LISTEN_AFTER if alone else math.inf
         while not self.leaving and not self.readiness.may_open(now := self.clock()):
+            if now >= listen_at and not self.doors.listener:
+                self.takes_requests = False
+                await self.doors.open(None)
+                log.tell("listening", ready=False)
             self.changed.clear()
-            when = self.readiness.look_again()
+            times = [self.readiness.look_again() or math.inf, math.inf if self.doors.listener else listen_at]
+            wait = max(0.0, min(times) - now)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), when and max(0.0, when - now))
+                await asyncio.wait_for(self.changed.wait(), wait if wait < math.inf else None)
 
     def withhold(self, name: str, out: bool) -> bool:
         """Take a server out by hand, or put it back; no if none of that name is or was listed."""
@@ -475,7 +478,8 @@
              server.weight, server.since, kinds.get(server.kind, ""))
             for server in self.servers.values() if server.host and server.state != model.GONE)
         return {"version": handover.VERSION, "list": listed, "learned": self.learned(),
-                "out": list(self.out.values()), "seen": [*self.limits.seen, *self.limits.ids]}
+                "out": list(self.out.values()), "seen": [*self.limits.seen, *self.limits.ids],
+                "started": self.resumed.window.started}
 
     def tell_beside(self, **words: Any) -> None:
         if self.other:
@@ -505,7 +509,8 @@
 
     def can_serve(self) -> bool:
         """It takes calls and has a list, by discovery or, if that is late, from before."""
-        return self.readiness.listed(self.clock()) and self.doors.listener is not None and not self.leaving
+        listening = self.takes_requests and self.doors.listener is not None
+        return listening and self.readiness.listed(self.clock()) and not self.leaving
 
     async def open_peers(self) -> None:
         if self.config.peer_listen:
--- a/bellrack/net/passing.py
+++ b/bellrack/net/passing.py
@@ -64,7 +64,7 @@
         """Some of those that can go: standing, or not yet heard a word of. Are there more?"""
         left = SLICE
         for client in list(self.node.clients):
-            if client.call is None or client.other:
+            if client.call is None or client.other or client in self.node.resumed.pending:
                 if not left:
                     return True
                 left -= self.give(client)
@@ -81,6 +81,8 @@
         words = {"in": written(client)}
         if client.other:
             words |= self.standing(client.leg) | {"back": written(client.leg)}
+        elif client.call:  # a resumed connection that is not up yet: the other process resumes it anew
+            words["resumes"] = client.wish.line.decode()
         fds = [link.transport.get_extra_info("socket").fileno() for link in links]
         try:
             socket.send_fds(self.sock, [json.dumps(words).encode()], fds)
@@ -112,6 +114,11 @@
             client.leg.place.legs.pop(client.leg, None)
             client.leg = None
             self.node.ended(leg, Result(model.CANCELLED, self.node.now - leg.sent), True)
+        elif client.call:
+            client.call.done = True
+            self.node.resumed.discard(client)
+            if client.leg:
+                client.leg.end(model.CANCELLED, "handed-over")
 
 
 class Taker(End):
@@ -139,6 +146,8 @@
             if len(fds) != 1 + ("line" in words):
                 raise ValueError(f"{len(fds)} descriptors")
             client = Client(self.node)
+            if "resumes" in words:
+                self.resumed(client, str(words["resumes"]).encode())
             read(client, words["in"])
             links = [client, self.standing(client, words)] if "line" in words else [client]
         except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -152,6 +161,12 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def resumed(self, client: Client, line: bytes) -> None:
+        """Its first line is read again here, with what came after it: to this process it is a new one."""
+        self.node.limits.forget(lines.wish(line).id)
+        client.ring.space()[:len(line)] = line
+        client.ring.added(len(line))
+
     def standing(self, client: Client, words: dict[str, Any]) -> ServerLink:
         """The call and its one leg, as they stood in the other process."""
         node, wish = self.node, lines.wish(words["line"].encode())
--- /dev/null
+++ b/bellrack/net/resumed.py
@@ -0,0 +1,91 @@
+"""Resumed connections of one process: carries out on sockets what `resumption.py` decides.
+
+Owns those that are not up yet. An attempt is an ordinary server connection; it ends here and not at the
+decisions, which hear of a resumed connection only once it is up.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Leg
+from bellrack.net import lines
+from bellrack.net.resumption import Attempt, Expire, Resumption, StartupWindow, Wait
+from bellrack.net.servers import ServerLink
+
+DESCRIPTORS = 2  # that must be free for an attempt: it counts twice for the instant at which it comes up
+
+
+class ResumedConnections:
+    """Those that are not up yet, by the connection of their client."""
+
+    def __init__(self, node: Any, started: float, evidence: float):
+        self.node = node
+        self.window = StartupWindow(started, evidence)
+        self.pending: dict[Any, Resumption] = {}
+
+    def expects_more(self) -> bool:
+        return self.window.expects_more(self.node.now, len(self.pending))
+
+    def may_precede_run(self) -> bool:
+        return self.window.may_precede_run(self.node.now, len(self.pending))
+
+    def admit(self, client: Any, client_waits: float | None) -> None:
+        """A first line with `at=` has come. `client_waits`: for how many seconds, as it says."""
+        self.window.on_resumed(self.node.now)
+        resumption = Resumption(self.node.now, lines.mark(client.wish.id), client_waits)
+        self.pending[client] = resumption
+        self.node.counters["resumed"] += 1
+        self.proceed(client, resumption)
+
+    def proceed(self, client: Any, resumption: Resumption) -> None:
+        if client.over or self.pending.get(client) is not resumption:
+            return
+        if client.remote_closed():
+            client.forgotten(model.CANCELLED)  # the node reads its end with the next poll of the sockets
+            return
+        server = self.node.servers.get(lines.mark(client.wish.values["at"]))
+        known = server is not None and server.host is not None
+        match resumption.next_action(self.node.now, known, self.descriptors_free()):
+            case Attempt(give_up_at):
+                leg = Leg(client.call, server, self.node.now)
+                ServerLink(self.node, leg, client, give_up_at, resumes=True)
+            case Wait(until):
+                self.node.at(until, self.proceed, client, resumption)
+            case Expire():
+                self.node.release(client.call)
+
+    def descriptors_free(self) -> bool:
+        """Connections that have said nothing make room, as for any request."""
+        self.node.limits.room(self.node.now)
+        return not self.node.limits.full(DESCRIPTORS)
+
+    def on_attempt_ended(self, link: ServerLink, kind: str) -> None:
+        """An attempt ended before it was up; `kind` is a result of `model`."""
+        client = link.client
+        resumption = self.pending.get(client)
+        if resumption is None:
+            return  # its client has left
+        if kind == model.COMPLETED:  # its server has served it to its end and said so: that was its answer
+            client.call.done = True
+            client.finish("completed")
+            return
+        resumption.on_attempt_failed(self.node.now, kind == model.TIMEOUT, kind not in model.NEVER_RAN)
+        self.proceed(client, resumption)
+
+    def on_established(self, client: Any) -> None:
+        if resumption := self.pending.pop(client, None):
+            resumption.on_established()
+
+    def discard(self, client: Any) -> None:
+        """Nothing is owed to it any more."""
+        if resumption := self.pending.pop(client, None):
+            resumption.on_closed()
+
+    def answer_all(self) -> None:
+        """The process ends: trying again is harmless where no server can have heard of it."""
+        for client, resumption in list(self.pending.items()):
+            if resumption.may_have_run or client.leg and client.leg.written:
+                self.node.release(client.call)
+            else:
+                self.node.reject(client.call)
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -70,12 +70,20 @@
             return size - self.start + at + 1 if at >= 0 else 0
         return at + 1 - self.start if at >= 0 else 0
 
-    def take(self, count: int) -> bytes:
+    def peek(self, count: int | None = None) -> bytes:
+        """The first so many of the bytes held, or all of them; they stay."""
+        count = self.held if count is None else count
+        if not count:
+            return b""
         size, end = self.size, self.start + count
         out = bytes(self.view[self.start:end])
         if end > size:
             out += bytes(self.view[:end - size])
-        self.start, self.held = end % size, self.held - count
+        return out
+
+    def take(self, count: int) -> bytes:
+        out = self.peek(count)
+        self.start, self.held = (self.start + count) % self.size, self.held - count
         return out
 
 
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections import deque
 from typing import TYPE_CHECKING, Any
@@ -54,9 +55,10 @@
 
     async def _open(self, address: tuple[str, int], wait: float) -> None:
         self.node.limits.counted(1)  # the descriptor is there from the start
-        sock = socket.socket(socket.AF_INET)
-        sock.setblocking(False)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET)  # fails where the kernel has no descriptor left
+            sock.setblocking(False)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await self.node.loop.sock_connect(sock, address)
@@ -68,7 +70,7 @@
             self.ended = "refused" if isinstance(error, ConnectionRefusedError) else "unreached"
             self.wake()
         finally:
-            if self.transport is None:
+            if self.transport is None and sock is not None:
                 sock.close()
             self.node.limits.counted(-1)
 
@@ -99,7 +101,9 @@
         leg.host = client.leg = self
         self.timer = node.at(until, self.late)
         if not stood:
-            self.open(leg.server.host.address, min(node.names.connect_timeout, max(0.0, until - node.now)))
+            # A resumed connection has no other server: it waits for the kernel to repeat the handshake.
+            wait = math.inf if resumes else node.names.connect_timeout
+            self.open(leg.server.host.address, min(wait, max(0.0, until - node.now)))
 
     @property
     def place(self) -> Place:
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,165 @@
+"""Discovery and servers for several real processes of the program, in a process of their own.
+
+`stand_ins.py COUNT [PROCESS]` prints one JSON line with the addresses, then reads JSON commands from standard
+input, one a line, and answers each with one JSON line. Ends with its standard input.
+"""
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import Any
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+KEEP_ALIVE = 2.0  # seconds between empty lines on a watch
+
+
+class Server:
+    """A server that answers `UP NAME/ID` to a first line that names it, and echoes whatever follows."""
+
+    def __init__(self, name: str):
+        self.name, self.mode = name, "answers"
+        self.open: dict[str, int] = {}  # connections that are up now, by id
+        self.ups: dict[str, int] = {}  # answers of UP so far, by id
+        self.attempts: dict[str, int] = {}  # first lines so far, by id
+        self.misplaced: list[str] = []  # first lines that named another server
+        self.answer_held = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            words = (await reader.readline()).decode().split()
+            if words[:1] == ["OPEN"]:
+                await self.on_open(words[1], words[3], reader, writer)
+            elif words:
+                writer.write(b"PONG\r\n")
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def on_open(self, name: str, values: str, reader: Any, writer: Any) -> None:
+        wanted = dict(pair.split("=", 1) for pair in values.split(",")).get("at")
+        if wanted not in (None, self.name):
+            self.misplaced.append(name)
+        first = name not in self.attempts
+        self.attempts[name] = self.attempts.get(name, 0) + 1
+        if self.open.get(name):
+            writer.write(b"ERR\r\n")  # as real servers do to an id that is open
+            return
+        if self.mode == "resets-first" and first:
+            writer.transport.abort()
+            return
+        if self.mode == "silent" or self.mode == "silent-first" and first:
+            await reader.read()
+            return
+        if self.mode == "late":
+            await self.answer_held.wait()
+        if self.mode == "drains" and wanted is None:
+            writer.write(b"BUSY\r\n")
+            return
+        self.ups[name] = self.ups.get(name, 0) + 1
+        self.open[name] = self.open.get(name, 0) + 1
+        try:
+            writer.write(f"UP {self.name}/{name}\r\n".encode())
+            while line := await reader.readline():
+                writer.write(line)
+        finally:
+            self.open[name] -= 1
+
+
+class StandIns:
+    """The servers, the list of them, and the commands of a test."""
+
+    def __init__(self, count: int, process: int):
+        self.servers = [Server(f"s-{process}-{number}") for number in range(count)]
+        self.listeners: dict[str, asyncio.Server] = {}
+        self.states: dict[str, str] = {}
+        self.others: list[dict[str, Any]] = []  # entries of servers in other processes
+        self.addresses: dict[str, str] = {}
+        self.version = 1
+        self.answering = True  # discovery
+        self.changed = asyncio.Event()
+
+    async def start(self) -> dict[str, Any]:
+        for server in self.servers:
+            listener = await asyncio.start_server(server.serve, "127.0.0.1", 0, backlog=1024)
+            self.listeners[server.name] = listener
+            self.addresses[server.name] = "{}:{}".format(*listener.sockets[0].getsockname())
+            self.states[server.name] = "in_service"
+        discovery = await asyncio.start_server(self.discover, "127.0.0.1", 0, backlog=1024)
+        return {"discovery": "{}:{}".format(*discovery.sockets[0].getsockname()), "entries": self.entries()}
+
+    def entries(self) -> list[dict[str, Any]]:
+        return [{"instanceId": name, "hostPort": self.addresses[name], "zone": "a", "cell": 0,
+                 "machineType": "m", "lifecycle": state, "weight": 1.0, "startedAtMs": 0}
+                for name, state in self.states.items() if state != "unlisted"] + self.others
+
+    async def discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A watch that sends the whole list at each change, and an empty line while there is none."""
+        try:
+            while (await reader.readline()).strip():
+                pass
+            while not self.answering:
+                await self.wait_for_change(None)
+            writer.write(HEAD)
+            while True:
+                news = {"generation": self.version, "reset": True, "instances": self.entries()}
+                line = json.dumps(news).encode() + b"\n"
+                writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+                while not await self.wait_for_change(KEEP_ALIVE):
+                    writer.write(b"1\r\n\n\r\n")
+                    await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def wait_for_change(self, seconds: float | None) -> bool:
+        try:
+            await asyncio.wait_for(self.changed.wait(), seconds)
+        except TimeoutError:
+            return False
+        return True
+
+    def announce(self) -> None:
+        self.version += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def command(self, words: dict[str, Any]) -> Any:
+        match words["do"]:
+            case "mode":
+                for server in self.named(words):
+                    server.mode = words["mode"]
+            case "release":  # whoever is late answers now
+                for server in self.named(words):
+                    server.answer_held.set()
+            case "list":
+                self.states |= {server.name: words["state"] for server in self.named(words)}
+                self.announce()
+            case "others":
+                self.others = words["entries"]
+                self.announce()
+            case "discovery":
+                self.answering = words["answering"]
+                self.announce()
+            case "report":
+                return {server.name: {"open": {name: count for name, count in server.open.items() if count},
+                                      "attempts": sum(server.attempts.values()), "ups": server.ups,
+                                      "misplaced": server.misplaced} for server in self.servers}
+        return None
+
+    def named(self, words: dict[str, Any]) -> list[Server]:
+        names = words.get("servers")
+        return [server for server in self.servers if names is None or server.name in names]
+
+
+async def main(count: int, process: int) -> None:
+    stand_ins = StandIns(count, process)
+    print(json.dumps(await stand_ins.start()), flush=True)
+    while line := await asyncio.to_thread(sys.stdin.readline):
+        print(json.dumps(await stand_ins.command(json.loads(line))), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]) if len(sys.argv) > 2 else 0))
--- /dev/null
+++ b/tests/test_resumed_live.py
@@ -0,0 +1,237 @@
+"""Resumed connections of several real processes: all come up, each once, each at its own server.
+
+Clients are threads here; servers and discovery are a process of their own (`stand_ins.py`). Nothing measures
+time: the one bound is that of the pages, 40 s from the first connection.
+"""
+import contextlib
+import os
+import signal
+import time
+
+import pytest
+from processes import (
+    DEADLINE,
+    BalancerProcess,
+    Client,
+    Clients,
+    StandInProcess,
+    balancer_settings,
+    bound_socket,
+    burners,
+    ordinary_line,
+    resumed_line,
+    written,
+)
+
+SERVERS = 6
+LATE = 3.5  # seconds that the slowest client takes for its line; longer than silence may last in service
+
+
+@pytest.fixture
+def stand_ins():
+    process = StandInProcess(SERVERS)
+    yield process
+    process.end()
+
+
+@contextlib.contextmanager
+def tier(folder, stand_ins, count, standing, **changes):
+    """So many balancers, started at once."""
+    raw = balancer_settings(stand_ins, standing, **changes)
+    processes = [BalancerProcess(folder, f"n{number}", raw) for number in range(count)]
+    try:
+        yield [process.start() for process in processes]
+    finally:
+        for process in processes:
+            process.end()
+
+
+def resumed(stand_ins, address, numbers, written_as=None):
+    """Clients that come back to one balancer; `written_as` makes the parts of a line and their times."""
+    clients = []
+    for number in numbers:
+        server = stand_ins.names[number % len(stand_ins.names)]
+        line = resumed_line(number, server)
+        parts = written_as(number, line) if written_as else [(0.0, line)]
+        clients.append(Client(f"{number:016x}", server, address, parts))
+    return clients
+
+
+def ordinary(address, number):
+    return Client(f"{number:016x}", None, address, [(0.0, ordinary_line(number))])
+
+
+def all_up(stand_ins, groups):
+    """All are up, each at its own server, which was asked for no other and holds each once."""
+    for group in groups:
+        group.settle()
+    clients = [client for group in groups for client in group.clients]
+    assert [(client.id, client.answers) for client in clients if not client.up] == []
+    report = stand_ins.command("report")
+    assert [told["misplaced"] for told in report.values() if told["misplaced"]] == []
+    held = {(name, id) for name, told in report.items() for id, count in told["open"].items() if count == 1}
+    assert sum(len(told["open"]) for told in report.values()) == len(held) == len(clients)
+    for group in groups:
+        group.close()
+
+
+def in_many_ways(number, line):
+    """At once, late, in pieces, or behind a PING."""
+    late = LATE * (number % 7 + 1) / 7
+    return {0: [(late, line)], 1: [(0.0, line[:9]), (late / 2, line[9:40]), (late, line[40:])],
+            2: [(0.0, b"PING\r\n"), (late, line)]}.get(number % 10, [(0.0, line)])
+
+
+# The start, on cores that are busy.
+
+def test_hundreds_come_up_at_processes_that_share_busy_cores(tmp_path, stand_ins):
+    cores, standing = len(os.sched_getaffinity(0)), 120
+    count = cores + 4
+    with burners(cores), tier(tmp_path, stand_ins, count, standing) as balancers:
+        groups = []
+        for index, balancer in enumerate(balancers):
+            first, address = 10_000 * (index + 1), balancer.address()
+            clients = resumed(stand_ins, address, range(first, first + standing), in_many_ways)
+            if index % 3 == 1:
+                clients.insert(0, ordinary(address, first + 9000))  # before all others
+            elif index % 3 == 2:
+                for place in range(0, standing, 20):  # among the others
+                    clients.insert(place, ordinary(address, first + 9000 + place))
+            groups.append(Clients(clients))
+        all_up(stand_ins, groups)
+
+
+def test_who_writes_late_comes_up_where_nobody_else_shows_that_the_run_has_not_begun(tmp_path, stand_ins):
+    with tier(tmp_path, stand_ins, 1, 10) as (balancer,):
+        address = balancer.address()
+        all_up(stand_ins, [Clients(resumed(
+            stand_ins, address, range(1, 11), lambda number, line: [(LATE, line)]))])
+
+
+# Servers in trouble.
+
+@pytest.mark.parametrize("mode", ["resets-first", "silent-first", "drains"])
+def test_all_come_up_whose_servers_are_in_trouble_at_first(tmp_path, stand_ins, mode):
+    stand_ins.command("mode", mode=mode, servers=stand_ins.names[:3])
+    if mode == "drains":
+        stand_ins.command("list", state="terminating", servers=stand_ins.names[:3])
+    with tier(tmp_path, stand_ins, 3, 100) as balancers:
+        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
+                  for first, balancer in zip((1000, 2000, 3000), balancers)]
+        all_up(stand_ins, groups)
+
+
+def test_all_come_up_where_all_servers_and_discovery_stand_still_for_a_while(tmp_path, stand_ins):
+    with tier(tmp_path, stand_ins, 3, 100) as balancers:
+        addresses = [balancer.address() for balancer in balancers]
+        stand_ins.pause()
+        groups = [Clients(resumed(stand_ins, address, range(first, first + 100)))
+                  for first, address in zip((1000, 2000, 3000), addresses)]
+        for balancer in balancers:
+            wait_for_count(balancer, "calls", 100)
+            balancer.log.wait_for("side=server reason=timeout", 100)  # each was given up once
+        stand_ins.resume()
+        all_up(stand_ins, groups)
+
+
+def wait_for_count(balancer, name, count):
+    end = time.monotonic() + DEADLINE
+    while (counted := balancer.counters().get(name, 0)) < count:
+        assert time.monotonic() < end, f"{name} never came to {count}, but to {counted}"
+
+
+def test_all_come_up_whose_servers_are_not_yet_in_the_list(tmp_path, stand_ins):
+    later = StandInProcess(SERVERS, number=1)  # its servers are listed by the first one's discovery
+    try:
+        with tier(tmp_path, stand_ins, 3, 100) as balancers:
+            groups = [Clients(resumed(later, balancer.address(), range(first, first + 100)))
+                      for first, balancer in zip((1000, 2000, 3000), balancers)]
+            for balancer in balancers:
+                wait_for_count(balancer, "calls", 100)
+            stand_ins.command("others", entries=later.entries)
+            all_up(later, groups)
+    finally:
+        later.end()
+
+
+# Descriptors.
+
+def test_all_come_up_where_idle_connections_hold_all_descriptors(tmp_path, stand_ins):
+    limit, standing = 256, 40
+    with tier(tmp_path, stand_ins, 2, standing, limits={"sockets": limit}) as balancers:
+        addresses = [balancer.address() for balancer in balancers]
+        idle = [Clients([Client("", None, address, []) for _ in range(limit)]) for address in addresses]
+        for balancer in balancers:
+            balancer.log.wait_for("event=serving")
+        groups = [Clients(resumed(stand_ins, address, range(first, first + standing), in_many_ways))
+                  for first, address in zip((1000, 2000), addresses)]
+        all_up(stand_ins, groups)
+        for group in idle:
+            group.close()
+
+
+# Signals in the middle of it.
+
+def test_all_come_up_with_a_new_configuration_on_the_way(tmp_path, stand_ins):
+    stand_ins.command("mode", mode="late")
+    with tier(tmp_path, stand_ins, 3, 100) as balancers:
+        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
+                  for first, balancer in zip((1000, 2000, 3000), balancers)]
+        for balancer in balancers:
+            wait_for_count(balancer, "calls", 100)
+            balancer.raw["limits"] = {"sockets": 2000}
+            balancer.write()
+            balancer.send_signal(signal.SIGHUP)
+            assert "taken=nothing" not in balancer.log.wait_for("event=reload")
+        stand_ins.command("mode", mode="answers")
+        stand_ins.command("release")
+        all_up(stand_ins, groups)
+
+
+def test_all_come_up_with_a_hot_restart_on_the_way(tmp_path, stand_ins):
+    stand_ins.command("mode", mode="late")
+    processes, groups, sockets = [], [], []
+    try:
+        for number in range(3):
+            listen, *controls = [bound_socket() for _ in range(3)]
+            sockets += [listen, *controls]
+            raw = balancer_settings(stand_ins, 100, name=f"n{number}", listen=written(listen))
+            old, new = (
+                BalancerProcess(tmp_path, f"n{number}-{which}", raw | {"control": written(control)})
+                for which, control in zip(("old", "new"), controls))
+            processes.append((old.start(), new))
+        for first, (old, _) in zip((1000, 2000, 3000), processes):
+            groups.append(Clients(resumed(stand_ins, old.address(), range(first, first + 100))))
+        for old, new in processes:
+            wait_for_count(old, "calls", 100)
+            new.start().address()
+            old.log.wait_for("event=followed")
+            old.send_signal(signal.SIGTERM)
+        stand_ins.command("mode", mode="answers")
+        stand_ins.command("release")
+        all_up(stand_ins, groups)
+        assert [old.process.wait(20) for old, _ in processes] == [0, 0, 0]
+        for _, new in processes:
+            assert new.counters()["stood"] + new.counters()["taken_over"] >= 100
+    finally:
+        for pair in processes:
+            for process in pair:
+                if process.process:
+                    process.end()
+        for sock in sockets:
+            sock.close()
+
+
+def test_asked_to_end_each_that_is_not_up_has_one_answer(tmp_path, stand_ins):
+    stand_ins.command("mode", mode="late")
+    with tier(tmp_path, stand_ins, 2, 100) as balancers:
+        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
+                  for first, balancer in zip((1000, 2000), balancers)]
+        for balancer in balancers:
+            wait_for_count(balancer, "calls", 100)
+            balancer.send_signal(signal.SIGTERM)
+        for group in groups:
+            group.settle()
+            assert {tuple(client.answers) for client in group.clients} == {("ERR", "end")}
+            group.close()
+        assert [balancer.process.wait(20) for balancer in balancers] == [0, 0]
