Resumed connections stay where they are until the run begins

Excluded: servers, silence, operators. Change: ResumedConnections.holds_back_move; a move held back may be chosen again (Books.may_move_later); a server taken out by hand is emptied all the same. An ordinary request shows that the run has begun only if it comes after the last resumed connection.

--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -77,6 +77,11 @@
                 if type(values.get(name)) in (int, float):
                     setattr(server.stand, name, values[name])
 
+    def may_move_later(self, leg: Leg) -> None:
+        """The host did not carry out a move: the decisions may choose this connection again."""
+        if leg.standing and leg.result is None:
+            leg.server.stand.legs[leg] = None
+
     def forget(self, server: Server) -> None:
         """One that is gone and holds nothing of ours; listed again, it is a new one."""
         del self.servers[server.mark]
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -142,7 +142,10 @@
         self.answer(call, b"ERR\r\n", "released")
 
     def move(self, call: Call) -> None:
-        self.acts.append((call.host.move, ("moved",)))
+        if self.resumed.holds_back_move(call.legs[-1]):
+            self.acts.append((self.may_move_later, (call.legs[-1],)))
+        else:
+            self.acts.append((call.host.move, ("moved",)))
 
     def watch(self, on: bool = True) -> None:
         self.acts.append((self.discovery.watch, (on,)))
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -30,6 +30,11 @@
     def may_precede_run(self) -> bool:
         return self.window.may_precede_run(self.node.now, len(self.pending))
 
+    def holds_back_move(self, leg: Leg) -> bool:
+        """May the run not have begun? It begins when all resumed connections are up at once, and one that is
+        moved before would hold it up. What operators ordered by hand is carried out."""
+        return not leg.server.out and self.may_precede_run()
+
     def admit(self, client: Any, client_waits: float | None) -> None:
         """A first line with `at=` has come. `client_waits`: for how many seconds, as it says."""
         self.window.on_resumed(self.node.now)
--- a/bellrack/net/resumption.py
+++ b/bellrack/net/resumption.py
@@ -35,7 +35,7 @@
         """`started`: when this process, or the one that it replaced in a hot restart, started. `evidence`:
         for how many seconds a resumed connection shows that others may still be on their way."""
         self.started, self.evidence = started, evidence
-        self.requested = False  # an ordinary request has come
+        self.requested = False  # an ordinary request has come since the last resumed connection
         self.last_resumed = -math.inf  # when a resumed connection last came
 
     @property
@@ -49,7 +49,8 @@
         return now <= self.closes
 
     def on_resumed(self, now: float) -> None:
-        self.last_resumed = now
+        """One has come: an ordinary request before it did not show that the run had begun."""
+        self.last_resumed, self.requested = now, False
 
     def on_request(self) -> None:
         self.requested = True
@@ -59,8 +60,8 @@
         return self.admits(now) and (pending > 0 or now - self.last_resumed < self.evidence)
 
     def may_precede_run(self, now: float, pending: int) -> bool:
-        """May connections that have said nothing still be resumed ones? Once an ordinary request has come,
-        only other resumed connections show that."""
+        """May connections that have said nothing still be resumed ones, and may others not be up yet? Once an
+        ordinary request has come after them, only resumed connections of the last seconds show that."""
         return self.admits(now) and (not self.requested or self.expects_more(now, pending))
 
 
--- a/tests/test_resumed_live.py
+++ b/tests/test_resumed_live.py
@@ -154,6 +154,18 @@
         later.end()
 
 
+def test_all_come_up_beside_a_list_of_thousands_of_servers(tmp_path, stand_ins):
+    # The lines lie in the kernel while the process takes the list in.
+    entry = stand_ins.entries[0] | {"hostPort": "127.0.0.1:1"}
+    others = [entry | {"instanceId": f"other-{number}"} for number in range(5000)]
+    stand_ins.command("others", entries=others)
+    with tier(tmp_path, stand_ins, 3, 200) as balancers:
+        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 200)))
+                  for first, balancer in zip((1000, 2000, 3000), balancers)]
+        stand_ins.command("others", entries=others[1:])
+        all_up(stand_ins, groups)
+
+
 # Descriptors.
 
 def test_all_come_up_where_idle_connections_hold_all_descriptors(tmp_path, stand_ins):
--- a/tests/test_resumption.py
+++ b/tests/test_resumption.py
@@ -65,10 +65,19 @@
     assert not window.may_precede_run(139.0, pending=0)
 
 
-def test_resumed_connections_show_that_others_are_on_their_way():
+def test_a_request_before_a_resumed_connection_shows_nothing():
     window = StartupWindow(100.0, EVIDENCE)
     window.on_request()
     window.on_resumed(110.0)
+    assert window.may_precede_run(139.0, pending=0)
+    window.on_request()
+    assert not window.may_precede_run(139.0, pending=0)
+
+
+def test_resumed_connections_show_that_others_are_on_their_way():
+    window = StartupWindow(100.0, EVIDENCE)
+    window.on_resumed(110.0)
+    window.on_request()
     assert window.may_precede_run(110.0 + EVIDENCE - 0.01, pending=0)
     assert not window.may_precede_run(110.0 + EVIDENCE, pending=0)
     assert window.may_precede_run(120.0, pending=1)  # the run begins when all are up
