--- a/tests/processes.py
+++ b/tests/processes.py
@@ -176,8 +176,9 @@
     return f"OPEN {number:016x} {number:016x} c=chat,t=acme,d=4294967,at={server}\r\n".encode()
 
 
-def ordinary_line(number: int) -> bytes:
-    return f"OPEN {number:016x} {number:016x} c=chat,t=acme,d=20000\r\n".encode()
+def ordinary_line(number: int, wait: int = 20000) -> bytes:
+    """`wait`: milliseconds that the client says it waits."""
+    return f"OPEN {number:016x} {number:016x} c=chat,t=acme,d={wait}\r\n".encode()
 
 
 class Clients(threading.Thread):
