--- a/bellrack/lab/scale/virtual.py
+++ b/bellrack/lab/scale/virtual.py
@@ -172,7 +172,7 @@
         if plan.lean:
             self.keeper = VirtualHollow(self.configuration(0, 0, 0), self.loop, figures.Figures(), self.post)
             self.keeper.alive = False  # it keeps the list, and does nothing of its own
-            self.keeper.learn(lines.listing(lines.parsed(self.desk.whole())))
+            self.keeper.server_list.on_list(lines.listing(lines.parsed(self.desk.whole())))
             self.shared = self.keeper.servers
         for number in range(played or plan.balancers):
             self.figures.append(figures.Figures())
@@ -259,7 +259,7 @@
     def tell_change(self, number: int, state: str) -> None:
         line = self.desk.change(number, state)
         if self.plan.lean:
-            self.keeper.learn(lines.listing(lines.parsed(line)))
+            self.keeper.server_list.on_list(lines.listing(lines.parsed(line)))
             for node in list(self.watching):
                 if not node.alive:
                     del self.watching[node]
--- a/bellrack/net/control.py
+++ b/bellrack/net/control.py
@@ -81,9 +81,9 @@
 def withhold(node: Any, request: Request, out: bool) -> tuple[int, str]:
     """Taken out twice, or put back when it was not out, is a yes: it is as was asked for."""
     name = request.body.decode("utf-8", "replace").strip()
-    if not node.withhold(name, out):
+    if not node.server_list.cordon(name, out):
         return 404, "no such server\n"
-    node.tell_beside(**{"out" if out else "back": name})
+    node.hot_restart.publish(**{"out" if out else "back": name})
     log.tell("by_hand", server=name, out=out)
     return 200, "out\n" if out else "back\n"
 
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -55,7 +55,7 @@
     def ready(self) -> None:
         if self.reached and not self.asked:
             self.asked, self.asked_at = True, self.node.now
-            query = f"?watch=1&after={self.node.version}" if self.watch else ""
+            query = f"?watch=1&after={self.node.server_list.version}" if self.watch else ""
             self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
                        f"Accept: application/json\r\n\r\n".encode())
         begun = self.reply.status
@@ -74,7 +74,7 @@
             elif self.reply.done or self.ended == "fin" and self.reply.left is None and self.reply.status:
                 self.finish("listed")
                 if self.address == self.node.discovery.address:
-                    self.node.learn(lines.listing(lines.parsed(self.body)), fetched=True)
+                    self.node.server_list.on_list(lines.listing(lines.parsed(self.body)), fetched=True)
                     self.node.discovery.confirmed(self.started)
         except lines.LineError as error:
             self.fail(str(error).partition(":")[0])
@@ -88,10 +88,10 @@
             if news := self.objects.feed(line + end):
                 news = lines.listing(news)
                 discovery.spoke(self, news=True)
-                self.node.learn(news, counts=self is not discovery.former)
+                self.node.server_list.on_list(news, counts=self is not discovery.former)
             elif self.objects.whole and not self.begun:
                 discovery.spoke(self, news=False)
-                self.node.confirmed()  # it stands and has nothing new
+                self.node.server_list.on_unchanged()  # it stands and has nothing new
             if self.objects.whole:
                 self.begun = True
                 # Guards against a watch kept alive by bytes that never make a line, or lines that never make
@@ -143,7 +143,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """Another address from now on. Its versions are its own, so the first list is asked for whole; till
         it has come, the watch at the old address tells what it still has to."""
-        self.address, self.node.version = address, 0
+        self.address, self.node.server_list.version = address, 0
         self.node.balancer.retry.answered()
         if self.standing and not self.standing.waits:
             self.former, self.standing = self.standing, self.former
@@ -189,7 +189,7 @@
             self.standing = None
             if not self.node.settings.asks:  # changes come unasked there, so the host holds the watch
                 self.node.after(AGAIN * self.node.settings.drain_grace, self.watch)
-        self.node.unlisted(question.reached)
+        self.node.server_list.on_failure(question.reached)
 
     def look(self) -> None:
         """A watch that is cut off says nothing. One that had begun is renewed at once: guards against a drain
@@ -232,10 +232,10 @@
             self.node.counters["doubtful_lists"] += doubts
             log.tell("list", doubtful=doubts)
             if not doubts:
-                self.node.doubt(math.inf)
+                self.node.server_list.mark_doubtful(math.inf)
         if doubts:
-            self.node.doubt(window)
+            self.node.server_list.mark_doubtful(window)
         ages = self.age.doubtful(self.node.now, window / 2)
         if ages or self.ages:
-            self.node.prove(window / 2 if ages else math.inf)
+            self.node.server_list.mark_unproved(window / 2 if ages else math.inf)
         self.ages = ages
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -106,11 +106,11 @@
             except ValueError:
                 said = None
             if isinstance(said, dict):
-                self.node.queue(self.node.told_beside, said, first=True)
+                self.node.queue(self.node.hot_restart.on_message, said, first=True)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.node.limits.counted(-1)
-        self.node.queue(self.node.alone, self)
+        self.node.queue(self.node.hot_restart.on_sibling_lost, self)
 
     def say(self, **words: Any) -> None:
         line = json.dumps(words).encode() + b"\n"
@@ -157,11 +157,11 @@
         except OSError:
             return
         try:
-            if self.node.other or not same_user(sock):
+            if self.node.hot_restart.sibling or not same_user(sock):
                 raise OSError("another is met already, or is of another user")
             sock.setblocking(False)  # guards against one that connects and reads nothing
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LONGEST)
-            text = json.dumps(self.node.tells()).encode() + b"\n"
+            text = json.dumps(self.node.hot_restart.snapshot()).encode() + b"\n"
             ours, theirs = passing.pair()
             with theirs:
                 fds = [self.node.doors.socket.fileno(), theirs.fileno()]
@@ -172,7 +172,7 @@
             log.tell("handover", given="nothing", error=error)
             sock.close()
             return
-        self.node.join(sock, passing.Giver(self.node, ours))
+        self.node.hot_restart.connect(sock, passing.Giver(self.node, ours))
 
     def leave(self) -> None:
         """Nothing is left behind, but for the place of a process that came after us."""
--- /dev/null
+++ b/bellrack/net/hot_restart.py
@@ -0,0 +1,102 @@
+"""A hot restart as one process sees it: its sibling, before or after it, and what passes between them.
+
+Owns which of the two listens, and the state that goes over beside the connections. The Unix socket is
+`handover.py`, the hand-off of connections `passing.py`. Without a sibling nothing here does anything.
+"""
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+from bellrack.net import handover, lines, log, passing
+
+
+class HotRestart:
+    def __init__(self, node: Any):
+        self.node = node
+        self.sibling: handover.Other | None = None  # our other process, before or after us
+        self.giver: passing.Giver | None = None  # hands connections to it, once it listens in our place
+        self.taker: passing.Taker | None = None  # takes them from it
+        self.connecting: asyncio.Task | None = None
+        self.reopening: asyncio.Task | None = None
+
+    @property
+    def followed(self) -> bool:
+        """A process came after us and listens in our place."""
+        return self.giver is not None
+
+    async def find_predecessor(self) -> handover.Former | None:
+        """Where a process of this balancer serves, its listening socket and what it has learned are ours."""
+        path = self.node.doors.path
+        predecessor = await asyncio.to_thread(handover.meet, path) if path else None
+        if predecessor:
+            await self.take_over(predecessor)
+        return predecessor
+
+    async def take_over(self, predecessor: handover.Former) -> None:
+        """Start beside the process that serves; we listen in its place once we know the servers."""
+        node, told = self.node, predecessor.told
+        try:
+            node.server_list.cordoned = {lines.mark(name): name for name in told.get("out", ())}
+            node.limits.seen = dict.fromkeys(told.get("seen", ()))
+            node.server_list.load(lines.listing(told.get("list")))
+            node.taught(told.get("learned", {}))
+            # A hot restart does not extend the time in which resumed connections are admitted.
+            node.resumed.window.started = min(node.begun, float(told.get("started", node.begun)))
+        except (ValueError, TypeError, AttributeError) as error:
+            # Guards against what another version tells in a form of its own.
+            log.tell("handover", taken="in part", error=repr(error))
+        node.readiness.at_once = False  # there is no haste: the other serves
+        self.connect(predecessor.sock, early=predecessor.rest)
+        self.taker = predecessor.way and passing.Taker(node, predecessor.way)
+        await self.connecting
+
+    def connect(self, sock: socket.socket, giver: passing.Giver | None = None, early: bytes = b"") -> None:
+        """The Unix socket to the sibling is up; `early`: bytes of it that are already read."""
+        self.sibling = handover.Other(self.node, giver, early)
+        self.connecting = self.node.loop.create_task(
+            self.node.loop.create_unix_connection(lambda: self.sibling, sock=sock))
+
+    def snapshot(self) -> dict[str, Any]:
+        """What the process that comes after us is given with the listening socket."""
+        node = self.node
+        return {
+            "version": handover.VERSION, "list": node.server_list.written(), "learned": node.learned(),
+            "out": list(node.server_list.cordoned.values()),
+            "seen": [*node.limits.seen, *node.limits.ids], "started": node.resumed.window.started}
+
+    def publish(self, **words: Any) -> None:
+        """Tell the sibling, if there is one."""
+        if self.sibling:
+            self.sibling.say(**words)
+
+    def on_message(self, said: dict[str, Any]) -> None:
+        """Of the sibling."""
+        node = self.node
+        if "held" in said:
+            # What is on its way counts too: guards against hundreds that neither holds for an instant.
+            on_the_way = int(said.get("passed", 0)) - self.taker.passed if self.taker else 0
+            node.limits.beside = int(said["held"]) + max(0, on_the_way)
+            node.limits.room(node.now)
+        if "out" in said or "back" in said:
+            node.server_list.cordon(said.get("out") or said["back"], "out" in said)
+        if "took" in said and self.sibling and self.sibling.giver:
+            self.giver = self.sibling.giver
+            node.doors.shut()
+            log.tell("followed")
+
+    def on_sibling_lost(self, sibling: handover.Other) -> None:
+        """The other process is gone."""
+        if sibling is not self.sibling:
+            return
+        sibling.close()
+        followed, self.sibling, self.giver = self.followed, None, None
+        self.node.limits.beside = 0
+        if followed and not self.node.leaving and not self.node.over.is_set():
+            self.reopening = self.node.loop.create_task(self.node.doors.reopen())
+
+    def close(self) -> None:
+        for way in (self.sibling, self.taker):
+            if way:
+                way.close()
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/leaving.py
@@ -25,8 +25,9 @@
         self.node, self.begun = node, node.now
         self.allowed = min(LONGEST, max(node.names.guards)) + GRACE
         standing = [client for client in node.clients if client.other]
-        log.tell("leaving", standing=len(standing), seconds=self.allowed, handed_over=bool(node.giver))
-        if node.giver:
+        log.tell("leaving", standing=len(standing), seconds=self.allowed,
+                 handed_over=node.hot_restart.followed)
+        if node.hot_restart.giver:
             self.hand_over()
         else:
             self.move_spread(standing)
@@ -54,8 +55,8 @@
 
     def hand_over(self) -> None:
         """What stands goes to the process after us; what comes up later, or is still to be sent, then."""
-        if self.node.giver:
-            self.node.after(0 if self.node.giver.give_some() else LOOK, self.hand_over)
+        if self.node.hot_restart.giver:
+            self.node.after(0 if self.node.hot_restart.giver.give_some() else LOOK, self.hand_over)
 
     def empty(self) -> None:
         # Whoever has come in is owed an answer once its line is whole: also who has said nothing yet, or half
--- /dev/null
+++ b/bellrack/net/reload.py
@@ -0,0 +1,37 @@
+"""SIGHUP: another configuration while the process serves."""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack.net import lines, log
+from bellrack.net.config import Config, reread
+from bellrack.settings import SettingsError
+
+NEEDS_RESTART = ("listen", "control", "peer_listen", "peers", "peers_all")
+
+
+def reload(node: Any) -> None:
+    """Read the configuration again: all of it is parsed before anything changes."""
+    try:
+        config = reread(node.config)
+    except SettingsError as error:
+        # Guards against a file that is bad or half written: what was told before holds.
+        log.tell("reload", taken="nothing", error=error)
+        node.counters["config_reload_errors"] += 1
+        return
+    node.counters["config_reloads"] += 1
+    waits = [name for name in NEEDS_RESTART if getattr(config, name) != getattr(node.config, name)]
+    log.tell("reload", discovery=lines.written(config.discovery), sockets=config.sockets,
+             types=",".join(config.names.types), attempts=config.settings.max_legs,
+             needs_restart=",".join(waits) or "nothing")
+    apply(node, config)
+
+
+def apply(node: Any, config: Config) -> None:
+    config.names.keep(config.settings, node.names, node.settings.types, node.now)
+    config.names.zones = node.names.zones  # with those that only the list has named
+    node.settings.become(config.settings)
+    node.names, config.settings, node.config = config.names, node.settings, config
+    node.limits.allow(config.sockets)
+    if config.discovery != node.discovery.address:
+        node.discovery.move(config.discovery)
--- /dev/null
+++ b/bellrack/net/server_list.py
@@ -0,0 +1,130 @@
+"""The list of servers as one process holds it: discovery's news go in here, and on to the decisions.
+
+Owns the version in hand, the servers that operators cordoned by hand, and which servers a doubtful list still
+lets be used. It never calls discovery (`discovery.py`) and never chooses a server.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Server
+from bellrack.net import lines, log
+from bellrack.net.servers import Place
+
+
+class ServerList:
+    """What discovery says is noted in the node's servers; times are the node's, in seconds."""
+
+    def __init__(self, node: Any):
+        self.node = node
+        self.version = 0  # of the list in hand, by the versions of discovery's present address
+        self.machine_types: dict[str, int] = {}  # by name, numbered as the list brings them
+        self.cordoned: dict[int, str] = {}  # names by mark of servers that operators took out by hand
+
+    def on_list(self, news: lines.Listing, fetched: bool = False, counts: bool = True) -> None:
+        """A list or its changes, as discovery wrote it. `counts`: in the versions of its address now."""
+        if fetched and news.version < self.version:
+            return  # a watch has told newer since it was asked for
+        if counts:
+            self.version = news.version
+        self.merge(news)
+        self.node.readiness.on_list(news.whole or bool(self.node.servers))
+        self.node.changed.set()
+
+    def on_unchanged(self) -> None:
+        """A watch stands and brings nothing new: what was listed holds."""
+        self.node.readiness.on_list(bool(self.node.servers))
+        self.node.changed.set()
+        self.node.balancer.listed([])
+
+    def on_failure(self, reached: bool) -> None:
+        """Discovery failed; `reached`: it took the connection."""
+        self.node.counters["list_failures"] += 1
+        self.node.readiness.on_list_failure()
+        self.node.changed.set()
+        self.node.balancer.unlisted(reached)
+
+    def load(self, news: lines.Listing) -> None:
+        """A list from before the start. It may be old."""
+        self.merge(news)
+        servers = self.node.servers.values()
+        self.node.readiness.on_known(any(server.state == model.READY for server in servers))
+
+    def merge(self, news: lines.Listing) -> None:
+        self.node.counters["list_lines"] += 1
+        rows = [row for entry in news.entries if (row := self.row(entry))]
+        self.node.entries(rows, news.whole)
+        for server in map(self.node.servers.get, self.cordoned):
+            if server and not server.out:  # forgotten meanwhile, or told by our other process: it stays out
+                self.node.balancer.withheld(server, True)
+
+    def row(self, entry: lines.Entry) -> tuple[int, str, int, int, float, float, int] | None:
+        """An entry as the decisions read it; None of a server that is gone and was never known."""
+        state, cell, weight, since = entry.row
+        self.node.counters["bad_weights"] += weight is None
+        mark = lines.mark(entry.name)
+        if entry.address is None and mark not in self.node.servers:
+            return None
+        server = self.node.servers.setdefault(mark, Server(mark))
+        server.host = server.host or Place(entry.name, entry.address)
+        server.host.address = entry.address or server.host.address
+        zones, zone = self.node.names.zones, server.zone
+        if entry.zone:
+            zone = zones.setdefault(entry.zone, len(zones))
+        machine = self.machine_types.setdefault(entry.machine, len(self.machine_types))
+        return mark, state, cell, zone, weight or server.weight, min(since, self.node.now), machine
+
+    def written(self) -> dict[str, Any]:
+        """The list in hand, in the form that discovery sends a whole one."""
+        zones = {index: name for name, index in self.node.names.zones.items()}
+        machines = {index: name for name, index in self.machine_types.items()}
+        return lines.told(
+            (server.host.name, server.host.address, zones.get(server.zone, ""), server.state, server.cell,
+             server.weight, server.since, machines.get(server.kind, ""))
+            for server in self.node.servers.values() if server.host and server.state != model.GONE)
+
+    def mark_doubtful(self, window: float) -> None:
+        """The list may lack what counts as told: new connections go only to servers that took one within the
+        window (seconds). Infinite: the list is good again."""
+        since = max(self.node.now - window, self.node.discovery.age.proofs_from)
+        changed = False
+        for server in self.node.servers.values():
+            doubtful = server.proved < since
+            changed = changed or server.doubtful != doubtful
+            server.doubtful = doubtful
+        if changed:
+            self.node.balancer.refresh()
+
+    def mark_unproved(self, since: float) -> None:
+        """Servers that took no connection for so long (seconds), nor were tried, get the next call without a
+        group: guards against a list that becomes doubtful, and then only servers that took one lately, fewer
+        and fewer, may be used. Infinite: the list is young. Groups stay where they are: each server more that
+        has one pays its price."""
+        for server in self.node.servers.values():
+            server.unproved = self.node.now - max(server.proved, server.tried) > since
+
+    def cordon(self, name: str, out: bool) -> bool:
+        """Take a server out by hand, or put it back; no if none of that name is or was listed."""
+        mark = lines.mark(name)
+        server = self.node.servers.get(mark)
+        listed = server is not None and server.state != model.GONE and server.host is not None
+        if mark not in self.cordoned and not listed:
+            return False
+        if out:
+            self.cordoned[mark] = name
+        else:
+            self.cordoned.pop(mark, None)
+        if server:
+            self.node.balancer.withheld(server, out)
+        return True
+
+
+def load_known(node: Any) -> None:
+    """The list that the configuration brings."""
+    if node.config.spoilt:
+        log.tell("known", taken="nothing", error=node.config.spoilt)
+    if node.config.known:
+        node.server_list.load(node.config.known)
+        if node.servers:  # guards against a list that was lost and, by its version, is never told again
+            node.server_list.version = node.config.known.version
--- /dev/null
+++ b/bellrack/net/server_watch.py
@@ -0,0 +1,53 @@
+"""A look at all servers once a second: whose messages are late, and whose connections have gone silent."""
+from __future__ import annotations
+
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Server
+from bellrack.net import log
+from bellrack.net.servers import Place
+
+LOOK = 1.0  # seconds between notices of late messages, as the decisions expect them
+FORGET = 60.0  # seconds after which a server that is gone and holds nothing of ours is forgotten
+TOLD_FOR = 1.5  # seconds for which a server's own word on its messages stands before what we timed
+NOTICE = 1 / 3  # of the shortest message aim: lines slower than this are told of
+
+
+class ServerWatch:
+    def __init__(self, node: Any):
+        self.node = node
+
+    def look(self) -> None:
+        node = self.node
+        node.after(LOOK, self.look)
+        if judged := node.balancer.overload.judged:
+            if not node.counters["late_seen"]:
+                log.tell("late-seen", notices=node.counters["late_notices"], promised=node.names.tells_delay)
+            node.counters["late_seen"] = judged
+        for server in list(node.servers.values()):
+            self.forget_unused(server)
+            if server.host.legs:
+                self.time_messages(server)
+                self.end_silent(server.host)
+            else:
+                server.host.took.clear()
+
+    def forget_unused(self, server: Server) -> None:
+        """Guards against records that grow with each machine that is replaced."""
+        if server.state != model.GONE or server.stand.open:
+            server.host.used = self.node.now
+        elif self.node.now - server.host.used > FORGET:
+            self.node.forget(server)
+
+    def time_messages(self, server: Server) -> None:
+        node, place = self.node, server.host
+        delay = place.look(node.now)
+        late = delay > NOTICE * node.settings.quickest
+        if node.names.tells_delay and (late or place.late) and node.now - place.told > TOLD_FOR:
+            node.balancer.delayed(next(iter(place.legs)).leg, delay)
+        place.late = late
+
+    def end_silent(self, place: Place) -> None:
+        for link in [link for link in place.legs if link.silent()]:
+            link.client.move("server-silent", model.RESET)
--- /dev/null
+++ b/bellrack/net/startup.py
@@ -0,0 +1,34 @@
+"""The start of a process: when it listens, and when it takes requests."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from typing import Any
+
+from bellrack.net import lines, log, resumption
+
+
+async def wait_until_ready(node: Any, alone: bool) -> None:
+    """Until there is a list that may be used, however late it comes, or the process is asked to end.
+
+    `alone`: no other process listens for it, so it does for resumed connections once their clients come."""
+    if not node.readiness.known:
+        log.tell("no-list", waits=lines.written(node.discovery.address))
+    listen_at = node.begun + resumption.LISTEN_AFTER if alone else math.inf
+    while not node.leaving and not node.readiness.may_open(now := node.clock()):
+        if now >= listen_at:
+            await listen_unready(node)
+            listen_at = math.inf
+        node.changed.clear()
+        look_again = min(node.readiness.look_again() or math.inf, listen_at)
+        wait = max(0.0, look_again - now) if look_again < math.inf else None
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(node.changed.wait(), wait)
+
+
+async def listen_unready(node: Any) -> None:
+    """Resumed connections are admitted from now on; whoever else comes is turned away."""
+    node.takes_requests = False
+    await node.doors.open(None)
+    log.tell("listening", ready=False)
