Clients and servers no longer import each other: pairing.py says what each end asks of the other

clients.py imported servers.py for a type, servers.py clients.py under TYPE_CHECKING. ClientEnd and ServerEnd are protocols in a module of their own, and both import that. Behaviour unchanged; test_net passes.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -11,8 +11,8 @@
 from bellrack import model
 from bellrack.model import Call
 from bellrack.net import limits, lines
+from bellrack.net.pairing import ServerEnd
 from bellrack.net.ring import Link
-from bellrack.net.servers import ServerLink
 
 RECHECK = 1.0  # seconds between looks whether the run has begun, for connections that have said nothing
 
@@ -25,7 +25,7 @@
         super().__init__(node)
         self.call: Call | None = None
         self.wish: lines.Wish
-        self.leg: ServerLink | None = None  # the leg that is out or stands
+        self.leg: ServerEnd | None = None  # the leg that is out or stands
         self.pings = 0
 
     def made(self) -> None:
--- /dev/null
+++ b/bellrack/net/pairing.py
@@ -0,0 +1,35 @@
+"""What the two ends of a client's way, its own connection and that to a server, may ask of each other."""
+from __future__ import annotations
+
+from typing import Protocol
+
+from bellrack.model import Leg
+from bellrack.net.lines import Wish
+
+
+class ClientEnd(Protocol):
+    """A client's connection, as the connection to its server knows it."""
+
+    wish: Wish  # its first line
+    leg: ServerEnd | None  # the attempt that is out, or stands
+    over: bool
+    ended: str  # how the client ended it; empty while it has not
+    blocked: bool  # it takes nothing at present
+
+    def turn(self) -> None: ...
+    def wake(self) -> None: ...
+    def write(self, data: bytes) -> None: ...
+    def remote_closed(self) -> bool: ...
+    def forgotten(self, kind: str) -> None: ...
+    def counted_as(self, outcome: str) -> None: ...
+    def move(self, reason: str, kind: str = ...) -> None: ...
+    def finish(self, reason: str, how: str = ...) -> None: ...
+
+
+class ServerEnd(Protocol):
+    """The connection of one attempt to a server, as its client's connection knows it."""
+
+    leg: Leg
+    written: bool  # the first line has gone out
+
+    def end(self, kind: str, reason: str, how: str = ...) -> None: ...
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -11,16 +11,14 @@
 import math
 import socket
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from bellrack import model
 from bellrack.model import Leg, Result, Server
 from bellrack.net import lines
+from bellrack.net.pairing import ClientEnd
 from bellrack.net.ring import Link
 
-if TYPE_CHECKING:
-    from bellrack.net.clients import Client
-
 PROBE_WAIT = 0.25  # seconds that a probe may take
 SILENT = 2.5  # an unanswered line this old: clients send every 2 s, looks come each second, 7 s are too long
 SAID = 0.5  # seconds from a server's last line to its end of the connection; a client is owed that in one
@@ -91,7 +89,7 @@
     side = "server"
     passed = "lines_to_clients"
 
-    def __init__(self, node: Any, leg: Leg, client: Client, until: float, resumes: bool = False,
+    def __init__(self, node: Any, leg: Leg, client: ClientEnd, until: float, resumes: bool = False,
                  stood: bool = False):
         super().__init__(node)
         self.leg, self.client, self.until, self.resumes = leg, client, until, resumes
