--- a/bellrack/__main__.py
+++ b/bellrack/__main__.py
@@ -16,6 +16,7 @@
 Options:
   --config=FILE  The configuration; $BALANCER_CONFIG if not given.
 """
+
 from __future__ import annotations
 
 import os
@@ -44,6 +45,7 @@
             print(f"{path}: usable; {len(config.known.entries) if config.known else 0} servers known{spoilt}")
             return 0
         from bellrack.net.node import run
+
         run(config)
     except (SettingsError, OSError) as error:
         print(f"bellrack: {error}", file=sys.stderr)
@@ -58,6 +60,7 @@
     if given in (["serve"], ["serve", f"--config={path}"]):
         return {"version": False, "check": False, "FILE": None, "--config": path}
     from docopt import docopt
+
     return docopt(__doc__, given)
 
 
--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -1,4 +1,5 @@
 """The books that each host of the decisions keeps: servers as last listed, calls and their legs."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -9,8 +10,21 @@
 from bellrack.model import Call, Leg, Result, Server, Settings
 
 # Of a server, by the names of the decisions; not what is open there: that comes with the connections.
-LEARNED = ("weight", "fails", "bad_until", "issued", "issued_at", "taken", "warm_at", "delay", "told",
-           "holds", "ceiling", "cut", "out_since")
+LEARNED = (
+    "weight",
+    "fails",
+    "bad_until",
+    "issued",
+    "issued_at",
+    "taken",
+    "warm_at",
+    "delay",
+    "told",
+    "holds",
+    "ceiling",
+    "cut",
+    "out_since",
+)
 
 
 class Books:
@@ -62,9 +76,14 @@
 
     def learned(self) -> dict[str, Any]:
         """What this instance has learned, in plain values, for one that takes its place."""
-        return {"bears": self.balancer.cold.borne, "servers": {
-            str(mark): {name: getattr(server.stand, name) for name in LEARNED}
-            for mark, server in self.servers.items() if server.state != model.GONE}}
+        return {
+            "bears": self.balancer.cold.borne,
+            "servers": {
+                str(mark): {name: getattr(server.stand, name) for name in LEARNED}
+                for mark, server in self.servers.items()
+                if server.state != model.GONE
+            },
+        }
 
     def taught(self, learned: dict[str, Any]) -> None:
         """Begin with what another instance had learned. Values of another form are left."""
--- a/bellrack/chance.py
+++ b/bellrack/chance.py
@@ -2,6 +2,7 @@
 
 Owns the generator. It never reads a clock or the system's randomness, since days are played again from seeds.
 """
+
 import math
 
 GOLDEN = (math.sqrt(5) - 1) / 2  # multiples of it, less their whole parts, lie evenly however many they are
--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -25,6 +25,7 @@
 count for nothing (`ListAge.silent`). While discovery cannot be reached at all nothing counts as told, and the
 list stands.
 """
+
 from __future__ import annotations
 
 import math
@@ -75,7 +76,7 @@
     def gap(self, reached: bool = True) -> float:
         """Seconds until the next call after one that failed. Where discovery was not even reached a call
         costs it nothing, so the tier's size does not count."""
-        cap = min(GAP_REFUSED, max(GAP_FIRST, self.share)) * 2 ** self.failures
+        cap = min(GAP_REFUSED, max(GAP_FIRST, self.share)) * 2**self.failures
         self.failures = min(DOUBLINGS, self.failures + 1)
         most = min(GAP_MOST, self.settings.ask_within)
         return self._drawn(min(cap, max(most, self.share) if reached else most), self.chance)
--- a/bellrack/drill/__main__.py
+++ b/bellrack/drill/__main__.py
@@ -1,4 +1,5 @@
 """`python -m bellrack.drill`: the decisions on standard input and output."""
+
 import sys
 
 from bellrack.drill.adapter import Adapter
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -1,4 +1,5 @@
 """Hosts instances on the simulator's wire: turns ids into objects and back."""
+
 from __future__ import annotations
 
 import json
@@ -15,16 +16,31 @@
 from bellrack.settings import parse_settings
 
 STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
-RESULTS = {10: model.COMPLETED, 20: model.ERROR, 30: model.FULL, 40: model.TIMEOUT, 50: model.NO_CONN,
-           60: model.RESET, 70: model.CANCELLED, 80: model.MOOT}
+RESULTS = {
+    10: model.COMPLETED,
+    20: model.ERROR,
+    30: model.FULL,
+    40: model.TIMEOUT,
+    50: model.NO_CONN,
+    60: model.RESET,
+    70: model.CANCELLED,
+    80: model.MOOT,
+}
 DELTA, FULL_LIST, CACHED, FAILED = 0, 1, 2, 3
 
 
 class Instance(Books):
     """One balancer and its Door."""
 
-    def __init__(self, who: int, seed: int, settings: Settings, clock: int, reply: wire.Reply,
-                 decides: Callable[..., Any] = Balancer):
+    def __init__(
+        self,
+        who: int,
+        seed: int,
+        settings: Settings,
+        clock: int,
+        reply: wire.Reply,
+        decides: Callable[..., Any] = Balancer,
+    ):
         self.who, self.reply = who, reply
         self._open: dict[int, Call] = {}
         self._numbers: dict[Call, int] = {}  # the same the other way
@@ -152,8 +168,16 @@
             raise WireError(f"Inbound.xid: call {xid} is here already")
         if priority >= len(self.settings.types):
             raise WireError(f"Inbound.priority: no traffic type {priority}")
-        call = self.book(priority, remaining / 1e6, key=affinity, group=group, tenant=customer,
-                         repeat=bool(bits & 2), midflow=bool(bits & 8), returned=bool(bits & 16))
+        call = self.book(
+            priority,
+            remaining / 1e6,
+            key=affinity,
+            group=group,
+            tenant=customer,
+            repeat=bool(bits & 2),
+            midflow=bool(bits & 8),
+            returned=bool(bits & 16),
+        )
         self._open[xid] = call
         self._numbers[call] = xid
         return call
@@ -169,7 +193,7 @@
     def _result(self, event: str, code: int, took: int, report: tuple) -> Result:
         if code not in RESULTS:
             raise WireError(f"{event}.result: unknown outcome {code}")
-        return Result(RESULTS[code], took / 1e6, tuple(report[1:1 + report[0]]))
+        return Result(RESULTS[code], took / 1e6, tuple(report[1 : 1 + report[0]]))
 
 
 class Adapter:
--- a/bellrack/drill/fleet.py
+++ b/bellrack/drill/fleet.py
@@ -8,6 +8,7 @@
 
 Owns the reading of such logs and the sums. It never starts a balancer; lines of no known form are counted.
 """
+
 from __future__ import annotations
 
 import shlex
--- a/bellrack/drill/tally.py
+++ b/bellrack/drill/tally.py
@@ -9,6 +9,7 @@
 Owns the playing of the recorded batches to balancers that are watched. It never decides: those take each
 decision as in the run, and what they say is dropped.
 """
+
 from __future__ import annotations
 
 import sys
@@ -50,8 +51,15 @@
         found = super().room(server, full)
         if not found:
             reported = self.reported(server) and server.stand.full >= full
-            self.seen.refused["load" if reported else "notice" if self.told_late(server) else
-                              "zone" if self.late(server) else "ceiling"] += 1
+            self.seen.refused[
+                "load"
+                if reported
+                else "notice"
+                if self.told_late(server)
+                else "zone"
+                if self.late(server)
+                else "ceiling"
+            ] += 1
         return found
 
     def ask(self, server: Server) -> None:
@@ -93,8 +101,8 @@
     for line in lines:
         if line.startswith(">>"):
             data = bytes.fromhex(next(iter(lines)).strip())
-            number, clock, _, count = wire.HEADER.unpack(data[:wire.HEADER.size])
-            yield line.split(",")[0], wire.Batch(number, clock, count, data[wire.HEADER.size:])
+            number, clock, _, count = wire.HEADER.unpack(data[: wire.HEADER.size])
+            yield line.split(",")[0], wire.Batch(number, clock, count, data[wire.HEADER.size :])
 
 
 def legs(balancer: choice.Balancer) -> Iterator[Leg]:
@@ -115,8 +123,12 @@
                 seen.held[machine].append(weight)
         if any(host.instances for host in hosts.values()) and (look is None or now >= look):
             start, look = start or now, now + EACH
-            groups = {(leg.call.group, leg.server.zone, leg.server.mark) for host in hosts.values()
-                      for one in host.instances.values() for leg in legs(one.balancer)}
+            groups = {
+                (leg.call.group, leg.server.zone, leg.server.mark)
+                for host in hosts.values()
+                for one in host.instances.values()
+                for leg in legs(one.balancer)
+            }
             seen.spread.append((round(now - start), len({one[:2] for one in groups}), len(groups)))
     for machine, weights in seen.held.items():
         weights[:] = sorted(nominal[machine] / weight - 1 for weight in weights if weight)
@@ -127,13 +139,17 @@
     for zone, count in sorted(seen.calls.items()):
         loads = sorted(seen.loads[zone]) or [0.0]
         part = [f"{loads[len(loads) * tenth // 10]:.2f}" for tenth in (1, 5, 9)]
-        yield (f"zone {zone}: {count} legs from it, {seen.crossed[zone] / count:.2f} of them to others; "
-               f"its servers' load in {len(seen.loads[zone])} reports at a tenth, half, nine tenths: "
-               f"{' '.join(part)}")
+        yield (
+            f"zone {zone}: {count} legs from it, {seen.crossed[zone] / count:.2f} of them to others; "
+            f"its servers' load in {len(seen.loads[zone])} reports at a tenth, half, nine tenths: "
+            f"{' '.join(part)}"
+        )
     yield f"lots without room: {dict(seen.refused.most_common())}"
     yield f"failures {seen.failures}, marks {seen.marks}"
-    yield (f"probes {sum(seen.probes.values())}; most in a second to one server "
-           f"{max(seen.probes.values(), default=0)}, to a cold one {max(seen.cold.values(), default=0)}")
+    yield (
+        f"probes {sum(seen.probes.values())}; most in a second to one server "
+        f"{max(seen.probes.values(), default=0)}, to a cold one {max(seen.cold.values(), default=0)}"
+    )
     for machine, held in sorted(seen.held.items()):
         yield f"machine {machine}: calls a core {held[len(held) // 2]:.1f}, at most {held[-1]:.1f}"
     for second, groups, holders in seen.spread:
--- a/bellrack/drill/wire.py
+++ b/bellrack/drill/wire.py
@@ -1,4 +1,5 @@
 """Frames of the simulator's wire: bytes <-> plain records."""
+
 from __future__ import annotations
 
 import struct
@@ -27,14 +28,27 @@
     266: ("Heard", ">HII", "by msg* msg*"),
     267: ("Inbound", ">QQIQIIBH", "xid affinity remainingUs group costUs customer stateBits priority"),
     268: ("Flowing", ">QIIH", "xid server durationUs sendNo"),
-    269: ("Preexisting", ">QQIIQIIHB",
-          "xid affinity customer server group remainingUs costUs priority stateBits"),
+    269: (
+        "Preexisting",
+        ">QQIIQIIHB",
+        "xid affinity customer server group remainingUs costUs priority stateBits",
+    ),
 }
 ACTIONS = {
-    "CloseIdle": (320, ">I"), "Bug": (321, ">II"), "ReportFailure": (322, ">Q"), "At": (323, ">H"),
-    "Cancel": (324, ">QH"), "Fetch": (325, ">"), "HealthCheck": (326, ">I"), "Forward": (327, ">QIQ"),
-    "Deny": (328, ">QI"), "SetAlarm": (329, ">QQ"), "JournalLine": (330, ">II"), "Notify": (331, ">III"),
-    "KeepInformed": (332, ">B"), "Shift": (333, ">Q"),
+    "CloseIdle": (320, ">I"),
+    "Bug": (321, ">II"),
+    "ReportFailure": (322, ">Q"),
+    "At": (323, ">H"),
+    "Cancel": (324, ">QH"),
+    "Fetch": (325, ">"),
+    "HealthCheck": (326, ">I"),
+    "Forward": (327, ">QIQ"),
+    "Deny": (328, ">QI"),
+    "SetAlarm": (329, ">QQ"),
+    "JournalLine": (330, ">II"),
+    "Notify": (331, ">III"),
+    "KeepInformed": (332, ">B"),
+    "Shift": (333, ">Q"),
 }
 _EVENTS = {code: (name, struct.Struct(form), fields.split()) for code, (name, form, fields) in EVENTS.items()}
 _ACTIONS = {name: struct.Struct(">H" + form[1:]) for name, (_, form) in ACTIONS.items()}
@@ -57,7 +71,7 @@
         """Each event as its name and values; places in the tail become bytes."""
         for index in range(self.count):
             at = index * EVENT_SIZE
-            code = int.from_bytes(self.body[at:at + 2], "big")
+            code = int.from_bytes(self.body[at : at + 2], "big")
             if code not in _EVENTS:
                 raise WireError(f"batch {self.number}, record {index}: unknown code {code}")
             name, form, fields = _EVENTS[code]
@@ -71,8 +85,10 @@
         start = self.tail + offset
         stop = start + length * width
         if stop > len(self.body):
-            raise WireError(f"batch {self.number}, record {index}: {field} lies outside the tail "
-                            f"(offset {offset}, length {length})")
+            raise WireError(
+                f"batch {self.number}, record {index}: {field} lies outside the tail "
+                f"(offset {offset}, length {length})"
+            )
         return self.body[start:stop]
 
 
--- a/bellrack/lab/agenda.py
+++ b/bellrack/lab/agenda.py
@@ -3,6 +3,7 @@
 Owns the clock of a run and the heap of what is to come. Time is kept in whole microseconds; what falls on the
 same one goes by rank, then in the order in which it was put down. It never looks at what it calls.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -26,8 +27,9 @@
         """Due at that time in seconds, or now if that has passed."""
         self.count += 1
         micros = round(when * 1e6)
-        heapq.heappush(self.heap, (micros if micros > self.micros else self.micros, rank, self.count, what,
-                                   values))
+        heapq.heappush(
+            self.heap, (micros if micros > self.micros else self.micros, rank, self.count, what, values)
+        )
 
     def after(self, wait: float, rank: int, what: Callable, *values: object) -> None:
         self.at(self.now + wait, rank, what, *values)
--- a/bellrack/lab/baselines.py
+++ b/bellrack/lab/baselines.py
@@ -4,6 +4,7 @@
 decision module, so that what differs is the pick alone; none fills a cold server slowly, moves what stands or
 keeps to its zone. The all-seeing reference reads the true state of the world, which no balancer can.
 """
+
 from __future__ import annotations
 
 import bisect
@@ -44,7 +45,6 @@
         return places[int(self.rack.chance.draw() * len(places))]
 
 
-
 class RoundRobin(Pick):
     turn = -1
 
@@ -74,13 +74,19 @@
     def choose(self, call: Call, places: list[Server]) -> Server | None:
         if self.listed != len(self.rack.fleet):
             self.listed = len(self.rack.fleet)
-            self.ring = sorted(((chance.step(chance.step(server.mark ^ n * 0x9E3779B97F4A7C15)), server)
-                                for server in self.rack.fleet for n in range(POINTS)),
-                               key=lambda point: point[0])
+            self.ring = sorted(
+                (
+                    (chance.step(chance.step(server.mark ^ n * 0x9E3779B97F4A7C15)), server)
+                    for server in self.rack.fleet
+                    for n in range(POINTS)
+                ),
+                key=lambda point: point[0],
+            )
         allowed = set(places)
         most = BOUND * (1 + sum(s.stand.open for s in places)) / len(places)
-        start = bisect.bisect_left(self.ring, chance.step(chance.step(call.group or call.key)),
-                                   key=lambda point: point[0])
+        start = bisect.bisect_left(
+            self.ring, chance.step(chance.step(call.group or call.key)), key=lambda point: point[0]
+        )
         for at in range(len(self.ring)):
             server = self.ring[(start + at) % len(self.ring)][1]
             if server in allowed and server.stand.open < most:
@@ -142,8 +148,12 @@
 
 POLICIES: dict[str, Callable[[World], Callable[..., Any]]] = {
     "bellrack": lambda world: choice.Balancer,
-    "random": plain(Pick), "round-robin": plain(RoundRobin), "least-open": plain(LeastOpen),
-    "two-choices": plain(TwoChoices), "bounded-hash": plain(BoundedHash), "all-seeing": all_seeing,
+    "random": plain(Pick),
+    "round-robin": plain(RoundRobin),
+    "least-open": plain(LeastOpen),
+    "two-choices": plain(TwoChoices),
+    "bounded-hash": plain(BoundedHash),
+    "all-seeing": all_seeing,
 }
 
 
@@ -153,6 +163,7 @@
         return POLICIES[name]
     if name.startswith(BROKEN):
         from bellrack.lab import mutants
+
         if broken := mutants.MUTANTS.get(name.removeprefix(BROKEN)):
             return lambda world: broken[1]
     if not name.endswith(".py"):
--- a/bellrack/lab/chance.py
+++ b/bellrack/lab/chance.py
@@ -4,6 +4,7 @@
 retries) never shifts what another draws. What is drawn is cut to whole microseconds, so that the last bits
 of a machine's logarithm never decide which of two events comes first.
 """
+
 from __future__ import annotations
 
 import hashlib
--- a/bellrack/lab/cli.py
+++ b/bellrack/lab/cli.py
@@ -48,6 +48,7 @@
   --json=FILE      Write what is printed, with all figures, as JSON; - for standard output.
   --quiet          No progress bar.
 """
+
 from __future__ import annotations
 
 import shutil
@@ -65,20 +66,32 @@
 from bellrack.lab.scenario import ScenarioError, balancer_names, read_scenario, server_names
 
 SHOWN = 20  # starts with a fall that are named
-TABLE = (("policy", "policy", "{}"), ("seeds", "seeds", "{}"), ("broken", "rules broken", "{}"),
-         ("service", "service", "{:.3f}"), ("least", "least", "{:.3f}"),
-         ("worst_window", "worst 10 s", "{:.3f}"),
-         ("worst_type", "worst type", "{:.3f}"), ("worst_tenant", "worst tenant", "{:.3f}"),
-         ("p50", "set-up p50", "{:.3f}"), ("p99", "p99", "{:.3f}"), ("crossings", "crossings", "{:.3f}"),
-         ("moves", "moves", "{:.0f}"), ("store_calls", "store calls", "{:.0f}"),
-         ("wasted", "wasted", "{:.3f}"),
-         ("rejected", "rejected", "{:.0f}"), ("gave_up", "unanswered", "{:.0f}"), ("fell", "fell", "{:.1f}"))
+TABLE = (
+    ("policy", "policy", "{}"),
+    ("seeds", "seeds", "{}"),
+    ("broken", "rules broken", "{}"),
+    ("service", "service", "{:.3f}"),
+    ("least", "least", "{:.3f}"),
+    ("worst_window", "worst 10 s", "{:.3f}"),
+    ("worst_type", "worst type", "{:.3f}"),
+    ("worst_tenant", "worst tenant", "{:.3f}"),
+    ("p50", "set-up p50", "{:.3f}"),
+    ("p99", "p99", "{:.3f}"),
+    ("crossings", "crossings", "{:.3f}"),
+    ("moves", "moves", "{:.0f}"),
+    ("store_calls", "store calls", "{:.0f}"),
+    ("wasted", "wasted", "{:.3f}"),
+    ("rejected", "rejected", "{:.0f}"),
+    ("gave_up", "unanswered", "{:.0f}"),
+    ("fell", "fell", "{:.1f}"),
+)
 
 
 def main(arguments: list[str]) -> int:
     """Run one command; the exit code: 0, 1 if a rule was broken, 2 for what cannot be done."""
     if arguments[:2] == ["scale", "roles"]:  # whose options are its own
         from bellrack.lab.scale import roles
+
         return roles.main(arguments[2:])
     args = docopt(__doc__, argv=["lab", *arguments])
     try:
@@ -123,20 +136,28 @@
     return [number(args, "--seed", 0) if args["--seed"] else raw.get("seed", 1)]
 
 
-COLD = (("balancers", "balancers", "{}"), ("starts", "starts", "{}"), ("fell", "fell", "{}"),
-        ("nearest", "nearest the limit", "{:.2f}"), ("mean_nearest", "mean", "{:.2f}"),
-        ("filled", "set-ups by fill", "{:.2f}"))
+COLD = (
+    ("balancers", "balancers", "{}"),
+    ("starts", "starts", "{}"),
+    ("fell", "fell", "{}"),
+    ("nearest", "nearest the limit", "{:.2f}"),
+    ("mean_nearest", "mean", "{:.2f}"),
+    ("filled", "set-ups by fill", "{:.2f}"),
+)
 
 
 def do_cold(args: dict[str, Any]) -> int:
     seed = number(args, "--seed", 0) if args["--seed"] else 1
-    results = cold.played_all(cold.starts(number(args, "--starts"), seed), number(args, "--jobs"),
-                              args["--quiet"])
+    results = cold.played_all(
+        cold.starts(number(args, "--starts"), seed), number(args, "--jobs"), args["--quiet"]
+    )
     rows, fallen = cold.by_size(results), [one for one in results if one["fell"]]
     show(COLD, rows, args)
     for one in fallen[:SHOWN] if args["--json"] != "-" else ():
-        print(f"fell: start {one['start']['seed']}, {one['start']['balancers']} balancers, "
-              f"{one['window']} requests in a window, {one['nearest']:.2f} of the limit")
+        print(
+            f"fell: start {one['start']['seed']}, {one['start']['balancers']} balancers, "
+            f"{one['window']} requests in a window, {one['nearest']:.2f} of the limit"
+        )
     put(args, {"sizes": rows, "fell": fallen})
     return 1 if fallen else 0
 
@@ -155,12 +176,26 @@
     cells = [[head for _, head, _ in columns]]
     for row in rows:
         values = [row[key] for key, _, _ in columns]
-        cells.append([("-" if value in (None, []) else ",".join(value) if isinstance(value, list)
-                       else form.format(value)) for value, (_, _, form) in zip(values, columns)])
+        cells.append(
+            [
+                (
+                    "-"
+                    if value in (None, [])
+                    else ",".join(value)
+                    if isinstance(value, list)
+                    else form.format(value)
+                )
+                for value, (_, _, form) in zip(values, columns)
+            ]
+        )
     widths = [max(len(line[at]) for line in cells) for at in range(len(columns))]
     for line in cells:
-        print("  ".join(cell.ljust(width) if at == 0 else cell.rjust(width)
-                        for at, (cell, width) in enumerate(zip(line, widths))).rstrip())
+        print(
+            "  ".join(
+                cell.ljust(width) if at == 0 else cell.rjust(width)
+                for at, (cell, width) in enumerate(zip(line, widths))
+            ).rstrip()
+        )
 
 
 def do_run(args: dict[str, Any]) -> int:
@@ -174,16 +209,19 @@
         results = [run.result_of(world, policies[0]) | {"digest": run.digest(raw)}]
     else:
         with folder_of(args) as folder:
-            results = experiment.batch(raw, seeds, policies, folder, number(args, "--jobs"), None,
-                                       args["--quiet"])
+            results = experiment.batch(
+                raw, seeds, policies, folder, number(args, "--jobs"), None, args["--quiet"]
+            )
     rows = experiment.figures(results)
     show(TABLE, rows, args)
     told = [result for result in results if not result["kept"]]
     for result in told if args["--json"] != "-" else ():
         for rule, verdict in result["rules"].items():
             for first in verdict["first"][:1]:
-                print(f"rule {rule} broken {verdict['breaches']} times by {result['policy']}, seed "
-                      f"{result['seed']}; first at {first['at']:.3f} s: {first['what']}")
+                print(
+                    f"rule {rule} broken {verdict['breaches']} times by {result['policy']}, seed "
+                    f"{result['seed']}; first at {first['at']:.3f} s: {first['what']}"
+                )
     put(args, {"figures": rows, "results": results})
     return int(any(result["policy"] == "bellrack" for result in told))
 
@@ -205,6 +243,7 @@
 
 def do_live(args: dict[str, Any]) -> int:
     from bellrack.lab import live
+
     scenario = read_scenario(args["FILE"])
     seed = number(args, "--seed", 0) if args["--seed"] else scenario.seed
     result = live.run(scenario, seed, trace=args["--trace"], logs=args["--logs"], quiet=args["--quiet"])
@@ -224,9 +263,20 @@
 
 def do_compare(args: dict[str, Any]) -> int:
     rows = experiment.compare(results_at(args["FIRST"]), results_at(args["SECOND"]))
-    show((("figure", "figure", "{}"), ("pairs", "pairs", "{}"), ("first", "first", "{:.4f}"),
-          ("second", "second", "{:.4f}"), ("difference", "difference", "{:+.4f}"), ("low", "from", "{:+.4f}"),
-          ("high", "to", "{:+.4f}"), ("verdict", "verdict", "{}")), rows, args)
+    show(
+        (
+            ("figure", "figure", "{}"),
+            ("pairs", "pairs", "{}"),
+            ("first", "first", "{:.4f}"),
+            ("second", "second", "{:.4f}"),
+            ("difference", "difference", "{:+.4f}"),
+            ("low", "from", "{:+.4f}"),
+            ("high", "to", "{:+.4f}"),
+            ("verdict", "verdict", "{}"),
+        ),
+        rows,
+        args,
+    )
     put(args, rows)
     return 0
 
@@ -237,9 +287,16 @@
     if not equals or not values:
         raise ScenarioError(f"{args['SETTING']}: not of the form KEY=V1,V2,...")
     with folder_of(args) as folder:
-        rows = experiment.sweep(raw, key, [experiment.value_of(value) for value in values.split(",")],
-                                seeds_of(args, raw), chosen(args)[0], folder, number(args, "--jobs"),
-                                args["--quiet"])
+        rows = experiment.sweep(
+            raw,
+            key,
+            [experiment.value_of(value) for value in values.split(",")],
+            seeds_of(args, raw),
+            chosen(args)[0],
+            folder,
+            number(args, "--jobs"),
+            args["--quiet"],
+        )
     show((("value", key, "{}"), *TABLE[1:]), rows, args)
     put(args, rows)
     return 0
@@ -261,6 +318,7 @@
 
 def do_report(args: dict[str, Any]) -> int:
     from bellrack.lab import report
+
     results = experiment.read_folder(Path(args["DIR"]))
     place = Path(args["--out"] or Path(args["DIR"]) / "report.html")
     experiment.write_whole(place.absolute(), report.page(results).encode())
@@ -272,9 +330,14 @@
 
 def do_check(args: dict[str, Any]) -> int:
     scenario = read_scenario(args["FILE"])
-    asks = {"name": scenario.name, "balancers": len(balancer_names(scenario)),
-            "servers": len(server_names(scenario)), "length": scenario.length,
-            "troubles": len(scenario.trouble), "events": round(run.events_of(scenario))}
+    asks = {
+        "name": scenario.name,
+        "balancers": len(balancer_names(scenario)),
+        "servers": len(server_names(scenario)),
+        "length": scenario.length,
+        "troubles": len(scenario.trouble),
+        "events": round(run.events_of(scenario)),
+    }
     run.refuse_if_too_large(scenario)
     if args["--json"] != "-":
         print(f"{args['FILE']}: " + ", ".join(f"{key} {value}" for key, value in asks.items()))
@@ -284,19 +347,31 @@
 
 def do_speed(args: dict[str, Any]) -> int:
     from bellrack.lab import speed
+
     sizes = []
     for text in args["--size"]:
         both = text.split("x")
         if len(both) != 2 or not all(part.isdigit() and int(part) >= 2 for part in both):
             raise ScenarioError(f"--size: {text!r} is not of the form 4x8, with 2 or more of each")
         sizes.append((int(both[0]), int(both[1])))
-    rows = speed.curve(tuple(sizes) or speed.SIZES,
-                       number(args, "--length", 1, float), args["--profile"])
-    show((("balancers", "balancers", "{}"), ("servers", "servers", "{}"), ("standing", "standing", "{}"),
-          ("calls", "calls", "{}"), ("events", "events", "{}"), ("seconds", "seconds", "{:.1f}"),
-          ("of_virtual", "of virtual", "{:g}"), ("calls_a_second", "calls a second", "{:.0f}"),
-          ("us_a_call", "us a call", "{:.0f}"), ("us_an_event", "us an event", "{:.0f}"),
-          ("memory_mb", "MB", "{:.0f}")), rows, args)
+    rows = speed.curve(tuple(sizes) or speed.SIZES, number(args, "--length", 1, float), args["--profile"])
+    show(
+        (
+            ("balancers", "balancers", "{}"),
+            ("servers", "servers", "{}"),
+            ("standing", "standing", "{}"),
+            ("calls", "calls", "{}"),
+            ("events", "events", "{}"),
+            ("seconds", "seconds", "{:.1f}"),
+            ("of_virtual", "of virtual", "{:g}"),
+            ("calls_a_second", "calls a second", "{:.0f}"),
+            ("us_a_call", "us a call", "{:.0f}"),
+            ("us_an_event", "us an event", "{:.0f}"),
+            ("memory_mb", "MB", "{:.0f}"),
+        ),
+        rows,
+        args,
+    )
     for row in rows if args["--profile"] and args["--json"] != "-" else ():
         print(f"\n{row['balancers']} x {row['servers']}")
         for line in row["profile"]:
@@ -308,6 +383,7 @@
 def do_scale(args: dict[str, Any]) -> int:
     from bellrack.lab.scale import run as scale
     from bellrack.lab.scale.plan import read_plan
+
     plan = read_plan(args["FILE"])
     seed = number(args, "--seed", 0) if args["--seed"] else plan.seed
     results: list[dict[str, Any]] = []
@@ -328,6 +404,7 @@
 
 def show_scale(results: list[dict[str, Any]], args: dict[str, Any]) -> None:
     from bellrack.lab.scale import run as scale
+
     fits = scale.fits(results)
     show(scale.TABLE, [row for result in results for row in scale.rows(result)], args)
     if args["--json"] != "-":
@@ -335,5 +412,6 @@
             print(line)
     if args["--report"]:
         from bellrack.lab.scale import report
+
         experiment.write_whole(Path(args["--report"]).absolute(), report.page(results, fits).encode())
     put(args, {"results": results, "fits": fits} if args["sweep"] else results[0])
--- a/bellrack/lab/clients.py
+++ b/bellrack/lab/clients.py
@@ -3,6 +3,7 @@
 Owns when a client comes, tries again, gives up and leaves for good. It sees what a client sees: answers and
 ends. A wish lasts from when it was due, whether anybody serves it or not.
 """
+
 from __future__ import annotations
 
 import math
@@ -23,8 +24,25 @@
 class Want:
     """A client's wish for a connection."""
 
-    __slots__ = ("request", "type", "tenant", "group", "key", "zone", "load", "due", "ends", "never",
-                 "honours", "tries", "attempt", "returned", "over", "heavy", "failed_since")
+    __slots__ = (
+        "request",
+        "type",
+        "tenant",
+        "group",
+        "key",
+        "zone",
+        "load",
+        "due",
+        "ends",
+        "never",
+        "honours",
+        "tries",
+        "attempt",
+        "returned",
+        "over",
+        "heavy",
+        "failed_since",
+    )
 
     def __init__(self, request: int, due: float):
         self.request, self.due = request, due
@@ -106,8 +124,11 @@
 
     def is_dear(self, want: Want, trouble) -> bool:
         tenants, kinds = self.world.scenario.tenant, self.world.scenario.type
-        named = (tenants[want.tenant].name == trouble.tenant if trouble.tenant and tenants
-                 else kinds[want.type].name == trouble.type)
+        named = (
+            tenants[want.tenant].name == trouble.tenant
+            if trouble.tenant and tenants
+            else kinds[want.type].name == trouble.type
+        )
         return named and want.heavy < trouble.share
 
     def tries(self, want: Want) -> None:
@@ -162,9 +183,13 @@
         world, kind = self.world, self.world.scenario.type[want.type]
         how = attempt.said if attempt else "none"
         # What may have run and must not run twice is a new request when the client comes again.
-        harmless = (how in ("rejected", "unreached", "none") or kind.effect == "repeatable"
-                    or kind.effect == "referenced" and kind.group == "all"
-                    and world.now < want.due + kind.remembered)
+        harmless = (
+            how in ("rejected", "unreached", "none")
+            or kind.effect == "repeatable"
+            or kind.effect == "referenced"
+            and kind.group == "all"
+            and world.now < want.due + kind.remembered
+        )
         want.tries += 1
         if not want.never and harmless and want.tries <= self.form.retries:
             back = self.waits.between(self.form.backoff)
--- a/bellrack/lab/cold.py
+++ b/bellrack/lab/cold.py
@@ -5,6 +5,7 @@
 formula of rule 4. Balancers are the build's own decisions behind the books that all hosts share, on virtual
 time; there is no network but a delay. It chooses no server. The same seed plays the same start to one end.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -71,14 +72,30 @@
     between, one = chance.uniform, chance.choice
     any_size = round(math.exp(between(math.log(min(sizes)), math.log(max(sizes)))))
     return Start(
-        seed=seed, balancers=one((one(sizes), any_size)),
-        idle=one((0.0, 0.5)), fresh=one((0.0, 0.5, 0.5, 1.0)), spread=one((0.0, 0.7, 1.4)),
-        bears=between(8.0, 30.0), size=one((1.0, 2.0, 3.5)), used=between(0.2, 1.0),
-        warm=one((1, 3, 6, 20, 50)), cold=chance.randint(1, 4), zone=chance.random() < 0.4,
-        cold_share=between(0.12, 0.36), ramp_time=between(6.0, 24.0), overload_factor=between(1.5, 4.0),
-        fall_time=between(1.0, 2.0), tells=chance.random() < 0.5, short=one((0.0, 0.3, 1.0)),
-        demand=one((0.3, 1.0, 4.0)), rush=one((0.0, 0.3, 0.6)), rush_at=between(0.0, 0.9),
-        drowning=chance.random() < 0.4, retries=one((0, 1, 3)), grouped=chance.random() < 0.3)
+        seed=seed,
+        balancers=one((one(sizes), any_size)),
+        idle=one((0.0, 0.5)),
+        fresh=one((0.0, 0.5, 0.5, 1.0)),
+        spread=one((0.0, 0.7, 1.4)),
+        bears=between(8.0, 30.0),
+        size=one((1.0, 2.0, 3.5)),
+        used=between(0.2, 1.0),
+        warm=one((1, 3, 6, 20, 50)),
+        cold=chance.randint(1, 4),
+        zone=chance.random() < 0.4,
+        cold_share=between(0.12, 0.36),
+        ramp_time=between(6.0, 24.0),
+        overload_factor=between(1.5, 4.0),
+        fall_time=between(1.0, 2.0),
+        tells=chance.random() < 0.5,
+        short=one((0.0, 0.3, 1.0)),
+        demand=one((0.3, 1.0, 4.0)),
+        rush=one((0.0, 0.3, 0.6)),
+        rush_at=between(0.0, 0.9),
+        drowning=chance.random() < 0.4,
+        retries=one((0, 1, 3)),
+        grouped=chance.random() < 0.3,
+    )
 
 
 class Seat(Books):
@@ -139,7 +156,7 @@
         self.play.at(when, self.turn, lambda: self.balancer.woke(what))
 
     def tell(self, peer: int | None, data: bytes) -> None:
-        for other in self.play.seats if peer is None else self.play.seats[peer:peer + 1]:
+        for other in self.play.seats if peer is None else self.play.seats[peer : peer + 1]:
             if other is not self:
                 other.later(TELLS, other.heard, self.number, data)
 
@@ -164,16 +181,29 @@
         self.recent: dict[int, deque[float]] = {}  # by mark of a cold server: set-ups within the window
         self.fell, self.nearest, self.sent, self.window = False, 0.0, 0, 0
         self.marks = list(range(101, 101 + 7919 * (start.warm + start.cold), 7919))
-        self.cold = set(self.marks[:start.cold])
+        self.cold = set(self.marks[: start.cold])
         rules = Settings(
-            types=[TrafficType(model.REPEATABLE, "all", 0.0, SETUP, AIM)], zone=0, peers=start.balancers,
-            asks=False, live=False, report=(), max_legs=3, max_open_wait=1.0, tick=0.004, answer_slack=0.016,
-            cold_share=start.cold_share, ramp_time=start.ramp_time, overload_factor=start.overload_factor,
-            fall_time=start.fall_time)
+            types=[TrafficType(model.REPEATABLE, "all", 0.0, SETUP, AIM)],
+            zone=0,
+            peers=start.balancers,
+            asks=False,
+            live=False,
+            report=(),
+            max_legs=3,
+            max_open_wait=1.0,
+            tick=0.004,
+            answer_slack=0.016,
+            cold_share=start.cold_share,
+            ramp_time=start.ramp_time,
+            overload_factor=start.overload_factor,
+            fall_time=start.fall_time,
+        )
         self.seats = []
         for number in range(start.balancers):
-            mine = Settings(**vars(rules) | {"number": number, "zone": number % 2,
-                                             "may_publish": start.tells and start.balancers > 2})
+            mine = Settings(
+                **vars(rules)
+                | {"number": number, "zone": number % 2, "may_publish": start.tells and start.balancers > 2}
+            )
             self.seats.append(Seat(self, number, mine, self.chance.getrandbits(62), decides))
 
     def at(self, when: float, what: Callable, *values: Any) -> None:
@@ -190,7 +220,7 @@
         """Traffic, what stands on warm servers, and the news of the start."""
         start, chance = self.start, self.chance
         order = chance.sample(self.seats, len(self.seats))
-        busy = order[:max(1, round(len(order) * (1 - start.idle)))]
+        busy = order[: max(1, round(len(order) * (1 - start.idle)))]
         parts = {seat: chance.lognormvariate(0.0, start.spread) for seat in busy}
         fresh = set(chance.sample(busy, round(len(busy) * start.fresh)))
         warm = [mark for mark in self.marks if mark not in self.cold]
@@ -282,8 +312,14 @@
 def played(start: Start, decides: Callable[..., Any] = Balancer) -> dict[str, Any]:
     """How near it came: requests in the worst window over the limit then, and whether a server fell."""
     play = Play(start, decides).run()
-    return {"start": asdict(start), "fell": play.fell, "nearest": play.nearest, "window": play.window,
-            "sent": play.sent, "even": start.cold * play.fills}
+    return {
+        "start": asdict(start),
+        "fell": play.fell,
+        "nearest": play.nearest,
+        "window": play.window,
+        "sent": play.sent,
+        "even": start.cold * play.fills,
+    }
 
 
 def starts(count: int, seed: int, sizes: tuple[int, ...] = SIZES) -> list[Start]:
@@ -292,8 +328,10 @@
 
 def played_all(all_of: list[Start], jobs: int = 1, quiet: bool = True) -> list[dict[str, Any]]:
     """All of them, in order; `jobs` processes at once."""
+
     def shown(results: Iterator[dict[str, Any]]) -> list[dict[str, Any]]:
         return list(tqdm(results, total=len(all_of), disable=quiet, unit="start"))
+
     if jobs == 1:
         return shown(map(played, all_of))
     with multiprocessing.get_context("spawn").Pool(jobs) as pool:
@@ -304,14 +342,22 @@
     """A row a band of sizes: starts, falls, the nearest share of the limit, set-ups over what fills."""
     rows, least = [], 0
     for most in (*SIZES, None):
-        band = [one for one in results
-                if least <= one["start"]["balancers"] and (most is None or one["start"]["balancers"] <= most)]
+        band = [
+            one
+            for one in results
+            if least <= one["start"]["balancers"] and (most is None or one["start"]["balancers"] <= most)
+        ]
         if band:
-            rows.append({"balancers": f"{least} to {most}", "starts": len(band),
-                         "fell": sum(one["fell"] for one in band),
-                         "nearest": max(one["nearest"] for one in band),
-                         "mean_nearest": sum(one["nearest"] for one in band) / len(band),
-                         "filled": sum(one["sent"] / one["even"] for one in band) / len(band)})
+            rows.append(
+                {
+                    "balancers": f"{least} to {most}",
+                    "starts": len(band),
+                    "fell": sum(one["fell"] for one in band),
+                    "nearest": max(one["nearest"] for one in band),
+                    "mean_nearest": sum(one["nearest"] for one in band) / len(band),
+                    "filled": sum(one["sent"] / one["even"] for one in band) / len(band),
+                }
+            )
         if most is None:
             break
         least = most + 1
--- a/bellrack/lab/experiment.py
+++ b/bellrack/lab/experiment.py
@@ -4,6 +4,7 @@
 so that an interrupted experiment goes on where it stopped. Chance in conclusions (the bootstrap) has a seed
 of its own.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -25,8 +26,18 @@
 SCENARIO = "scenario.toml"  # a folder's own copy of what was run
 RESAMPLES, LEVEL = 10_000, 0.95  # of the bootstrap
 FEWEST = 3  # pairs under which no interval is drawn
-COMPARED = ("service", "worst_window", "set_up_in_time", "crossings", "wasted", "moves", "store_calls",
-            "rejected", "released", "gave_up")
+COMPARED = (
+    "service",
+    "worst_window",
+    "set_up_in_time",
+    "crossings",
+    "wasted",
+    "moves",
+    "store_calls",
+    "rejected",
+    "released",
+    "gave_up",
+)
 LOWER_IS_BETTER = {"crossings", "wasted", "moves", "store_calls", "rejected", "released", "gave_up"}
 
 
@@ -59,8 +70,15 @@
     return encoded(runs.run(raw, seed, policy, constants) | {"digest": runs.digest(raw)})
 
 
-def batch(raw: dict[str, Any], seeds: list[int], policies: list[str], folder: Path, jobs: int,
-          constants: dict[str, float] | None = None, quiet: bool = False) -> list[dict[str, Any]]:
+def batch(
+    raw: dict[str, Any],
+    seeds: list[int],
+    policies: list[str],
+    folder: Path,
+    jobs: int,
+    constants: dict[str, float] | None = None,
+    quiet: bool = False,
+) -> list[dict[str, Any]]:
     """All runs, each in its file; those whose file is there are not played again. Results in order of
     policy and seed. Raises ScenarioError for a folder that holds runs of another scenario."""
     scenario = parse_scenario(raw)
@@ -79,8 +97,13 @@
                 raise ScenarioError(f"{path}: a run of another scenario; take another folder")
     if not (folder / SCENARIO).exists():
         write_whole(folder / SCENARIO, tomli_w.dumps(raw).encode())
-    bar = tqdm(total=len(seeds) * len(policies), initial=len(seeds) * len(policies) - len(jobs_left),
-               desc=scenario.name, unit="run", disable=quiet or None)
+    bar = tqdm(
+        total=len(seeds) * len(policies),
+        initial=len(seeds) * len(policies) - len(jobs_left),
+        desc=scenario.name,
+        unit="run",
+        disable=quiet or None,
+    )
     with bar:
         for (policy, seed), data in spread(raw, jobs_left, jobs, constants or {}):
             write_whole(result_path(folder, policy, seed), data)
@@ -88,8 +111,9 @@
     return [read_result(result_path(folder, policy, seed)) for policy in policies for seed in seeds]
 
 
-def spread(raw: dict[str, Any], wanted: list[tuple[str, int]], jobs: int,
-           constants: dict[str, float]) -> Iterator[tuple[tuple[str, int], bytes]]:
+def spread(
+    raw: dict[str, Any], wanted: list[tuple[str, int]], jobs: int, constants: dict[str, float]
+) -> Iterator[tuple[tuple[str, int], bytes]]:
     """Runs as they finish, on so many processes."""
     if jobs <= 1 or len(wanted) <= 1:
         for policy, seed in wanted:
@@ -131,23 +155,31 @@
     rows = []
     for policy in dict.fromkeys(result["policy"] for result in results):
         own = [result for result in results if result["policy"] == policy]
-        rows.append({
-            "policy": policy, "seeds": len(own),
-            "broken": [rule for rule in "1234" if any(not r["rules"][rule]["kept"] for r in own)],
-            "service": mean([r["service"] for r in own]), "least": min(r["service"] for r in own),
-            "worst_window": mean([r["worst_window"] for r in own]),
-            "worst_type": mean([min(r["by_type"].values()) for r in own]),
-            "worst_tenant": mean([min(r["by_tenant"].values(), default=r["service"]) for r in own]),
-            "p50": mean([r["set_up"]["p50"] or 0 for r in own]),
-            "p99": mean([r["set_up"]["p99"] or 0 for r in own]),
-            "crossings": mean([r["crossings"] for r in own]),
-            **{key: mean([r[key] for r in own]) for key in ("moves", "store_calls", "wasted", "rejected",
-                                                            "released", "gave_up", "fell")}})
+        rows.append(
+            {
+                "policy": policy,
+                "seeds": len(own),
+                "broken": [rule for rule in "1234" if any(not r["rules"][rule]["kept"] for r in own)],
+                "service": mean([r["service"] for r in own]),
+                "least": min(r["service"] for r in own),
+                "worst_window": mean([r["worst_window"] for r in own]),
+                "worst_type": mean([min(r["by_type"].values()) for r in own]),
+                "worst_tenant": mean([min(r["by_tenant"].values(), default=r["service"]) for r in own]),
+                "p50": mean([r["set_up"]["p50"] or 0 for r in own]),
+                "p99": mean([r["set_up"]["p99"] or 0 for r in own]),
+                "crossings": mean([r["crossings"] for r in own]),
+                **{
+                    key: mean([r[key] for r in own])
+                    for key in ("moves", "store_calls", "wasted", "rejected", "released", "gave_up", "fell")
+                },
+            }
+        )
     return rows
 
 
 # Two sets compared.
 
+
 def interval(differences: list[float]) -> tuple[float, float]:
     """The mean difference lies in it, by bootstrap over the pairs."""
     values = numpy.array(differences)
@@ -169,9 +201,15 @@
     rows = []
     for key in COMPARED:
         gaps = [float(b[key] - a[key]) for a, b in pairs]
-        row = {"figure": key, "pairs": len(gaps), "first": mean([a[key] for a, _ in pairs]),
-               "second": mean([b[key] for _, b in pairs]), "difference": mean(gaps),
-               "low": None, "high": None}
+        row = {
+            "figure": key,
+            "pairs": len(gaps),
+            "first": mean([a[key] for a, _ in pairs]),
+            "second": mean([b[key] for _, b in pairs]),
+            "difference": mean(gaps),
+            "low": None,
+            "high": None,
+        }
         if len(gaps) < FEWEST:
             row["verdict"] = f"too few pairs (under {FEWEST})"
         else:
@@ -186,17 +224,27 @@
 
 # A value swept.
 
+
 def value_of(text: str) -> Any:
     """A value as TOML has it; what is none is a string."""
     import tomllib
+
     try:
         return tomllib.loads(f"value = {text}")["value"]
     except tomllib.TOMLDecodeError:
         return text
 
 
-def sweep(raw: dict[str, Any], key: str, values: list[Any], seeds: list[int], policy: str, folder: Path,
-          jobs: int, quiet: bool = False) -> list[dict[str, Any]]:
+def sweep(
+    raw: dict[str, Any],
+    key: str,
+    values: list[Any],
+    seeds: list[int],
+    policy: str,
+    folder: Path,
+    jobs: int,
+    quiet: bool = False,
+) -> list[dict[str, Any]]:
     """A row a value: the figures of its runs. `choice.NAME` is a constant of the decision module."""
     variants = []
     for value in values:
@@ -213,6 +261,7 @@
 
 # A failing scenario shrunk.
 
+
 def fails(raw: dict[str, Any], seed: int, policy: str, under: float | None) -> bool:
     """Does it break a rule or, where a bound is given, serve less than that?"""
     result = runs.run(raw, seed, policy)
@@ -224,7 +273,7 @@
     for table in ("trouble", "tenant", "type", "servers", "zone"):
         rows = raw.get(table, [])
         for index in range(len(rows) - 1, -1, -1) if len(rows) > (table in ("type", "zone")) else ():
-            yield raw | {table: rows[:index] + rows[index + 1:]}
+            yield raw | {table: rows[:index] + rows[index + 1 :]}
     last = max([row["at"] + row.get("lasts", 0) for row in raw.get("trouble", [])], default=0)
     for length in (raw.get("length", 60.0) / 2, last + 5.0):
         if 1 <= length < raw.get("length", 60.0):
@@ -251,13 +300,20 @@
             yield {key: value for key, value in raw.items() if key != table}
 
 
-def shrink(raw: dict[str, Any], seed: int, policy: str = "bellrack", under: float | None = None,
-           tell: Callable[[str], None] = lambda text: None) -> dict[str, Any]:
+def shrink(
+    raw: dict[str, Any],
+    seed: int,
+    policy: str = "bellrack",
+    under: float | None = None,
+    tell: Callable[[str], None] = lambda text: None,
+) -> dict[str, Any]:
     """The least that still fails in the same way, one cut at a time. Raises ScenarioError if it does not
     fail."""
     if not fails(raw, seed, policy, under):
-        raise ScenarioError("it does not fail: no rule is broken" + (f", service is {under} or more"
-                                                                     if under is not None else ""))
+        raise ScenarioError(
+            "it does not fail: no rule is broken"
+            + (f", service is {under} or more" if under is not None else "")
+        )
     tried: set[str] = set()
     found = True
     while found:
--- a/bellrack/lab/ledger.py
+++ b/bellrack/lab/ledger.py
@@ -3,6 +3,7 @@
 Owns the counts and the summary with its field names (docs/lab.md). It judges no rule, and all that it sums is
 whole numbers until the last step, so that no machine's order of adding shows in a result.
 """
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
@@ -28,8 +29,10 @@
 
 def percentiles(times: HdrHistogram) -> dict[str, float | None]:
     """Seconds; None for each where nothing was recorded."""
+
     def at(share: float) -> float | None:
         return round(times.get_value_at_percentile(share) / 1e6, 6) if times.get_total_count() else None
+
     return {"p50": at(50), "p90": at(90), "p99": at(99), "max": at(100)}
 
 
@@ -80,10 +83,19 @@
         for wanted, served in self.looks:
             wanted, served = wanted.tolist(), served.tolist()
             totals = [sum(row[tenant] for row in wanted) for tenant in range(len(wanted[0]))]
-            part = [1.0 if total <= most else (most + beyond * (total - most)) / total
-                    for total, most in zip(totals, share_of)]
-            rows.append(tuple([[count * kind.revenue * part[tenant] for tenant, count in enumerate(row)]
-                               for row, kind in zip(table, kinds)] for table in (wanted, served)))
+            part = [
+                1.0 if total <= most else (most + beyond * (total - most)) / total
+                for total, most in zip(totals, share_of)
+            ]
+            rows.append(
+                tuple(
+                    [
+                        [count * kind.revenue * part[tenant] for tenant, count in enumerate(row)]
+                        for row, kind in zip(table, kinds)
+                    ]
+                    for table in (wanted, served)
+                )
+            )
         return rows
 
     def summary(self, share_of: list[float]) -> dict[str, Any]:
@@ -95,25 +107,39 @@
             return round(min(1.0, part / whole), 6) if whole > 0 else 1.0
 
         def by(names: list[str], pick) -> dict[str, float]:
-            return {name: share(sum(pick(row[1], n) for row in rows), sum(pick(row[0], n) for row in rows))
-                    for n, name in enumerate(names)}
+            return {
+                name: share(sum(pick(row[1], n) for row in rows), sum(pick(row[0], n) for row in rows))
+                for n, name in enumerate(names)
+            }
+
         each = round(1 / LOOK)
-        seconds = [share(sum(earned[at:at + each]), sum(wanted[at:at + each]))
-                   for at in range(0, len(rows), each)]
+        seconds = [
+            share(sum(earned[at : at + each]), sum(wanted[at : at + each]))
+            for at in range(0, len(rows), each)
+        ]
         width = min(len(rows), round(WINDOW / LOOK))
-        windows = [(share(sum(earned[at:at + width]), sum(wanted[at:at + width])), at * LOOK)
-                   for at in range(0, len(rows) - width + 1, each)]
+        windows = [
+            (share(sum(earned[at : at + width]), sum(wanted[at : at + width])), at * LOOK)
+            for at in range(0, len(rows) - width + 1, each)
+        ]
         kinds = by([kind.name for kind in self.scenario.type], lambda table, n: sum(table[n]))
-        tenants = by([one.name for one in self.scenario.tenant],
-                     lambda table, n: sum(row[n] for row in table))
+        tenants = by(
+            [one.name for one in self.scenario.tenant], lambda table, n: sum(row[n] for row in table)
+        )
         worst, at = min(windows, default=(1.0, 0.0))
         return {
-            "service": share(sum(earned), sum(wanted)), "worst_window": worst, "worst_window_at": at,
-            "by_type": kinds, "worst_type": min(kinds, key=kinds.__getitem__),
-            "by_tenant": tenants, "worst_tenant": min(tenants, key=tenants.__getitem__) if tenants else None,
+            "service": share(sum(earned), sum(wanted)),
+            "worst_window": worst,
+            "worst_window_at": at,
+            "by_type": kinds,
+            "worst_type": min(kinds, key=kinds.__getitem__),
+            "by_tenant": tenants,
+            "worst_tenant": min(tenants, key=tenants.__getitem__) if tenants else None,
             "set_up": percentiles(self.set_up),
             "set_up_in_time": share(self.in_time, self.set_up.get_total_count()),
-            "service_by_second": seconds, "open_by_second": self.open}
+            "service_by_second": seconds,
+            "open_by_second": self.open,
+        }
 
 
 def time_of(now: float) -> float:
--- a/bellrack/lab/legs.py
+++ b/bellrack/lab/legs.py
@@ -3,6 +3,7 @@
 Owns the server's side of a leg on both faces of the lab, and its way through the modelled network on
 virtual time. It tells results and never decides anything.
 """
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -58,8 +59,15 @@
         world, machine, now = self.world, out.machine, self.world.now
         out.starts, fell = machine.starts, machine.fallen
         failing = self.stream.hit(machine.failing)
-        world.trace.add(now, "work", machine.name, out.attempt.id, machine.kind.setup, machine.demand,
-                        machine.capacity(now))
+        world.trace.add(
+            now,
+            "work",
+            machine.name,
+            out.attempt.id,
+            machine.kind.setup,
+            machine.demand,
+            machine.capacity(now),
+        )
         wait = machine.offer(now, failing)
         if machine.fallen and not fell:
             world.falls(machine)
@@ -211,8 +219,9 @@
     def hangs(self, machine: Machine) -> None:
         for legs in self.standing[machine].values():
             for out in legs:
-                self.world.agenda.after(self.stream.between(list(SILENT)), RESULT, out.node.turn, self.missed,
-                                        out)
+                self.world.agenda.after(
+                    self.stream.between(list(SILENT)), RESULT, out.node.turn, self.missed, out
+                )
 
     def missed(self, out: Out) -> None:
         if out.machine.hung_until > self.world.now:
--- a/bellrack/lab/live.py
+++ b/bellrack/lab/live.py
@@ -4,6 +4,7 @@
 clients and troubles as on virtual time, behind sockets. It leaves no process and no file behind, however it
 ends: what balancers are told lies in memory, and they die with the process that started them.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -124,9 +125,18 @@
             errors = open(world.logs / f"{self.name}-{self.incarnation}.log", "wb")  # noqa: SIM115 - the child's
         try:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "bellrack", "serve", f"--config={path}", pass_fds=[self.config],
-                stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=errors,
-                preexec_fn=self.limited, env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)})
+                sys.executable,
+                "-m",
+                "bellrack",
+                "serve",
+                f"--config={path}",
+                pass_fds=[self.config],
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=errors,
+                preexec_fn=self.limited,
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+            )
         finally:
             if world.logs:
                 errors.close()
@@ -208,12 +218,23 @@
     def listing(self, rows: list[tuple[Machine, str, float]], whole: bool) -> dict[str, Any]:
         self.version += 1
         world = self.world
-        return {"generation": self.version, "reset": whole, "instances": [
-            {"instanceId": machine.name, "hostPort": f"{HOST}:{world.ports[machine].number}",
-             "zone": world.scenario.zone[machine.zone].name, "machineType": machine.kind.name,
-             "cell": machine.cell, "lifecycle": LIFECYCLES[state], "weight": machine.kind.listed,
-             "startedAtMs": round((since + world.unix) * 1000) if since else 0}
-            for machine, state, since in rows]}
+        return {
+            "generation": self.version,
+            "reset": whole,
+            "instances": [
+                {
+                    "instanceId": machine.name,
+                    "hostPort": f"{HOST}:{world.ports[machine].number}",
+                    "zone": world.scenario.zone[machine.zone].name,
+                    "machineType": machine.kind.name,
+                    "cell": machine.cell,
+                    "lifecycle": LIFECYCLES[state],
+                    "weight": machine.kind.listed,
+                    "startedAtMs": round((since + world.unix) * 1000) if since else 0,
+                }
+                for machine, state, since in rows
+            ],
+        }
 
     def unheard(self) -> None:
         """Discovery is down: its watch ends."""
@@ -275,8 +296,12 @@
         self.done_with(attempt)
         if line.moved:
             self.world.counters["moves"] += 1
-        self.world.agenda.after(attempt.delay, ARRIVAL, attempt.broken,
-                                "moved" if line.moved else "reset" if line.answer else "balancer killed")
+        self.world.agenda.after(
+            attempt.delay,
+            ARRIVAL,
+            attempt.broken,
+            "moved" if line.moved else "reset" if line.answer else "balancer killed",
+        )
 
     def hung_up(self, attempt: Attempt, kind: str) -> None:
         """The client ends it."""
@@ -293,8 +318,9 @@
 
     def resume_standing(self, attempt: Attempt, machine: Machine) -> Out:
         """A connection that stands before the run: its client comes with `at=`, its server knows it."""
-        out = attempt.out = Out(attempt, None, machine, 1, self.world.now,
-                                self.world.delay(self.zone, machine.zone))
+        out = attempt.out = Out(
+            attempt, None, machine, 1, self.world.now, self.world.delay(self.zone, machine.zone)
+        )
         out.stood = True
         self.note_stood(attempt, machine)
         self.world.standing_wanted += 1
@@ -324,8 +350,14 @@
             return
         attempt.call = attempt.call or attempt
         self.world.order[attempt] = number = self.world.order.get(attempt, 0) + 1
-        out = link.out = Out(attempt, None, link.machine, number, self.world.now,
-                             self.world.delay(attempt.node.zone, link.machine.zone))
+        out = link.out = Out(
+            attempt,
+            None,
+            link.machine,
+            number,
+            self.world.now,
+            self.world.delay(attempt.node.zone, link.machine.zone),
+        )
         out.link = link
         self.sent(out)
         # The way that the network of the scenario is longer than loopback.
@@ -447,18 +479,26 @@
         scenario, number = self.scenario, node.number
         told = node.told or self.roster.known
         config = {
-            "name": node.name, "listen": f"{HOST}:{self.listens[number][1]}",
-            "discovery": f"{HOST}:{self.lists[number].number}", "seed": f"{node.seed:x}",
-            "limits": {"cores": 1.0, "memory_mb": scenario.limits.memory_mb or 192,
-                       "sockets": scenario.limits.sockets},
+            "name": node.name,
+            "listen": f"{HOST}:{self.listens[number][1]}",
+            "discovery": f"{HOST}:{self.lists[number].number}",
+            "seed": f"{node.seed:x}",
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": scenario.limits.memory_mb or 192,
+                "sockets": scenario.limits.sockets,
+            },
             "known": node.listing([(m, *known) for m, known in told.items()], True),
-            "settings": platform_settings(scenario, self.settings(node.zone), number)}
+            "settings": platform_settings(scenario, self.settings(node.zone), number),
+        }
         if self.peer_ports:
             config["peer_listen"] = f"{HOST}:{self.peer_ports[number]}"
             config["peers"] = [
-                config["peer_listen"] if other == number else
-                f"{HOST}:{self.relays[number, other].transport.get_extra_info('sockname')[1]}"
-                for other in range(len(self.peer_ports))]
+                config["peer_listen"]
+                if other == number
+                else f"{HOST}:{self.relays[number, other].transport.get_extra_info('sockname')[1]}"
+                for other in range(len(self.peer_ports))
+            ]
         return config
 
     def relayed(self, relay: Relay, data: bytes) -> None:
@@ -496,12 +536,18 @@
 
     def starts(self, number: int, before: LiveNode | None = None) -> LiveNode:
         name, zone = forms.balancer_names(self.scenario)[number]
-        node = LiveNode(self, name, number, zone, before.incarnation + 1 if before else 0,
-                        self.chance[f"balancer {name}"].seed())
+        node = LiveNode(
+            self,
+            name,
+            number,
+            zone,
+            before.incarnation + 1 if before else 0,
+            self.chance[f"balancer {name}"].seed(),
+        )
         if before:
             self.memory_kb = max(self.memory_kb, before.memory_kb)
             node.told = before.told
-        self.nodes[number:number + 1] = [node]
+        self.nodes[number : number + 1] = [node]
         self.trace.add(self.now, "start", name, node.incarnation)
         for machine, (state, since) in self.roster.known.items() if not before else ():
             node.note_told(machine, state, since)
@@ -552,7 +598,8 @@
                 if sender != receiver:
                     _, relay = await self.loop.create_datagram_endpoint(
                         lambda sender=sender, receiver=receiver: Relay(self, sender, receiver),
-                        local_addr=(HOST, 0))
+                        local_addr=(HOST, 0),
+                    )
                     self.relays[sender, receiver] = relay
         self.unix = time.time() - START
         fresh = [self.starts(number) for number, _ in enumerate(forms.balancer_names(self.scenario))]
@@ -567,8 +614,10 @@
         deadline = self.loop.time() + UP_WITHIN
         while self.standing_up < self.standing_wanted and not self.fault.done():
             if self.loop.time() > deadline:
-                raise ScenarioError(f"{self.standing_wanted - self.standing_up} connections that stood "
-                                    f"before the run were not up within {UP_WITHIN:g} s")
+                raise ScenarioError(
+                    f"{self.standing_wanted - self.standing_up} connections that stood "
+                    f"before the run were not up within {UP_WITHIN:g} s"
+                )
             await asyncio.sleep(PING_EACH)
         self.unix = time.time() - START
         self.agenda.begin()
@@ -578,8 +627,11 @@
         while self.loop.time() < end and not self.fault.done():
             await asyncio.wait([self.fault], timeout=min(0.5, max(0.0, end - self.loop.time())))
             tell(min(self.scenario.length + self.scenario.tail, self.now - START))
-            crashed = [node.name for node in self.nodes if node.alive and node.process
-                       and node.process.returncode is not None and not node.leaving]
+            crashed = [
+                node.name
+                for node in self.nodes
+                if node.alive and node.process and node.process.returncode is not None and not node.leaving
+            ]
             if crashed:
                 raise ScenarioError(f"{crashed[0]} ended by itself; --logs=DIR keeps what it said")
         if self.fault.done():
@@ -612,25 +664,50 @@
 
 def platform_settings(scenario: Scenario, settings: model.Settings, number: int) -> dict[str, Any]:
     """The settings object in the platform's form."""
+
     def micros(seconds: float) -> int:
         return round(seconds * 1e6)
+
     rules = scenario.rules
     return {
-        "areas": [zone.name for zone in scenario.zone], "az": settings.zone, "slotNo": number,
-        "peersTotal": settings.peers, "discovery": "ask" if settings.asks else "push",
-        "tickUs": micros(rules.tick), "accounts": [{"name": tenant.name} for tenant in scenario.tenant],
+        "areas": [zone.name for zone in scenario.zone],
+        "az": settings.zone,
+        "slotNo": number,
+        "peersTotal": settings.peers,
+        "discovery": "ask" if settings.asks else "push",
+        "tickUs": micros(rules.tick),
+        "accounts": [{"name": tenant.name} for tenant in scenario.tenant],
         "trafficTypes": [
-            {"name": kind.name, "effect": EFFECTS[kind.effect], "group": kind.group,
-             "keyTtlUs": micros(kind.remembered), "guardTimeUs": micros(kind.guard),
-             "setupTargetUs": micros(kind.setup_target)} for kind in scenario.type],
-        "caps": {"maxLegs": rules.max_legs, "retryAfter": rules.max_open_wait > 0,
-                 "maxRetryAfterUs": micros(rules.max_open_wait),
-                 "connectTimeoutUs": micros(rules.connect_timeout), "mayTell": scenario.datagrams.allowed},
-        "specifics": {"messageAimUs": [micros(kind.message_aim) for kind in scenario.type],
-                      "tellsDelay": True, "tellsLoad": False},
-        "obligations": {"answerSlackUs": micros(rules.answer_slack), "coldShare": settings.cold_share,
-                        "rampTimeUs": micros(settings.ramp_time),
-                        "overloadFactor": settings.overload_factor, "fallUs": micros(settings.fall_time)}}
+            {
+                "name": kind.name,
+                "effect": EFFECTS[kind.effect],
+                "group": kind.group,
+                "keyTtlUs": micros(kind.remembered),
+                "guardTimeUs": micros(kind.guard),
+                "setupTargetUs": micros(kind.setup_target),
+            }
+            for kind in scenario.type
+        ],
+        "caps": {
+            "maxLegs": rules.max_legs,
+            "retryAfter": rules.max_open_wait > 0,
+            "maxRetryAfterUs": micros(rules.max_open_wait),
+            "connectTimeoutUs": micros(rules.connect_timeout),
+            "mayTell": scenario.datagrams.allowed,
+        },
+        "specifics": {
+            "messageAimUs": [micros(kind.message_aim) for kind in scenario.type],
+            "tellsDelay": True,
+            "tellsLoad": False,
+        },
+        "obligations": {
+            "answerSlackUs": micros(rules.answer_slack),
+            "coldShare": settings.cold_share,
+            "rampTimeUs": micros(settings.ramp_time),
+            "overloadFactor": settings.overload_factor,
+            "fallUs": micros(settings.fall_time),
+        },
+    }
 
 
 def refuse_if_too_large(scenario: Scenario) -> None:
@@ -640,10 +717,12 @@
     cores, clients = len(os.sched_getaffinity(0)), scenario.clients
     balancers = len(forms.balancer_names(scenario))
     if balancers > BALANCERS_A_CORE * cores:
-        raise ScenarioError(f"{scenario.name}: {balancers} balancers, more than {BALANCERS_A_CORE} a core on "
-                            f"{cores} cores")
-    rate = clients.rate * max([getattr(t, "factor", 1.0) for t in scenario.trouble
-                               if isinstance(t, forms.Burst)], default=1.0)
+        raise ScenarioError(
+            f"{scenario.name}: {balancers} balancers, more than {BALANCERS_A_CORE} a core on {cores} cores"
+        )
+    rate = clients.rate * max(
+        [getattr(t, "factor", 1.0) for t in scenario.trouble if isinstance(t, forms.Burst)], default=1.0
+    )
     if rate > A_CORE * min(cores, balancers):
         raise ScenarioError(f"{scenario.name}: {rate:g} new connections a second, more than {A_CORE} a core")
     standing = max(clients.standing, clients.rate * clients.life)
@@ -655,20 +734,28 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
     each = 2 * standing / balancers + 64
     if each > scenario.limits.sockets:
-        raise ScenarioError(f"{scenario.name}: about {each:.0f} descriptors a balancer, more than "
-                            f"limits.sockets = {scenario.limits.sockets}")
+        raise ScenarioError(
+            f"{scenario.name}: about {each:.0f} descriptors a balancer, more than "
+            f"limits.sockets = {scenario.limits.sockets}"
+        )
 
 
-def run(scenario: Scenario, seed: int, trace: str | None = None, logs: str | None = None,
-        quiet: bool = False) -> dict[str, Any]:
+def run(
+    scenario: Scenario, seed: int, trace: str | None = None, logs: str | None = None, quiet: bool = False
+) -> dict[str, Any]:
     """Play a scenario on sockets; its result has the form of one on virtual time, and what the machine did.
 
     Raises ScenarioError for what cannot be played, KeyboardInterrupt on Ctrl-C; nothing is left behind."""
     refuse_if_too_large(scenario)
     if logs:
         Path(logs).mkdir(parents=True, exist_ok=True)
-    with tqdm(total=scenario.length + scenario.tail, desc=scenario.name, unit="s", disable=quiet or None,
-              bar_format="{l_bar}{bar}| {n:.0f}/{total:.0f} s") as bar:
+    with tqdm(
+        total=scenario.length + scenario.tail,
+        desc=scenario.name,
+        unit="s",
+        disable=quiet or None,
+        bar_format="{l_bar}{bar}| {n:.0f}/{total:.0f} s",
+    ) as bar:
         world = asyncio.run(_played(scenario, seed, Path(logs) if logs else None, bar))
     if trace:
         world.trace.write(trace)
@@ -678,8 +765,9 @@
 async def _played(scenario: Scenario, seed: int, logs: Path | None, bar: Any) -> LiveWorld:
     loop = asyncio.get_running_loop()
     world = LiveWorld(scenario, seed, loop, logs)
-    loop.set_exception_handler(lambda _, said: world.failed(
-        said.get("exception") or RuntimeError(said.get("message", ""))))
+    loop.set_exception_handler(
+        lambda _, said: world.failed(said.get("exception") or RuntimeError(said.get("message", "")))
+    )
     before = children_cpu()
     try:
         await world.play(lambda at: bar.update(at - bar.n))
@@ -701,6 +789,12 @@
     breaches = referee.judge(sorted(world.trace.entries, key=lambda entry: entry[0]))
     result = runs.result_of(world, "bellrack")
     return result | {
-        "kept": not breaches, "rules": runs.verdicts(referee, breaches), "live": {
-            "lag": round(world.lag, 4), "doubtful": world.lag > LATE,
-            "balancer_cpu": round(world.cpu, 3), "balancer_memory_mb": round(world.memory_kb / 1024, 1)}}
+        "kept": not breaches,
+        "rules": runs.verdicts(referee, breaches),
+        "live": {
+            "lag": round(world.lag, 4),
+            "doubtful": world.lag > LATE,
+            "balancer_cpu": round(world.cpu, 3),
+            "balancer_memory_mb": round(world.memory_kb / 1024, 1),
+        },
+    }
--- a/bellrack/lab/machine.py
+++ b/bellrack/lab/machine.py
@@ -5,6 +5,7 @@
 client; both faces of the lab play it. Work is in core-seconds, load in cores, times are seconds on the
 caller's clock.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -19,8 +20,9 @@
 class Machine:
     """A server process and the machine under it."""
 
-    def __init__(self, name: str, zone: int, cell: int, kind: Kind, speed: float, scenario: Scenario,
-                 group_cost: float):
+    def __init__(
+        self, name: str, zone: int, cell: int, kind: Kind, speed: float, scenario: Scenario, group_cost: float
+    ):
         self.name, self.zone, self.cell, self.kind = name, zone, cell, kind
         self.speed, self.scenario, self.group_cost = speed, scenario, group_cost
         self.up, self.draining, self.fallen, self.silent = True, False, False, False
--- a/bellrack/lab/mutants.py
+++ b/bellrack/lab/mutants.py
@@ -4,6 +4,7 @@
 broken:NAME` shows one at work. Each is the decision module with a few lines replaced, so that all else
 about it is honest.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -156,6 +157,13 @@
     "legs-without-end": (2, LegsWithoutEnd),
     "sends-to-drained": (3, _of("SendsToDrained", listing={"take": lists_all})),
     "never-asks": (3, NeverAsks),
-    "fills-cold": (4, _of("FillsCold", cold={"bears": _all_bear, "warm": _warm_at_once, "sent": _unpaced},
-                          draw={"room": _room_at_once}, overload={"found": _unheard})),
+    "fills-cold": (
+        4,
+        _of(
+            "FillsCold",
+            cold={"bears": _all_bear, "warm": _warm_at_once, "sent": _unpaced},
+            draw={"room": _room_at_once},
+            overload={"found": _unheard},
+        ),
+    ),
 }
--- a/bellrack/lab/node.py
+++ b/bellrack/lab/node.py
@@ -3,6 +3,7 @@
 Owns what the daemon's node owns on sockets: turns, timers, the one result of each leg, the way out. It never
 chooses a server. What is asked of it within a turn is done when the turn is over, as on sockets.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -27,8 +28,20 @@
 class Out:
     """A leg under way or standing: the world's own record of it."""
 
-    __slots__ = ("attempt", "leg", "machine", "node", "number", "sent", "starts", "delay", "over", "up",
-                 "stood", "link")
+    __slots__ = (
+        "attempt",
+        "leg",
+        "machine",
+        "node",
+        "number",
+        "sent",
+        "starts",
+        "delay",
+        "over",
+        "up",
+        "stood",
+        "link",
+    )
 
     def __init__(self, attempt: Attempt, leg: Leg, machine: Machine, number: int, sent: float, delay: float):
         self.attempt, self.leg, self.machine, self.number = attempt, leg, machine, number
@@ -59,8 +72,9 @@
     def note_call(self, attempt: Attempt) -> None:
         want = attempt.want
         self.world.counters["calls"] += 1
-        self.world.trace.add(self.world.now, "call", attempt.id, self.name, want.request, want.type,
-                             attempt.guard)
+        self.world.trace.add(
+            self.world.now, "call", attempt.id, self.name, want.request, want.type, attempt.guard
+        )
 
     def note_stood(self, attempt: Attempt, machine: Machine) -> None:
         self.world.trace.add(self.world.now, "stood", attempt.id, self.name, machine.name)
@@ -80,8 +94,17 @@
 
 
 class VirtualNode(Seat, Books):
-    def __init__(self, world: World, name: str, number: int, zone: int, incarnation: int,
-                 settings: Settings, seed: int, decides: Callable[..., Any]):
+    def __init__(
+        self,
+        world: World,
+        name: str,
+        number: int,
+        zone: int,
+        incarnation: int,
+        settings: Settings,
+        seed: int,
+        decides: Callable[..., Any],
+    ):
         Seat.__init__(self, world, name, number, zone, incarnation)
         self.machines: dict[int, Machine] = {}  # by mark
         Books.__init__(self, settings, seed, world.now, decides)
@@ -164,8 +187,15 @@
     def arrive(self, attempt: Attempt) -> None:
         """A client's first line."""
         want = attempt.want
-        call = self.book(want.type, attempt.guard - self.now, key=want.key, group=want.group,
-                         tenant=want.tenant, repeat=attempt.repeat, returned=want.returned)
+        call = self.book(
+            want.type,
+            attempt.guard - self.now,
+            key=want.key,
+            group=want.group,
+            tenant=want.tenant,
+            repeat=attempt.repeat,
+            returned=want.returned,
+        )
         call.host, attempt.call = attempt, call
         self.attempts[attempt] = None
         self.note_call(attempt)
@@ -237,8 +267,9 @@
         call.host, attempt.call = attempt, call
         self.attempts[attempt] = None
         leg = self.begin(call, self.servers[self.world.marks[machine]])
-        out = leg.host = attempt.out = Out(attempt, leg, machine, 1, self.now,
-                                           self.world.delay(self.zone, machine.zone))
+        out = leg.host = attempt.out = Out(
+            attempt, leg, machine, 1, self.now, self.world.delay(self.zone, machine.zone)
+        )
         out.stood = True
         self.note_stood(attempt, machine)
         self.resume(leg)
@@ -252,8 +283,11 @@
             marks = self.world.marks
             for machine, _, _ in rows:
                 self.machines[marks[machine]] = machine
-            self.turn(self.entries, [(marks[m], state, m.cell, m.zone, m.kind.listed, since, 0)
-                                     for m, state, since in rows], whole)
+            self.turn(
+                self.entries,
+                [(marks[m], state, m.cell, m.zone, m.kind.listed, since, 0) for m, state, since in rows],
+                whole,
+            )
 
     def unheard(self) -> None:
         """A question to discovery failed, or a watch ended."""
--- a/bellrack/lab/referee.py
+++ b/bellrack/lab/referee.py
@@ -4,6 +4,7 @@
 never the books of a host, the counters of a run or the state of a server; so it convicts a balancer by what
 clients, servers and discovery saw of it, on virtual time and on sockets alike.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -104,8 +105,16 @@
         self.calls[number] = Call(number, balancer, request, self.scenario.type[kind], now, guard)
 
     def on_stood(self, now: float, number: int, balancer: str, server: str) -> None:
-        self.calls[number] = Call(number, balancer, -number, self.scenario.type[0], now, now, "completed",
-                                  legs=[Leg(1, server, now)])
+        self.calls[number] = Call(
+            number,
+            balancer,
+            -number,
+            self.scenario.type[0],
+            now,
+            now,
+            "completed",
+            legs=[Leg(1, server, now)],
+        )
 
     def on_answer(self, now: float, number: int, how: str, wait: float) -> None:
         call = self.calls[number]
@@ -169,8 +178,9 @@
     def same_group(self, kind: Type, one: str, other: str) -> bool:
         if kind.group == "all":
             return True
-        return (self.zones if kind.group == "zone" else self.cells)[one] == \
-            (self.zones if kind.group == "zone" else self.cells)[other]
+        return (self.zones if kind.group == "zone" else self.cells)[one] == (
+            self.zones if kind.group == "zone" else self.cells
+        )[other]
 
     def on_back(self, now: float, number: int, order: int, kind: str) -> None:
         for leg in self.calls[number].legs if number in self.calls else ():
@@ -201,8 +211,9 @@
         elif what in ("down", "fell"):
             self.cold.pop(server, None)
 
-    def on_work(self, now: float, server: str, number: int, work: float, demand: float,
-                capacity: float) -> None:
+    def on_work(
+        self, now: float, server: str, number: int, work: float, demand: float, capacity: float
+    ) -> None:
         start, rules = self.cold.get(server), self.scenario.rules
         if start is None or now >= start + self.kinds[server].warm_up:
             return
@@ -214,5 +225,9 @@
         if self.scenario.pushed_over(len(pushes), self.kinds[server], capacity):
             del self.cold[server]  # it has fallen: what comes later is no second fall
             if sum(told for _, told in pushes) > TOLD_PART * len(pushes):
-                self.breach(4, now, f"{server}, cold, fell under {len(pushes)} requests in "
-                                    f"{rules.push_window:g} s", number)
+                self.breach(
+                    4,
+                    now,
+                    f"{server}, cold, fell under {len(pushes)} requests in {rules.push_window:g} s",
+                    number,
+                )
--- a/bellrack/lab/report.py
+++ b/bellrack/lab/report.py
@@ -3,6 +3,7 @@
 Owns how results are shown. It reads results alone, loads nothing from elsewhere, runs no script, and the same
 results give the same page.
 """
+
 from __future__ import annotations
 
 import html
@@ -27,11 +28,22 @@
 td, th { border-bottom: 1px solid #ccc; padding: .25em .7em; text-align: right; }
 td:first-child, th:first-child { text-align: left; }
 svg { max-width: 100%; height: auto; } .broken { color: #a63d40; font-weight: bold; }"""
-COLUMNS = (("service", "service", 3), ("least", "least", 3), ("worst_window", "worst 10 s", 3),
-           ("worst_type", "worst type", 3), ("worst_tenant", "worst tenant", 3), ("p50", "set-up p50, s", 3),
-           ("p99", "p99, s", 3), ("crossings", "crossings", 3), ("moves", "moves", 0),
-           ("store_calls", "store calls", 0), ("wasted", "wasted work", 3), ("rejected", "rejected", 0),
-           ("released", "released", 0), ("gave_up", "unanswered", 0))
+COLUMNS = (
+    ("service", "service", 3),
+    ("least", "least", 3),
+    ("worst_window", "worst 10 s", 3),
+    ("worst_type", "worst type", 3),
+    ("worst_tenant", "worst tenant", 3),
+    ("p50", "set-up p50, s", 3),
+    ("p99", "p99, s", 3),
+    ("crossings", "crossings", 3),
+    ("moves", "moves", 0),
+    ("store_calls", "store calls", 0),
+    ("wasted", "wasted work", 3),
+    ("rejected", "rejected", 0),
+    ("released", "released", 0),
+    ("gave_up", "unanswered", 0),
+)
 
 
 def mean_of(rows: list[list[float]]) -> list[float]:
@@ -50,7 +62,7 @@
     figure.savefig(out, format="svg", metadata={"Date": None}, bbox_inches="tight")
     pyplot.close(figure)
     text = out.getvalue()
-    return text[text.index("<svg"):]
+    return text[text.index("<svg") :]
 
 
 def axes(height: float, result: dict[str, Any], label: str) -> tuple[Any, Any]:
@@ -85,8 +97,13 @@
             plot.plot(seconds(column), column, label=name, lw=1.1)
     else:
         ordered = [sorted(row) for row in result["open_by_second"]]
-        for share, name in ((0.0, "least"), (0.25, "a quarter"), (0.5, "median"), (0.75, "three quarters"),
-                            (1.0, "most")):
+        for share, name in (
+            (0.0, "least"),
+            (0.25, "a quarter"),
+            (0.5, "median"),
+            (0.75, "three quarters"),
+            (1.0, "most"),
+        ):
             line = [row[round(share * (len(row) - 1))] for row in ordered]
             plot.plot(seconds(line), line, label=name, lw=1.1)
     plot.set_ylim(bottom=0)
@@ -97,8 +114,9 @@
 
 def answers_plot(results: list[dict[str, Any]]) -> str:
     figure, plot = axes(2.4, results[0], "answers a second")
-    lines = [mean_of([result["answers_by_second"][kind] for result in results])
-             for kind in range(len(ANSWERS))]
+    lines = [
+        mean_of([result["answers_by_second"][kind] for result in results]) for kind in range(len(ANSWERS))
+    ]
     if lines[0]:
         plot.stackplot(seconds(lines[0]), *lines, labels=ANSWERS, colors=COLOURS, lw=0)
         plot.legend(loc="upper left", ncols=4, fontsize=7, frameon=False)
@@ -121,17 +139,23 @@
 def shares(results: list[dict[str, Any]], key: str) -> str:
     """Service by traffic type or tenant, on the mean."""
     names = list(results[0][key])
-    cells = "".join(f"<tr><td>{html.escape(name)}</td><td>"
-                    f"{experiment.mean([result[key][name] for result in results]):.3f}</td></tr>"
-                    for name in names)
+    cells = "".join(
+        f"<tr><td>{html.escape(name)}</td><td>"
+        f"{experiment.mean([result[key][name] for result in results]):.3f}</td></tr>"
+        for name in names
+    )
     head = f"<tr><th>{key.removeprefix('by_')}</th><th>service</th></tr>"
     return f"<table>{head}{cells}</table>" if names else ""
 
 
 def breaches(results: list[dict[str, Any]]) -> str:
-    lines = [f"<li>rule {rule}, {html.escape(result['policy'])}, seed {result['seed']}, at "
-             f"{first['at']:.3f} s: {html.escape(first['what'])}</li>" for result in results
-             for rule, verdict in result["rules"].items() for first in verdict["first"][:1]]
+    lines = [
+        f"<li>rule {rule}, {html.escape(result['policy'])}, seed {result['seed']}, at "
+        f"{first['at']:.3f} s: {html.escape(first['what'])}</li>"
+        for result in results
+        for rule, verdict in result["rules"].items()
+        for first in verdict["first"][:1]
+    ]
     return f"<ul>{''.join(lines)}</ul>" if lines else "<p>None.</p>"
 
 
@@ -153,4 +177,5 @@
         f"<h2>Session store</h2>"
         f"{policies_plot(by_policy, 'store_by_second', 'store calls a second', 2.2)}"
         f"<h2>Where it was earned ({policy})</h2>{shares(shown, 'by_type')}{shares(shown, 'by_tenant')}"
-        f"<h2>Broken rules</h2>{breaches(results)}</html>\n")
+        f"<h2>Broken rules</h2>{breaches(results)}</html>\n"
+    )
--- a/bellrack/lab/roster.py
+++ b/bellrack/lab/roster.py
@@ -3,6 +3,7 @@
 Owns what the service knows of the servers and when it tells whom, and which balancers the front takes for
 alive. Neither sees a server's load, and neither decides where a call goes.
 """
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/bellrack/lab/run.py
+++ b/bellrack/lab/run.py
@@ -3,6 +3,7 @@
 Owns the shape of a result: plain values with stable names, a function of scenario, seed and policy alone. No
 clock of this machine, no path and no count of processes goes into it.
 """
+
 from __future__ import annotations
 
 import gc
@@ -47,8 +48,10 @@
     """Raises ScenarioError before a run that would not end."""
     events = events_of(scenario)
     if events > TOO_MANY:
-        raise ScenarioError(f"{scenario.name}: about {events:.2g} events, more than the {TOO_MANY:.0g} "
-                            "that a run may take: lower clients.rate, clients.standing or length")
+        raise ScenarioError(
+            f"{scenario.name}: about {events:.2g} events, more than the {TOO_MANY:.0g} "
+            "that a run may take: lower clients.rate, clients.standing or length"
+        )
 
 
 def shares(scenario: Scenario, world: World) -> list[float]:
@@ -59,11 +62,16 @@
 
 
 def verdicts(referee: Referee, breaches: list[Breach]) -> dict[str, Any]:
-    return {str(rule): {
-        "kept": not count, "breaches": count,
-        "first": [{"at": time_of(b.at), "what": b.what, "call": b.call}
-                  for b in breaches if b.rule == rule][:SHOWN]}
-        for rule, count in referee.counts.items()}
+    return {
+        str(rule): {
+            "kept": not count,
+            "breaches": count,
+            "first": [
+                {"at": time_of(b.at), "what": b.what, "call": b.call} for b in breaches if b.rule == rule
+            ][:SHOWN],
+        }
+        for rule, count in referee.counts.items()
+    }
 
 
 def play(scenario: Scenario, seed: int, policy: str = "bellrack") -> World:
@@ -85,24 +93,45 @@
     offered = sum(machine.offered for machine in world.machines)
     figures = world.ledger.summary(shares(scenario, world))
     return {
-        "version": VERSION, "scenario": scenario.name, "seed": world.seed, "policy": policy,
-        "length": scenario.length, "kept": not breaches, "rules": verdicts(referee, breaches), **figures,
-        "calls": count["calls"], "completed": count["completed"], "rejected": count["rejected"],
-        "released": count["released"], "gave_up": count["gave_up"], "legs": count["legs"],
+        "version": VERSION,
+        "scenario": scenario.name,
+        "seed": world.seed,
+        "policy": policy,
+        "length": scenario.length,
+        "kept": not breaches,
+        "rules": verdicts(referee, breaches),
+        **figures,
+        "calls": count["calls"],
+        "completed": count["completed"],
+        "rejected": count["rejected"],
+        "released": count["released"],
+        "gave_up": count["gave_up"],
+        "legs": count["legs"],
         "results": {key.removeprefix("leg_"): count[key] for key in sorted(count) if key.startswith("leg_")},
         "crossings": round(count["crossings"] / max(1, count["legs"]), 6),
-        "moves": count["moves"], "shed": count["shed"], "fell": count["fell"], "faults": count["faults"],
-        "store_calls": world.store.calls, "store_failed": world.store.failed,
+        "moves": count["moves"],
+        "shed": count["shed"],
+        "fell": count["fell"],
+        "faults": count["faults"],
+        "store_calls": world.store.calls,
+        "store_failed": world.store.failed,
         "wasted": round(sum(machine.wasted for machine in world.machines) / offered, 6) if offered else 0.0,
-        "list_lines": world.roster.lines, "datagrams": count["datagrams"],
-        "datagram_bytes": count["datagram_bytes"], "probes": count["probes"],
+        "list_lines": world.roster.lines,
+        "datagrams": count["datagrams"],
+        "datagram_bytes": count["datagram_bytes"],
+        "probes": count["probes"],
         "store_by_second": steps(world.store_calls),
-        "answers_by_second": [steps([row[how] for row in world.answers])
-                              for how in ("completed", "rejected", "released", "gave_up")],
-        "troubles": [[trouble.at, type(trouble).__struct_config__.tag, getattr(trouble, "lasts", 0.0)]
-                     for trouble in scenario.trouble],
+        "answers_by_second": [
+            steps([row[how] for row in world.answers])
+            for how in ("completed", "rejected", "released", "gave_up")
+        ],
+        "troubles": [
+            [trouble.at, type(trouble).__struct_config__.tag, getattr(trouble, "lasts", 0.0)]
+            for trouble in scenario.trouble
+        ],
         "servers": [machine.name for machine in world.machines],
-        "log": [[time_of(at), name, text] for at, name, text in world.logged]}
+        "log": [[time_of(at), name, text] for at, name, text in world.logged],
+    }
 
 
 def steps(sums: list[int]) -> list[int]:
@@ -110,8 +139,9 @@
     return [now - before for before, now in zip([0, *sums], sums)]
 
 
-def run(raw: dict[str, Any], seed: int, policy: str = "bellrack",
-        constants: dict[str, float] | None = None) -> dict[str, Any]:
+def run(
+    raw: dict[str, Any], seed: int, policy: str = "bellrack", constants: dict[str, float] | None = None
+) -> dict[str, Any]:
     """Play the tables of a scenario; `constants` of the decision module hold for this run alone."""
     scenario = parse_scenario(raw)
     before = {name: getattr(choice, name) for name in constants or {} if hasattr(choice, name)}
--- a/bellrack/lab/scale/__main__.py
+++ b/bellrack/lab/scale/__main__.py
@@ -1,4 +1,5 @@
 """A process of a sweep or a weighing."""
+
 import sys
 
 from bellrack.lab.scale.run import answer
--- a/bellrack/lab/scale/desk.py
+++ b/bellrack/lab/scale/desk.py
@@ -3,6 +3,7 @@
 Owns the list of a run and what is said of it on the lines of the lab's discovery. It knows no balancer and
 no loop but the one it is given; who hears of a change late or not at all is the run's.
 """
+
 from __future__ import annotations
 
 import json
@@ -54,9 +55,16 @@
 
     def item(self, number: int, state: str) -> dict[str, Any]:
         zone = number % self.plan.zones
-        return {"instanceId": f"{zone_name(self.plan, zone)}-s{number}", "hostPort": self.place(number),
-                "zone": zone_name(self.plan, zone), "machineType": "std", "cell": 0, "lifecycle": state,
-                "weight": 1.0, "startedAtMs": 0}
+        return {
+            "instanceId": f"{zone_name(self.plan, zone)}-s{number}",
+            "hostPort": self.place(number),
+            "zone": zone_name(self.plan, zone),
+            "machineType": "std",
+            "cell": 0,
+            "lifecycle": state,
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
     def name(self, number: int) -> str:
         return f"{zone_name(self.plan, number % self.plan.zones)}-s{number}"
@@ -79,7 +87,7 @@
         else:
             self.states[number] = state
         line = self.line([self.item(number, state)], False)
-        self.changes = [*self.changes[-KEPT + 1:], (self.version, line)]
+        self.changes = [*self.changes[-KEPT + 1 :], (self.version, line)]
         for watcher in list(self.watching):
             self.tell(watcher, line)
         self.spent(begun)
@@ -124,8 +132,11 @@
         return list(self.states.items())
 
     def listing(self, rows: list[tuple[int, str]], whole: bool) -> dict[str, Any]:
-        return {"generation": self.version, "reset": whole,
-                "instances": [self.item(number, state) for number, state in rows]}
+        return {
+            "generation": self.version,
+            "reset": whole,
+            "instances": [self.item(number, state) for number, state in rows],
+        }
 
     def spent(self, begun: int) -> None:
         spent = process_time_ns() - begun
--- a/bellrack/lab/scale/figures.py
+++ b/bellrack/lab/scale/figures.py
@@ -3,6 +3,7 @@
 Owns the counters and the sums over roles. Counts follow from the plan and its seed alone; processor time and
 memory are measurements, and are kept apart from counts. It never plays anything.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -15,8 +16,20 @@
 BUDGET_BYTES = 3000.0  # a second: 3 KB, in and out together, datagrams with their heads, and lists
 BUDGET_CORE = 0.037
 BUDGET_MEMORY = 64.0  # MB
-COUNTS = ("in_datagrams", "in_bytes", "out_datagrams", "out_bytes", "fan_datagrams", "fan_bytes",
-          "records_in", "records_out", "list_in", "list_out", "list_lines", "steps")
+COUNTS = (
+    "in_datagrams",
+    "in_bytes",
+    "out_datagrams",
+    "out_bytes",
+    "fan_datagrams",
+    "fan_bytes",
+    "records_in",
+    "records_out",
+    "list_in",
+    "list_out",
+    "list_lines",
+    "steps",
+)
 
 
 class Figures:
@@ -92,7 +105,8 @@
         "in": round(wire(totals["in_bytes"], totals["in_datagrams"], totals["list_in"]) / share, 3),
         "out": round(wire(totals["out_bytes"], totals["out_datagrams"], totals["list_out"]) / share, 3),
         "fan": round(wire(totals["fan_bytes"], totals["fan_datagrams"], totals["list_out"]) / share, 3),
-        "most": round(max(both_ways(figures) for figures in members) / seconds, 3)}
+        "most": round(max(both_ways(figures) for figures in members) / seconds, 3),
+    }
     return told
 
 
@@ -102,8 +116,9 @@
 
 def both_ways(figures: Figures) -> int:
     """Bytes in and out with heads; a broadcast counts once for each receiver, as somebody sends them all."""
-    return (wire(figures.in_bytes, figures.in_datagrams, figures.list_in)
-            + wire(figures.fan_bytes, figures.fan_datagrams, figures.list_out))
+    return wire(figures.in_bytes, figures.in_datagrams, figures.list_in) + wire(
+        figures.fan_bytes, figures.fan_datagrams, figures.list_out
+    )
 
 
 def measured(members: Iterable[Figures], seconds: float) -> dict[str, float | None]:
@@ -112,17 +127,21 @@
     members = list(members)
     if not members:
         return {}
-    return {"core": sum(figures.cpu for figures in members) / len(members) / seconds / 1e9,
-            "core_most": max(figures.cpu for figures in members) / seconds / 1e9,
-            "longest_turn": max(figures.longest for figures in members) / 1e9 or None}
+    return {
+        "core": sum(figures.cpu for figures in members) / len(members) / seconds / 1e9,
+        "core_most": max(figures.cpu for figures in members) / seconds / 1e9,
+        "longest_turn": max(figures.longest for figures in members) / 1e9 or None,
+    }
 
 
 def roles(every: list[Figures]) -> dict[str, list[Figures]]:
     """By what they did: who broadcast while it was counted speaks for others; the busiest is whoever had most
     bytes in and out, whatever the mechanism."""
-    return {"plain": [figures for figures in every if not figures.broadcasts],
-            "aggregator": [figures for figures in every if figures.broadcasts],
-            "busiest": [max(every, key=both_ways)] if every else []}
+    return {
+        "plain": [figures for figures in every if not figures.broadcasts],
+        "aggregator": [figures for figures in every if figures.broadcasts],
+        "busiest": [max(every, key=both_ways)] if every else [],
+    }
 
 
 def budgets(counts: dict[str, Any], times: dict[str, Any], memory_mb: float | None) -> list[dict[str, Any]]:
@@ -130,10 +149,17 @@
     rows = []
     for name in ("plain", "aggregator", "busiest"):
         if counts[name].get("total"):
-            rows.append({"role": name, "what": "bytes a second", "value": counts[name]["wire"]["most"],
-                         "budget": BUDGET_BYTES})
-            rows.append({"role": name, "what": "core", "value": times[name]["core_most"],
-                         "budget": BUDGET_CORE})
+            rows.append(
+                {
+                    "role": name,
+                    "what": "bytes a second",
+                    "value": counts[name]["wire"]["most"],
+                    "budget": BUDGET_BYTES,
+                }
+            )
+            rows.append(
+                {"role": name, "what": "core", "value": times[name]["core_most"], "budget": BUDGET_CORE}
+            )
     if memory_mb is not None:
         rows.append({"role": "plain", "what": "memory MB", "value": memory_mb, "budget": BUDGET_MEMORY})
     for row in rows:
--- a/bellrack/lab/scale/fit.py
+++ b/bellrack/lab/scale/fit.py
@@ -3,6 +3,7 @@
 Owns the two forms that a role's cost takes here: a power of the size, and a base with so much a unit. It
 measures nothing, draws nothing, and knows no target.
 """
+
 from __future__ import annotations
 
 import math
@@ -28,7 +29,7 @@
     form = "power"
 
     def at(self, size: float) -> float:
-        return self.factor * size ** self.slope
+        return self.factor * size**self.slope
 
     def formula(self) -> str:
         return f"{self.factor:.4g} x n^{self.slope:.3f}"
@@ -61,9 +62,12 @@
 
 def largest(fitted: Sequence[float], values: Sequence[float]) -> float:
     """The largest relative residual; infinite where a value is nought and its fit is not."""
-    return max(abs(fit - value) / abs(value) if value else (0.0 if math.isclose(fit, 0.0, abs_tol=1e-9)
-                                                            else math.inf)
-               for fit, value in zip(fitted, values))
+    return max(
+        abs(fit - value) / abs(value)
+        if value
+        else (0.0 if math.isclose(fit, 0.0, abs_tol=1e-9) else math.inf)
+        for fit, value in zip(fitted, values)
+    )
 
 
 def fit_power(sizes: Sequence[float], values: Sequence[float]) -> Fit:
@@ -73,7 +77,7 @@
         raise ValueError("a power is fitted to sizes and values over 0")
     found = stats.linregress([math.log(size) for size in sizes], [math.log(value) for value in values])
     slope, factor = float(found.slope), math.exp(found.intercept)
-    residual = largest([factor * size ** slope for size in sizes], values)
+    residual = largest([factor * size**slope for size in sizes], values)
     error = float(found.stderr) if len(set(values)) > 1 else 0.0  # where all are the same scipy has none
     return Fit(slope, factor, error, residual)
 
--- a/bellrack/lab/scale/guard.py
+++ b/bellrack/lab/scale/guard.py
@@ -3,6 +3,7 @@
 Owns the look at memory, of this process and its children, and the limit. It ends nothing: it raises, and the
 run cleans up.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -40,5 +41,6 @@
         used = used_mb(["self", *children])
         self.most = max(self.most, used)
         if used > self.limit:
-            raise ScenarioError(f"scale: {used:.0f} MB in use {when}, over the limit of {self.limit:.0f} MB: "
-                                f"stopped")
+            raise ScenarioError(
+                f"scale: {used:.0f} MB in use {when}, over the limit of {self.limit:.0f} MB: stopped"
+            )
--- a/bellrack/lab/scale/hollow.py
+++ b/bellrack/lab/scale/hollow.py
@@ -5,6 +5,7 @@
 decisions on what is listed, what balancers tell one another, timers. It never opens a socket itself; the loop
 it is given decides whether time and bytes are virtual or real.
 """
+
 from __future__ import annotations
 
 import copy
@@ -60,8 +61,9 @@
 class Hollow(Node):
     """One of them. `moved()` is called when the decisions move a connection, to open another."""
 
-    def __init__(self, config: Config, loop: Any, figures: Figures,
-                 post: Callable[[Hollow, int | None, bytes], None]):
+    def __init__(
+        self, config: Config, loop: Any, figures: Figures, post: Callable[[Hollow, int | None, bytes], None]
+    ):
         self.alive, self.figures = True, figures
         self.held: list[Held] = []
         self.own: list[int] = []  # servers, by mark, at which it holds connections
@@ -176,24 +178,34 @@
 
     def will_hold(self, marks: list[int]) -> None:
         """Own records of these servers, for what the decisions keep of own connections."""
-        own = [Server(mark, one.zone, one.cell, one.state, one.size, one.weight, one.kind, one.since)
-               for mark in marks if (one := self.shared[mark])]
+        own = [
+            Server(mark, one.zone, one.cell, one.state, one.size, one.weight, one.kind, one.since)
+            for mark in marks
+            if (one := self.shared[mark])
+        ]
         self.servers.update((server.mark, server) for server in own)
         self.balancer.listed(own)
         self.know()
 
 
-def configurations(plan: Plan, place: str, peers: list[Any] | None = None,
-                   peers_all: Any = None) -> Callable[[int, int, int], Config]:
+def configurations(
+    plan: Plan, place: str, peers: list[Any] | None = None, peers_all: Any = None
+) -> Callable[[int, int, int], Config]:
     """Makes the configuration of a balancer from its number, zone and seed. Parsed once a zone, then copied:
     a list of thousands of peers in each of thousands of configurations would not fit."""
     parsed: dict[int, Config] = {}
 
     def made(number: int, zone: int, seed: int) -> Config:
         if zone not in parsed:
-            parsed[zone] = parse_config({
-                "name": "hollow", "listen": "127.0.0.1:0", "discovery": place, "limits": {"sockets": 1 << 20},
-                "settings": settings_of(plan, zone, 0)})
+            parsed[zone] = parse_config(
+                {
+                    "name": "hollow",
+                    "listen": "127.0.0.1:0",
+                    "discovery": place,
+                    "limits": {"sockets": 1 << 20},
+                    "settings": settings_of(plan, zone, 0),
+                }
+            )
             parsed[zone].peers, parsed[zone].peers_all = peers or [], peers_all
         config = copy.copy(parsed[zone])
         config.settings = copy.copy(config.settings)
--- a/bellrack/lab/scale/plan.py
+++ b/bellrack/lab/scale/plan.py
@@ -3,6 +3,7 @@
 Owns the schema, its reading from TOML and every check on it. Times are seconds, shares lie between 0 and 1.
 It never draws by chance and never plays anything. How a file is refused is the lab's: file, key, reason.
 """
+
 from __future__ import annotations
 
 import math
@@ -94,7 +95,8 @@
     clients: Clients = field(default_factory=Clients)
     limits: Limits = field(default_factory=Limits)
     trouble: Annotated[list[RackLost | RegionCut | AggregatorLost], Meta(max_length=100)] = field(
-        default_factory=list)
+        default_factory=list
+    )
 
     @property
     def tier(self) -> int:
@@ -116,15 +118,18 @@
     if plan.regions > plan.zones:
         yield "regions", f"{plan.regions}, more than the {plan.zones} zones"
     if plan.real and plan.time == "virtual":
-        yield "real", "real balancers need time = \"real\""
+        yield "real", 'real balancers need time = "real"'
     if plan.real and plan.real < 3:
         yield "real", "3 or more, or none"
     if plan.lean and plan.time == "real":
-        yield "lean", "needs time = \"virtual\""
+        yield "lean", 'needs time = "virtual"'
     if plan.tier > TARGET + MOST_REAL:
         yield "balancers", "too many"
-    if len(plan.memory_sizes) == 1 or any(size < 1 or size > 500 for size in plan.memory_sizes) or (
-            len(plan.memory_sizes) == 2 and plan.memory_sizes[0] >= plan.memory_sizes[1]):
+    if (
+        len(plan.memory_sizes) == 1
+        or any(size < 1 or size > 500 for size in plan.memory_sizes)
+        or (len(plan.memory_sizes) == 2 and plan.memory_sizes[0] >= plan.memory_sizes[1])
+    ):
         yield "memory_sizes", "not two sizes of 1 to 500, the smaller first, nor []"
     for index, trouble in enumerate(plan.trouble):
         if trouble.at >= plan.warm_up + plan.duration:
@@ -146,14 +151,32 @@
 def settings_of(plan: Plan, zone: int, number: int) -> dict[str, Any]:
     """The settings object of a balancer's configuration."""
     return {
-        "areas": [zone_name(plan, index) for index in range(plan.zones)], "az": zone, "slotNo": number,
-        "peersTotal": plan.tier, "discovery": "ask", "tickUs": 4000,
-        "trafficTypes": [{"name": "view", "effect": "retryable", "group": "all", "keyTtlUs": 5_000_000,
-                          "guardTimeUs": 2_000_000, "setupTargetUs": 500_000}],
-        "caps": {"maxLegs": 3, "retryAfter": True, "maxRetryAfterUs": 1_500_000,
-                 "connectTimeoutUs": 200_000, "mayTell": True},
+        "areas": [zone_name(plan, index) for index in range(plan.zones)],
+        "az": zone,
+        "slotNo": number,
+        "peersTotal": plan.tier,
+        "discovery": "ask",
+        "tickUs": 4000,
+        "trafficTypes": [
+            {
+                "name": "view",
+                "effect": "retryable",
+                "group": "all",
+                "keyTtlUs": 5_000_000,
+                "guardTimeUs": 2_000_000,
+                "setupTargetUs": 500_000,
+            }
+        ],
+        "caps": {
+            "maxLegs": 3,
+            "retryAfter": True,
+            "maxRetryAfterUs": 1_500_000,
+            "connectTimeoutUs": 200_000,
+            "mayTell": True,
+        },
         "specifics": {"messageAimUs": [100_000], "tellsDelay": True, "tellsLoad": False},
-        "obligations": {"answerSlackUs": 16_000, "coldShare": 0.2, "rampTimeUs": 20_000_000}}
+        "obligations": {"answerSlackUs": 16_000, "coldShare": 0.2, "rampTimeUs": 20_000_000},
+    }
 
 
 def region_of(plan: Plan, zone: int) -> int:
--- a/bellrack/lab/scale/real.py
+++ b/bellrack/lab/scale/real.py
@@ -8,6 +8,7 @@
 front of the receiver takes it and the front of the sender passes it on; and to `peers_all`, the relay, which
 hands it to each from the socket, or the front, of the sender. So the sender's address names it everywhere.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -91,10 +92,18 @@
         try:
             os.write(memory, json.dumps(config).encode())
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "bellrack", "serve", f"--config=/dev/fd/{memory}", pass_fds=[memory],
-                stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
-                stderr=asyncio.subprocess.DEVNULL, preexec_fn=with_parent,
-                env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))})
+                sys.executable,
+                "-m",
+                "bellrack",
+                "serve",
+                f"--config=/dev/fd/{memory}",
+                pass_fds=[memory],
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=asyncio.subprocess.DEVNULL,
+                preexec_fn=with_parent,
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
+            )
         finally:
             os.close(memory)
         self.alive = True
@@ -167,8 +176,9 @@
         self.relay = await self.ear(self.relayed)
         for number in range(self.plan.tier):
             heard = self.fronted if number in self.real else self.direct
-            self.ears[number] = ear = await self.ear(lambda sender, data, number=number, heard=heard:
-                                                     heard(number, sender, data))
+            self.ears[number] = ear = await self.ear(
+                lambda sender, data, number=number, heard=heard: heard(number, sender, data)
+            )
             self.senders[ear.address] = number
         ports = free_ports(len(self.real))
         for number, port in zip(self.real, ports):
@@ -254,13 +264,16 @@
             return f"{host}:{port}"
 
         return {
-            "name": f"b{number}", "listen": "{}:{}".format(*process.listen),
-            "discovery": f"{HOST}:{self.list_port}", "seed": f"{self.seeds.seed():x}",
+            "name": f"b{number}",
+            "listen": "{}:{}".format(*process.listen),
+            "discovery": f"{HOST}:{self.list_port}",
+            "seed": f"{self.seeds.seed():x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
             "peer_listen": "{}:{}".format(*process.peer_listen),
             "peers": [known(other) for other in range(self.plan.tier)],
             "peers_all": "{}:{}".format(*self.relay.address),
-            "settings": settings_of(self.plan, self.zone(number), number)}
+            "settings": settings_of(self.plan, self.zone(number), number),
+        }
 
     async def starts(self, process: Process) -> None:
         await process.start(self.told_to(process))
@@ -314,8 +327,10 @@
         self.guard.look(f"at {self.now - START:.1f} s", processes)
         for process in self.processes.values():
             if process.alive and process.process.returncode is not None:
-                raise ScenarioError(f"scale: real balancer {process.number} ended by itself, with "
-                                    f"{process.process.returncode}")
+                raise ScenarioError(
+                    f"scale: real balancer {process.number} ended by itself, with "
+                    f"{process.process.returncode}"
+                )
 
     async def run_to(self, end: float, tell: Callable[[float], None]) -> None:
         while (left := START + end - self.now) > 0 and not self.fault.done():
@@ -379,9 +394,15 @@
     def told_of_real(self) -> dict[str, Any]:
         """What this machine did; processor time of real ones has the kernel's part in it."""
         of_real = figures.measured([self.figures[number] for number in self.real], self.plan.duration)
-        return {"lag": round(self.lag, 4), "doubtful": self.lag > LATE, "clients": self.answers,
-                "memory_mb": {str(number): round(value, 1) for number, value in self.real_memory.items()},
-                "core": of_real.get("core"), "core_most": of_real.get("core_most"), "numbers": self.real}
+        return {
+            "lag": round(self.lag, 4),
+            "doubtful": self.lag > LATE,
+            "clients": self.answers,
+            "memory_mb": {str(number): round(value, 1) for number, value in self.real_memory.items()},
+            "core": of_real.get("core"),
+            "core_most": of_real.get("core_most"),
+            "numbers": self.real,
+        }
 
 
 def refuse_if_too_large(plan: Plan) -> None:
--- a/bellrack/lab/scale/roles.py
+++ b/bellrack/lab/scale/roles.py
@@ -14,6 +14,7 @@
 is allocated (tracemalloc) or resident bytes, bytes and records are counted and repeat to the digit. It plays
 no deployment, judges nothing against a budget, and reads the clock of no wall.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -82,8 +83,9 @@
         return replace(self, fit=power if power.residual < CLEARLY * line.residual - EXACT else line)
 
 
-def figure(role: str, name: str, unit: str, of: str, sizes: Any, values: Any,
-           counted: bool = False) -> Figure:
+def figure(
+    role: str, name: str, unit: str, of: str, sizes: Any, values: Any, counted: bool = False
+) -> Figure:
     return Figure(role, name, unit, of, list(sizes), list(values), counted).fitted()
 
 
@@ -117,20 +119,50 @@
 def deployment(peers: int = 1, number: int = 0, **changes: Any) -> dict[str, Any]:
     """Settings as a balancer is told them, with ten zones."""
     return {
-        "trafficTypes": [{"name": "chat", "effect": "retryable", "group": "all", "keyTtlUs": 5e6,
-                          "guardTimeUs": 3e6, "setupTargetUs": 3e5}],
+        "trafficTypes": [
+            {
+                "name": "chat",
+                "effect": "retryable",
+                "group": "all",
+                "keyTtlUs": 5e6,
+                "guardTimeUs": 3e6,
+                "setupTargetUs": 3e5,
+            }
+        ],
         "specifics": {"messageAimUs": [1e5], "tellsDelay": False, "tellsLoad": False},
-        "caps": {"maxLegs": 3, "retryAfter": True, "maxRetryAfterUs": 1500000, "connectTimeoutUs": 200000,
-                 "mayTell": True},
+        "caps": {
+            "maxLegs": 3,
+            "retryAfter": True,
+            "maxRetryAfterUs": 1500000,
+            "connectTimeoutUs": 200000,
+            "mayTell": True,
+        },
         "obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7},
-        "accounts": [{"name": "acme"}], "areas": [f"zone-{n}" for n in range(10)], "az": 0,
-        "peersTotal": peers, "slotNo": number, "discovery": "ask", "tickUs": 4000} | changes
+        "accounts": [{"name": "acme"}],
+        "areas": [f"zone-{n}" for n in range(10)],
+        "az": 0,
+        "peersTotal": peers,
+        "slotNo": number,
+        "discovery": "ask",
+        "tickUs": 4000,
+    } | changes
 
 
 def rows(count: int, port: int = 9000, state: str = model.READY, zones: int = 10) -> list[dict[str, Any]]:
     """Entries of a list, as `lines.told` writes them."""
-    return lines.told((f"server-{n:06d}", ("127.0.0.1", port), f"zone-{n % zones}", state, n % 3, 1000.0,
-                       1_700_000_000.0, "std") for n in range(count))["instances"]
+    return lines.told(
+        (
+            f"server-{n:06d}",
+            ("127.0.0.1", port),
+            f"zone-{n % zones}",
+            state,
+            n % 3,
+            1000.0,
+            1_700_000_000.0,
+            "std",
+        )
+        for n in range(count)
+    )["instances"]
 
 
 def listing(count: int, state: str = model.READY, whole: bool = True, generation: int = 1) -> bytes:
@@ -142,10 +174,16 @@
 
 def config_of(peers: int) -> dict[str, Any]:
     """The object of a configuration file in a tier of so many."""
-    return {"name": "b0", "listen": "10.0.0.1:7000", "discovery": "10.0.0.2:7001", "seed": "1",
-            "limits": {"sockets": 131072}, "peer_listen": "10.0.0.1:7002",
-            "peers": [f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:7002" for n in range(peers)],
-            "settings": deployment(peers)}
+    return {
+        "name": "b0",
+        "listen": "10.0.0.1:7000",
+        "discovery": "10.0.0.2:7001",
+        "seed": "1",
+        "limits": {"sockets": 131072},
+        "peer_listen": "10.0.0.1:7002",
+        "peers": [f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:7002" for n in range(peers)],
+        "settings": deployment(peers),
+    }
 
 
 class Host:
@@ -262,8 +300,14 @@
     memory, spent = asyncio.run(play())
     yield figure("data-path", "resident memory", "B", "standing connections", sizes, memory)
     for size, values in spent.items():
-        yield figure("data-path", f"processor time, lines of {size} B", "us", "lines passed on", counts,
-                     [value / 1000 for value in values])
+        yield figure(
+            "data-path",
+            f"processor time, lines of {size} B",
+            "us",
+            "lines passed on",
+            counts,
+            [value / 1000 for value in values],
+        )
 
 
 def discovery_client(quick: bool) -> Iterator[Figure]:
@@ -302,8 +346,15 @@
     yield figure(role, "memory kept", "B", of, sizes, kept)
     yield figure(role, "memory at its most while a list is taken in", "B", of, sizes, peak)
     seconds = [60, 120, 240, 480]
-    yield figure(role, "bytes of an idle watch", "B", "seconds", seconds,
-                 [len(chunk(b"\n")) * (second // 2) for second in seconds], True)
+    yield figure(
+        role,
+        "bytes of an idle watch",
+        "B",
+        "seconds",
+        seconds,
+        [len(chunk(b"\n")) * (second // 2) for second in seconds],
+        True,
+    )
 
 
 def discovery_service(quick: bool) -> Iterator[Figure]:
@@ -313,10 +364,24 @@
     whole, idle = len(listing(SERVERS)), len(chunk(b"\n"))
     role, of = "discovery-service", "watches"
     yield figure(role, "bytes out of a change to all", "B", of, watches, [change * n for n in watches], True)
-    yield figure(role, f"bytes out of a whole list of {SERVERS} servers to all", "B", of, watches,
-                 [whole * n for n in watches], True)
-    yield figure(role, "bytes out a second while nothing changes", "B/s", of, watches,
-                 [idle / 2 * n for n in watches], True)
+    yield figure(
+        role,
+        f"bytes out of a whole list of {SERVERS} servers to all",
+        "B",
+        of,
+        watches,
+        [whole * n for n in watches],
+        True,
+    )
+    yield figure(
+        role,
+        "bytes out a second while nothing changes",
+        "B/s",
+        of,
+        watches,
+        [idle / 2 * n for n in watches],
+        True,
+    )
 
 
 def decision_time(count: int, zones: int, decided: int) -> float:
@@ -346,10 +411,17 @@
 def decisions(quick: bool) -> Iterator[Figure]:
     sizes = (10, 20, 40, 80) if quick else (10, 60, 200, 600, 1000, 2000, 6000)
     for zones in (1, 10):
-        yield figure("decisions", f"processor time a decision, servers in {zones} zone{'s' * (zones > 1)}",
-                     "us", "servers", sizes,
-                     [min(decision_time(n, zones, 20 if quick else 60) for _ in range(1 if quick else 3))
-                      for n in sizes])
+        yield figure(
+            "decisions",
+            f"processor time a decision, servers in {zones} zone{'s' * (zones > 1)}",
+            "us",
+            "servers",
+            sizes,
+            [
+                min(decision_time(n, zones, 20 if quick else 60) for _ in range(1 if quick else 3))
+                for n in sizes
+            ],
+        )
 
 
 class StandingLink:
@@ -379,11 +451,12 @@
 
     def told(host: Host) -> Callable[[], None]:
         def turn() -> None:
-            for server in host.balancer.fleet[:int(SET_UPS)]:  # whose counts change in half a second
+            for server in host.balancer.fleet[: int(SET_UPS)]:  # whose counts change in half a second
                 host.balancer.overload.sums.holds(server.mark, 1, 0, 0)
             host.now += overload.AGAIN
             host.hears()
             host.balancer.woke("tell")
+
         return turn
 
     for count in sizes:
@@ -431,8 +504,14 @@
         number = 20
         return allocated(lambda: [host.ask(n + 2) for n in range(number)])[0] // number
 
-    yield figure("state", "memory of servers", "B", "servers", sizes,
-                 [allocated(lambda n=n: taken_in(n))[0] for n in sizes])
+    yield figure(
+        "state",
+        "memory of servers",
+        "B",
+        "servers",
+        sizes,
+        [allocated(lambda n=n: taken_in(n))[0] for n in sizes],
+    )
     yield figure("state", "memory of one queued request", "B", "servers", sizes, [queued(n) for n in sizes])
     peers = (60, 120, 240, 480) if quick else (60, 600, 1200, 2400, BALANCERS)
 
@@ -440,8 +519,14 @@
         config = parse_config(config_of(count))
         return config, PeerSocket(SimpleNamespace(config=config))
 
-    yield figure("state", "memory of known peers", "B", "balancers", peers,
-                 [allocated(lambda n=n: known(n))[0] for n in peers])
+    yield figure(
+        "state",
+        "memory of known peers",
+        "B",
+        "balancers",
+        peers,
+        [allocated(lambda n=n: known(n))[0] for n in peers],
+    )
 
 
 class Tier:
@@ -452,8 +537,10 @@
         self.servers = [lines.mark(f"server-{n:06d}") for n in range(round(PER_BALANCER * balancers))]
         self.listed = dict.fromkeys((mark & sums.MARK for mark in self.servers), True)
         self.out: deque[tuple[int, int | None, bytes]] = deque()
-        self.all = [sums.Sums(n, balancers, lambda peer, data, n=n: self.out.append((n, peer, data)))
-                    for n in range(balancers)]
+        self.all = [
+            sums.Sums(n, balancers, lambda peer, data, n=n: self.out.append((n, peer, data)))
+            for n in range(balancers)
+        ]
         self.reports = self.report_bytes = self.broadcast_bytes = self.replies = 0
         self.spent = self.heard = 0  # nanoseconds of the aggregator, and of who hears it
         self.standing: list[list[tuple[int, int]]] = [[] for _ in self.all]
@@ -514,21 +601,27 @@
         self.spent = self.heard = 0  # nanoseconds of the aggregator, and of who hears it
         for _ in range(int(seconds / sums.BROADCAST_EACH)):
             self.turn()
-        return {"datagrams": self.reports / seconds, "in": self.report_bytes / seconds,
-                "plain": self.broadcast_bytes / seconds, "spent": self.spent / seconds / 1000,
-                "heard": self.heard / seconds / 1000,
-                "out": (self.broadcast_bytes * (len(self.all) - 1) + self.replies) / seconds}
+        return {
+            "datagrams": self.reports / seconds,
+            "in": self.report_bytes / seconds,
+            "plain": self.broadcast_bytes / seconds,
+            "spent": self.spent / seconds / 1000,
+            "heard": self.heard / seconds / 1000,
+            "out": (self.broadcast_bytes * (len(self.all) - 1) + self.replies) / seconds,
+        }
 
 
 def aggregator(quick: bool) -> Iterator[Figure]:
     sizes = (8, 12, 16, 24) if quick else (50, 100, 200, 400, 800)
     played = [Tier(n).play(2.0, 3.0) if quick else Tier(n).play(10.0) for n in sizes]
     for key, name, unit, counted in (
-            ("datagrams", "datagrams in", "1/s", True), ("in", "bytes in", "B/s", True),
-            ("out", "bytes out, to each balancer apart", "B/s", True),
-            ("plain", "bytes in at a plain balancer", "B/s", True),
-            ("spent", "processor time", "us/s", False),
-            ("heard", "processor time of hearing it at a plain balancer", "us/s", False)):
+        ("datagrams", "datagrams in", "1/s", True),
+        ("in", "bytes in", "B/s", True),
+        ("out", "bytes out, to each balancer apart", "B/s", True),
+        ("plain", "bytes in at a plain balancer", "B/s", True),
+        ("spent", "processor time", "us/s", False),
+        ("heard", "processor time of hearing it at a plain balancer", "us/s", False),
+    ):
         yield figure("aggregator", name, unit, "balancers", sizes, [one[key] for one in played], counted)
 
     def kept(count: int) -> int:
@@ -576,7 +669,7 @@
         one.aggregator = 0
     pairs = [(n % 6000, n // 6000 * 6007 + n % 6000 + 1) for n in range(count)]
     for first in range(0, count, sums.MOST_PAIRS):
-        some = pairs[first:first + sums.MOST_PAIRS]
+        some = pairs[first : first + sums.MOST_PAIRS]
         for copy in range(sums.HOLDERS if not own else 1):
             for data in sums.pack_pairs(sums.PLACEMENTS if own else sums.GROUPS, some, [1] * len(some)):
                 peer = first // sums.MOST_PAIRS * sums.HOLDERS + copy + 1
@@ -590,22 +683,56 @@
     sizes = (500, 1000, 1500, 2000) if quick else (2000, 5000, 10000, 20000)
 
     for own, whose in ((0, "at the aggregator"), (5, "at a balancer")):
-        yield figure("placements", f"memory of placements {whose}", "B", "placements", sizes,
-                     [allocated(lambda n=n, own=own: placed(n, own))[0] for n in sizes])
+        yield figure(
+            "placements",
+            f"memory of placements {whose}",
+            "B",
+            "placements",
+            sizes,
+            [allocated(lambda n=n, own=own: placed(n, own))[0] for n in sizes],
+        )
     asked = (1000, 5000, 10000, 15000, 20000, 20100)
     known = [placed(n, 5) for n in asked]
-    yield Figure("placements", "placements known of so many told", "1", "placements told", list(asked),
-                 [len(one.placements) for one in known], True)
-    news = next(sums.pack_pairs(sums.PLACEMENTS, [(n, 65000) for n in range(sums.MOST_PAIRS)],
-                                [1] * sums.MOST_PAIRS))
-    yield Figure("placements", "processor time of one more broadcast of 63 placements", "us",
-                 "placements told before", list(asked),
-                 [processor_time(lambda one=one: one.heard(BEGUN, 0, news, {}), 1) for one in known], False)
+    yield Figure(
+        "placements",
+        "placements known of so many told",
+        "1",
+        "placements told",
+        list(asked),
+        [len(one.placements) for one in known],
+        True,
+    )
+    news = next(
+        sums.pack_pairs(sums.PLACEMENTS, [(n, 65000) for n in range(sums.MOST_PAIRS)], [1] * sums.MOST_PAIRS)
+    )
+    yield Figure(
+        "placements",
+        "processor time of one more broadcast of 63 placements",
+        "us",
+        "placements told before",
+        list(asked),
+        [processor_time(lambda one=one: one.heard(BEGUN, 0, news, {}), 1) for one in known],
+        False,
+    )
     servers = (600, 2400, 5000, SERVERS)
-    yield Figure("placements", "servers that share a short identifier, by count", "1", "servers",
-                 list(servers), [unspoken(n) for n in servers], True)
-    yield Figure("placements", "the same by formula", "1", "servers", list(servers),
-                 [round(unspoken_by_formula(n), 1) for n in servers], True)
+    yield Figure(
+        "placements",
+        "servers that share a short identifier, by count",
+        "1",
+        "servers",
+        list(servers),
+        [unspoken(n) for n in servers],
+        True,
+    )
+    yield Figure(
+        "placements",
+        "the same by formula",
+        "1",
+        "servers",
+        list(servers),
+        [round(unspoken_by_formula(n), 1) for n in servers],
+        True,
+    )
 
 
 def configuration(quick: bool) -> Iterator[Figure]:
@@ -632,8 +759,9 @@
         with Alone() as node:
             node.server_list.on_list(lines.listing(json.loads(listing(count))))
             told.append(len(json.dumps(node.hot_restart.snapshot())))
-            spent.append(processor_time(
-                lambda node=node: json.dumps(node.hot_restart.snapshot()), 1 if quick else 3))
+            spent.append(
+                processor_time(lambda node=node: json.dumps(node.hot_restart.snapshot()), 1 if quick else 3)
+            )
     role = "shutdown"
     yield figure(role, "bytes told with the listening socket", "B", "servers", servers, told, True)
     yield figure(role, "processor time to tell it", "us", "servers", servers, spent)
@@ -643,8 +771,15 @@
         with Alone() as node:
             node.limits.ids = {f"c{n:08d}": None for n in range(count)}
             told.append(len(json.dumps(node.hot_restart.snapshot())))
-    yield figure(role, "bytes told with the listening socket, ids of 9 letters", "B", "standing connections",
-                 ids, told, True)
+    yield figure(
+        role,
+        "bytes told with the listening socket, ids of 9 letters",
+        "B",
+        "standing connections",
+        ids,
+        told,
+        True,
+    )
     pairs = (20, 40, 60, 80) if quick else (200, 800, 1400, 2000)
 
     async def play(count: int) -> tuple[int, int, int]:
@@ -652,14 +787,25 @@
             return await standins.handed_over(around, count)
 
     over = [asyncio.run(play(count)) for count in pairs]
-    yield figure(role, "processor time of the process that goes", "us", "connections standing", pairs,
-                 [one[0] / 1000 for one in over])
+    yield figure(
+        role,
+        "processor time of the process that goes",
+        "us",
+        "connections standing",
+        pairs,
+        [one[0] / 1000 for one in over],
+    )
     came = [one[2] for one in over]
     if len(set(came)) == len(came):
-        yield figure(role, "processor time of the process that comes", "us", "connections that came over",
-                     came, [one[1] / 1000 for one in over])
-    yield Figure(role, "connections that came over", "1", "connections standing", list(pairs),
-                 came, False)
+        yield figure(
+            role,
+            "processor time of the process that comes",
+            "us",
+            "connections that came over",
+            came,
+            [one[1] / 1000 for one in over],
+        )
+    yield Figure(role, "connections that came over", "1", "connections standing", list(pairs), came, False)
     yield from restarts(quick)
 
 
@@ -671,8 +817,15 @@
         async with standins.StandIns(deployment(), rows, servers=count) as around:
             return await standins.met(around)
 
-    yield Figure("shutdown", f"hot restarts that came about, of {tries}", "1", "servers", list(sizes),
-                 [sum(asyncio.run(play(count)) for _ in range(tries)) for count in sizes], False)
+    yield Figure(
+        "shutdown",
+        f"hot restarts that came about, of {tries}",
+        "1",
+        "servers",
+        list(sizes),
+        [sum(asyncio.run(play(count)) for _ in range(tries)) for count in sizes],
+        False,
+    )
 
 
 def start(quick: bool) -> Iterator[Figure]:
@@ -683,15 +836,30 @@
             return await standins.started(around)
 
     found = [min(asyncio.run(play(count)) for _ in range(1 if quick else 3)) for count in sizes]
-    yield figure("start", "processor time until it serves and has its list", "us", "servers", sizes,
-                 [one[0] / 1000 for one in found])
+    yield figure(
+        "start",
+        "processor time until it serves and has its list",
+        "us",
+        "servers",
+        sizes,
+        [one[0] / 1000 for one in found],
+    )
     yield figure("start", "resident memory", "B", "servers", sizes, [one[1] for one in found])
 
 
 ROLES: dict[str, Callable[[bool], Iterator[Figure]]] = {
-    "data-path": data_path, "discovery-client": discovery_client, "discovery-service": discovery_service,
-    "decisions": decisions, "timers": timers, "state": state, "aggregator": aggregator,
-    "placements": placements, "configuration": configuration, "shutdown": shutdown, "start": start}
+    "data-path": data_path,
+    "discovery-client": discovery_client,
+    "discovery-service": discovery_service,
+    "decisions": decisions,
+    "timers": timers,
+    "state": state,
+    "aggregator": aggregator,
+    "placements": placements,
+    "configuration": configuration,
+    "shutdown": shutdown,
+    "start": start,
+}
 
 
 # The command.
@@ -700,8 +868,13 @@
 def build() -> str:
     """The commit that is measured; "unknown" outside a repository."""
     try:
-        return subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=Path(__file__).parent, check=True,
-                              capture_output=True, text=True).stdout.strip()
+        return subprocess.run(
+            ["git", "rev-parse", "--short", "HEAD"],
+            cwd=Path(__file__).parent,
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout.strip()
     except (OSError, subprocess.CalledProcessError):
         return "unknown"
 
@@ -711,8 +884,9 @@
     head = f"{one.role}: {one.name} [{one.unit}] by {one.of}{', counted' if one.counted else ''}"
     text = f"{head}\n  " + "  ".join(f"{size}: {value:.6g}" for size, value in zip(one.sizes, one.values))
     if one.fit:
-        text += (f"\n  fit {one.fit.formula()}, error {one.fit.error:.2g}, "
-                 f"largest residual {one.fit.residual:.1%}")
+        text += (
+            f"\n  fit {one.fit.formula()}, error {one.fit.error:.2g}, largest residual {one.fit.residual:.1%}"
+        )
     return text
 
 
@@ -728,11 +902,17 @@
     args = docopt(__doc__, argv=["lab", "scale", "roles", *argv])
     names = args["--role"] or list(ROLES)
     if unknown := [name for name in names if name not in ROLES]:
-        print(f"bellrack lab scale roles: no role {unknown[0]!r}; there are {', '.join(ROLES)}",
-              file=sys.stderr)
+        print(
+            f"bellrack lab scale roles: no role {unknown[0]!r}; there are {', '.join(ROLES)}", file=sys.stderr
+        )
         return 2
-    report = {"build": build(), "date": datetime.now(UTC).strftime("%Y-%m-%d"),
-              "quick": bool(args["--quick"]), "figures": [], "not measured": []}
+    report = {
+        "build": build(),
+        "date": datetime.now(UTC).strftime("%Y-%m-%d"),
+        "quick": bool(args["--quick"]),
+        "figures": [],
+        "not measured": [],
+    }
     for name in names:
         try:
             for one in ROLES[name](bool(args["--quick"])):
--- a/bellrack/lab/scale/run.py
+++ b/bellrack/lab/scale/run.py
@@ -4,6 +4,7 @@
 sweep, and each size of which memory is taken, is a process of its own; they end with this one, however that
 ends.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -37,17 +38,27 @@
     members = figures.roles(world.figures)
     counts = {name: figures.role(some, plan.duration) for name, some in members.items()}
     desk = world.desk.figures
-    counts["discovery"] = {name: getattr(desk, name)
-                           for name in ("watches", "fetches", "lines", "bytes_in", "bytes_out")}
+    counts["discovery"] = {
+        name: getattr(desk, name) for name in ("watches", "fetches", "lines", "bytes_in", "bytes_out")
+    }
     counts["tier"] = {"faults": world.faults, "restarts": world.restarts, "lost_datagrams": world.lost}
     times = {name: figures.measured(some, plan.duration) for name, some in members.items()}
     times["discovery"] = {"core": desk.cpu / plan.duration / 1e9, "longest_turn": desk.longest / 1e9}
     return {
-        "version": VERSION, "name": plan.name, "time": plan.time, "seed": seed, "lean": plan.lean,
-        "balancers": plan.balancers, "real": plan.real, "servers": plan.servers, "seconds": plan.duration,
-        "plan": msgspec.to_builtins(plan), "counts": counts,
+        "version": VERSION,
+        "name": plan.name,
+        "time": plan.time,
+        "seed": seed,
+        "lean": plan.lean,
+        "balancers": plan.balancers,
+        "real": plan.real,
+        "servers": plan.servers,
+        "seconds": plan.duration,
+        "plan": msgspec.to_builtins(plan),
+        "counts": counts,
         "measured": times | {"memory_mb": memory_mb, "run_memory_mb": round(guard.most, 1)},
-        "budgets": figures.budgets(counts, times, memory_mb)}
+        "budgets": figures.budgets(counts, times, memory_mb),
+    }
 
 
 def play(plan: Plan, seed: int, quiet: bool = False) -> dict[str, Any]:
@@ -55,16 +66,24 @@
     guard = Guard(plan.limits.memory_mb)
     memory = weighed(plan, seed) if plan.memory_sizes else None
     length = plan.warm_up + plan.duration
-    with tqdm(total=length, desc=f"{plan.name} {plan.tier}x{plan.servers}", unit="s", disable=quiet or None,
-              bar_format="{l_bar}{bar}| {n:.1f}/{total:.0f} s [{elapsed}]") as bar:
+    with tqdm(
+        total=length,
+        desc=f"{plan.name} {plan.tier}x{plan.servers}",
+        unit="s",
+        disable=quiet or None,
+        bar_format="{l_bar}{bar}| {n:.1f}/{total:.0f} s [{elapsed}]",
+    ) as bar:
+
         def tell(at: float) -> None:
             bar.update(at - bar.n)
 
         if plan.time == "real":
             from bellrack.lab.scale import real
+
             world = real.play(plan, seed, guard, tell)
         else:
             from bellrack.lab.scale.virtual import World
+
             world = World(plan, seed, guard).play(tell)
     result = result_of(plan, seed, world, guard, memory)
     if plan.time == "real":
@@ -75,8 +94,16 @@
 def weighed(plan: Plan, seed: int) -> float:
     """Memory of one balancer in MB: two sizes before the same servers, the difference over that of sizes."""
     small, large = plan.memory_sizes
-    bare = msgspec.structs.replace(plan, lean=False, time="virtual", real=0, warm_up=WEIGHED_FOR,
-                                   duration=1.0, trouble=[], memory_sizes=[])
+    bare = msgspec.structs.replace(
+        plan,
+        lean=False,
+        time="virtual",
+        real=0,
+        warm_up=WEIGHED_FOR,
+        duration=1.0,
+        trouble=[],
+        memory_sizes=[],
+    )
     least, most = (child("weigh", bare, seed, True, size) for size in (small, large))
     return (most["rss_mb"] - least["rss_mb"]) / (large - small)
 
@@ -103,18 +130,30 @@
 
 # What is printed.
 
-TABLE = (("balancers", "balancers", "{}"), ("servers", "servers", "{}"), ("role", "role", "{}"),
-         ("in", "in B/s", "{:.0f}"), ("out", "out B/s", "{:.0f}"), ("fan", "to all B/s", "{:.0f}"),
-         ("datagrams_in", "datagrams in/s", "{:.1f}"), ("list_in", "list B/s", "{:.0f}"),
-         ("wire", "with heads, most", "{:.0f}"), ("steps", "steps/s", "{:.0f}"),
-         ("core", "core", "{:.4f}"), ("longest", "longest turn, s", "{:.4f}"), ("memory", "MB", "{:.2f}"),
-         ("over", "over budget", "{}"))
+TABLE = (
+    ("balancers", "balancers", "{}"),
+    ("servers", "servers", "{}"),
+    ("role", "role", "{}"),
+    ("in", "in B/s", "{:.0f}"),
+    ("out", "out B/s", "{:.0f}"),
+    ("fan", "to all B/s", "{:.0f}"),
+    ("datagrams_in", "datagrams in/s", "{:.1f}"),
+    ("list_in", "list B/s", "{:.0f}"),
+    ("wire", "with heads, most", "{:.0f}"),
+    ("steps", "steps/s", "{:.0f}"),
+    ("core", "core", "{:.4f}"),
+    ("longest", "longest turn, s", "{:.4f}"),
+    ("memory", "MB", "{:.2f}"),
+    ("over", "over budget", "{}"),
+)
 # Of a role: what is fitted over sizes, and its budget.
-FITTED = (("payload bytes in a second", "in", None),
-          ("payload bytes out a second, once for each receiver", "fan", None),
-          ("bytes a second, both ways, with heads, the most of one", "wire", figures.BUDGET_BYTES),
-          ("share of a core, the most of one", "core", figures.BUDGET_CORE),
-          ("memory of one balancer, MB", "memory", figures.BUDGET_MEMORY))
+FITTED = (
+    ("payload bytes in a second", "in", None),
+    ("payload bytes out a second, once for each receiver", "fan", None),
+    ("bytes a second, both ways, with heads, the most of one", "wire", figures.BUDGET_BYTES),
+    ("share of a core, the most of one", "core", figures.BUDGET_CORE),
+    ("memory of one balancer, MB", "memory", figures.BUDGET_MEMORY),
+)
 
 
 def rows(result: dict[str, Any]) -> list[dict[str, Any]]:
@@ -125,20 +164,40 @@
         if not counts["balancers"]:
             continue
         each = counts["each_second"]
-        told.append({
-            "balancers": result["balancers"], "servers": result["servers"], "role": role,
-            "in": each["in_bytes"], "out": each["out_bytes"], "fan": each["fan_bytes"],
-            "datagrams_in": each["in_datagrams"], "list_in": each["list_in"], "steps": each["steps"],
-            "wire": counts["wire"]["most"], "core": times["core_most"], "longest": times["longest_turn"],
-            "memory": result["measured"]["memory_mb"] if role == "plain" else None,
-            "over": [row["what"].split()[0] for row in result["budgets"]
-                     if row["role"] == role and row["over"]]})
+        told.append(
+            {
+                "balancers": result["balancers"],
+                "servers": result["servers"],
+                "role": role,
+                "in": each["in_bytes"],
+                "out": each["out_bytes"],
+                "fan": each["fan_bytes"],
+                "datagrams_in": each["in_datagrams"],
+                "list_in": each["list_in"],
+                "steps": each["steps"],
+                "wire": counts["wire"]["most"],
+                "core": times["core_most"],
+                "longest": times["longest_turn"],
+                "memory": result["measured"]["memory_mb"] if role == "plain" else None,
+                "over": [
+                    row["what"].split()[0] for row in result["budgets"] if row["role"] == role and row["over"]
+                ],
+            }
+        )
     desk = result["counts"]["discovery"]
-    told.append({key: None for key, _, _ in TABLE} | {
-        "balancers": result["balancers"], "servers": result["servers"], "role": "discovery",
-        "in": desk["bytes_in"] / result["seconds"], "out": desk["bytes_out"] / result["seconds"],
-        "core": result["measured"]["discovery"]["core"],
-        "longest": result["measured"]["discovery"]["longest_turn"], "over": []})
+    told.append(
+        {key: None for key, _, _ in TABLE}
+        | {
+            "balancers": result["balancers"],
+            "servers": result["servers"],
+            "role": "discovery",
+            "in": desk["bytes_in"] / result["seconds"],
+            "out": desk["bytes_out"] / result["seconds"],
+            "core": result["measured"]["discovery"]["core"],
+            "longest": result["measured"]["discovery"]["longest_turn"],
+            "over": [],
+        }
+    )
     return told
 
 
@@ -159,9 +218,21 @@
             fit = fit_power(*zip(*points))
             breaks = (budget / fit.factor) ** (1 / fit.slope) if budget and fit.slope > GROWS else None
             breaks = breaks if breaks and breaks <= FAR * TARGET else None
-            told.append({"role": role, "what": what, "key": key, "points": points, "budget": budget,
-                         "slope": fit.slope, "factor": fit.factor, "residual": fit.residual,
-                         "error": fit.error, "at_target": fit.at(TARGET), "breaks_at": breaks})
+            told.append(
+                {
+                    "role": role,
+                    "what": what,
+                    "key": key,
+                    "points": points,
+                    "budget": budget,
+                    "slope": fit.slope,
+                    "factor": fit.factor,
+                    "residual": fit.residual,
+                    "error": fit.error,
+                    "at_target": fit.at(TARGET),
+                    "breaks_at": breaks,
+                }
+            )
     return told
 
 
@@ -169,9 +240,11 @@
     """Plain text of them."""
     told = []
     for row in fitted:
-        line = (f"{row['role']}: {row['what']} = {row['factor']:.4g} * balancers ** {row['slope']:.3f}"
-                f" +- {row['error']:.3f}, residual at most {row['residual']:.1%}; "
-                f"at {TARGET} extrapolated {row['at_target']:.4g}")
+        line = (
+            f"{row['role']}: {row['what']} = {row['factor']:.4g} * balancers ** {row['slope']:.3f}"
+            f" +- {row['error']:.3f}, residual at most {row['residual']:.1%}; "
+            f"at {TARGET} extrapolated {row['at_target']:.4g}"
+        )
         line += f", budget {row['budget']:g}" if row["budget"] else ""
         told.append(line + (f", reached at {row['breaks_at']:.0f}" if row["breaks_at"] else ""))
     return told
@@ -188,12 +261,17 @@
 
 def child(kind: str, plan: Plan, seed: int, quiet: bool, size: int = 0) -> dict[str, Any]:
     """What a process of its own found. Raises ScenarioError with its last line if it could not."""
-    asked = json.dumps({"kind": kind, "plan": msgspec.to_builtins(plan), "seed": seed, "quiet": quiet,
-                        "size": size}).encode()
+    asked = json.dumps(
+        {"kind": kind, "plan": msgspec.to_builtins(plan), "seed": seed, "quiet": quiet, "size": size}
+    ).encode()
     process = subprocess.Popen(
-        [sys.executable, "-m", "bellrack.lab.scale"], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE if quiet else None, preexec_fn=with_parent,
-        env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))})
+        [sys.executable, "-m", "bellrack.lab.scale"],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE if quiet else None,
+        preexec_fn=with_parent,
+        env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
+    )
     try:
         told, said = process.communicate(asked)
     finally:
--- a/bellrack/lab/scale/standins.py
+++ b/bellrack/lab/scale/standins.py
@@ -3,6 +3,7 @@
 Owns the child process, what stands through it, and the reading of its processor time and memory from /proc.
 It decides nothing, leaves no process and no file behind, and measures nothing by the clock of a wall.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -66,8 +67,9 @@
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         self.stand.clients.append(transport)
-        transport.write(b"OPEN c%08d %x c=chat,g=%x,d=20000\r\n" % (self.number, self.number,
-                                                                  self.number % 997 + 1))
+        transport.write(
+            b"OPEN c%08d %x c=chat,g=%x,d=20000\r\n" % (self.number, self.number, self.number % 997 + 1)
+        )
 
     def data_received(self, data: bytes) -> None:
         self.stand.received += data.count(b"\n")
@@ -98,8 +100,11 @@
         self.log = Path(folder) / log
         with self.log.open("wb") as out:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "bellrack", "serve", "--config", config], stderr=out,
-                stdout=subprocess.DEVNULL, env=os.environ | {"TMPDIR": folder})
+                [sys.executable, "-m", "bellrack", "serve", "--config", config],
+                stderr=out,
+                stdout=subprocess.DEVNULL,
+                env=os.environ | {"TMPDIR": folder},
+            )
         self.pid = self.process.pid
 
     def text(self) -> str:
@@ -148,16 +153,31 @@
         loop = asyncio.get_running_loop()
         self.folder = tempfile.TemporaryDirectory(prefix="bellrack-scale-")
         server = await loop.create_server(lambda: Server(self), "127.0.0.1", 0, backlog=1024)
-        listed = {"generation": 1, "reset": True,
-                  "instances": self.rows(self.servers, server.sockets[0].getsockname()[1])}
+        listed = {
+            "generation": 1,
+            "reset": True,
+            "instances": self.rows(self.servers, server.sockets[0].getsockname()[1]),
+        }
         text = json.dumps(listed).encode() + b"\n"
         discovery = await loop.create_server(lambda: Discovery(text), "127.0.0.1", 0)
         self.listeners = [server, discovery]
         self.config = os.path.join(self.folder.name, "config.json")
         place = lines.written(discovery.sockets[0].getsockname())
-        Path(self.config).write_text(json.dumps({
-            "name": "b0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "discovery": place, "seed": "1",
-            "limits": {"sockets": 65536}, "settings": self.settings, "known": listed}), encoding="utf-8")
+        Path(self.config).write_text(
+            json.dumps(
+                {
+                    "name": "b0",
+                    "listen": "127.0.0.1:0",
+                    "control": "127.0.0.1:0",
+                    "discovery": place,
+                    "seed": "1",
+                    "limits": {"sockets": 65536},
+                    "settings": self.settings,
+                    "known": listed,
+                }
+            ),
+            encoding="utf-8",
+        )
         return self
 
     async def __aexit__(self, *error: object) -> None:
--- a/bellrack/lab/scale/tier.py
+++ b/bellrack/lab/scale/tier.py
@@ -3,6 +3,7 @@
 Owns the course of a run by its plan and seed, the same on virtual and on real time. It never carries a byte:
 the network, and how a balancer is made, are its faces'.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -60,8 +61,11 @@
 
     def falls_out(self, sender: int, receiver: int) -> bool:
         """Is a datagram on this way lost?"""
-        if self.cut and self.apart(self.zone(sender), self.zone(receiver)) or (
-                self.plan.loss and self.network.even() < self.plan.loss):
+        if (
+            self.cut
+            and self.apart(self.zone(sender), self.zone(receiver))
+            or (self.plan.loss and self.network.even() < self.plan.loss)
+        ):
             self.lost += 1
             return True
         return False
--- a/bellrack/lab/scale/virtual.py
+++ b/bellrack/lab/scale/virtual.py
@@ -3,6 +3,7 @@
 Owns the virtual loop, streams and datagrams. The same plan and seed give the same
 counts to the digit; it reads no clock but that of the processor, which goes into no count.
 """
+
 from __future__ import annotations
 
 import gc
@@ -196,8 +197,13 @@
 
     def delay(self, one: int, other: int, jitter: float = 0.0) -> float:
         latency = self.plan.latency
-        way = (latency.zone if one == other else latency.region
-               if self.region(one) == self.region(other) else latency.far)
+        way = (
+            latency.zone
+            if one == other
+            else latency.region
+            if self.region(one) == self.region(other)
+            else latency.far
+        )
         return way * (1 + latency.jitter * jitter)
 
     def post(self, sender: Hollow, peer: int | None, data: bytes) -> None:
@@ -205,8 +211,13 @@
         if not sender.alive:
             return
         number, count = sender.number, len(self.figures)
-        receivers = ([other for other in range(count) if other != number] if peer is None
-                     else [peer] if 0 <= peer < count else [])
+        receivers = (
+            [other for other in range(count) if other != number]
+            if peer is None
+            else [peer]
+            if 0 <= peer < count
+            else []
+        )
         sender.figures.sent(data, len(receivers), peer is None)
         if peer is None:
             self.last_broadcast = number
--- a/bellrack/lab/scenario.py
+++ b/bellrack/lab/scenario.py
@@ -4,6 +4,7 @@
 lie between 0 and 1, work and load are in cores (a load of 0.1 keeps a tenth of a core of speed 1 busy). It
 never draws by chance and never plays anything: the text of a file is a function of nothing else.
 """
+
 from __future__ import annotations
 
 import math
@@ -314,8 +315,23 @@
     lasts: Seconds = 10.0
 
 
-Troubles = (Crash | Drain | Slow | Failing | Hang | Stall | ZoneLost | ListDown | StoreSlow | Dear | Burst
-            | Drop | Killed | Rolled | Partition)
+Troubles = (
+    Crash
+    | Drain
+    | Slow
+    | Failing
+    | Hang
+    | Stall
+    | ZoneLost
+    | ListDown
+    | StoreSlow
+    | Dear
+    | Burst
+    | Drop
+    | Killed
+    | Rolled
+    | Partition
+)
 
 
 class Scenario(Form, kw_only=True):
@@ -363,8 +379,12 @@
         raise ScenarioError(f"{path}: {error}") from error
 
 
-def parse_tables(raw: dict[str, Any], form: type[Parsed], source: str,
-                 faults: Callable[[Parsed], Iterable[tuple[str, str]]]) -> Parsed:
+def parse_tables(
+    raw: dict[str, Any],
+    form: type[Parsed],
+    source: str,
+    faults: Callable[[Parsed], Iterable[tuple[str, str]]],
+) -> Parsed:
     """What the tables hold, in that form; `faults` names keys and what is wrong with each. Raises
     ScenarioError."""
     try:
@@ -400,8 +420,11 @@
 
 def balancer_names(scenario: Scenario) -> list[tuple[str, int]]:
     """Each balancer's name and the index of its zone."""
-    return [(f"{zone.name}-b{number + 1}", index) for index, zone in enumerate(scenario.zone)
-            for number in range(zone.balancers)]
+    return [
+        (f"{zone.name}-b{number + 1}", index)
+        for index, zone in enumerate(scenario.zone)
+        for number in range(zone.balancers)
+    ]
 
 
 def _faults(scenario: Scenario):
@@ -416,8 +439,10 @@
                 yield f"{key}[{index}].name", f"{name} is named twice"
     if not any(zone.balancers for zone in scenario.zone):
         yield "zone", "no zone has a balancer"
-    for key, weights in (("zone", [zone.clients for zone in scenario.zone]),
-                         ("type", [kind.share for kind in scenario.type])):
+    for key, weights in (
+        ("zone", [zone.clients for zone in scenario.zone]),
+        ("type", [kind.share for kind in scenario.type]),
+    ):
         if not sum(weights):
             yield key, "all shares are 0"
     for index, zone in enumerate(scenario.zone):
@@ -431,9 +456,11 @@
     for index, kind in enumerate(scenario.type):
         if kind.setup_target > kind.guard:
             yield f"type[{index}].setup_target", "beyond the guard time"
-    spans = [("clients", scenario.clients, ("backoff", "again", "rejoin")),
-             ("listing", scenario.listing, ("notice", "silent_notice")),
-             ("datagrams", scenario.datagrams, ("delay",))]
+    spans = [
+        ("clients", scenario.clients, ("backoff", "again", "rejoin")),
+        ("listing", scenario.listing, ("notice", "silent_notice")),
+        ("datagrams", scenario.datagrams, ("delay",)),
+    ]
     for table, values, keys in spans:
         for key in keys:
             low, high = getattr(values, key)
--- a/bellrack/lab/sockets.py
+++ b/bellrack/lab/sockets.py
@@ -4,6 +4,7 @@
 nothing here decides when a server answers what. Stand-ins only: written for the lab, of the platform's
 public protocol.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -189,8 +190,9 @@
                 self.refuse()
             elif "watch=1" in self.target:
                 self.watch = True
-                self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                     b"Transfer-Encoding: chunked\r\n\r\n")
+                self.transport.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+                )
                 self.keep_up()
                 self.node.watches(self)
             else:
--- a/bellrack/lab/starts.py
+++ b/bellrack/lab/starts.py
@@ -16,6 +16,7 @@
 Owns the processes that it starts, each of which listens at a port of its own, and a discovery for all. It
 touches no other process, and whatever it prints is of this machine and of how busy it was.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -33,13 +34,21 @@
 MOST = 200  # processes
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 WAYS = ("answers", "refuses", "says-nothing", "slow")
-LIST = {"generation": 41, "reset": True, "instances": [
-    {"instanceId": "s-0", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": "in_service"}]}
+LIST = {
+    "generation": 41,
+    "reset": True,
+    "instances": [{"instanceId": "s-0", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": "in_service"}],
+}
 SETTINGS = {
     "trafficTypes": [{"name": "chat", "effect": "retryable", "guardTimeUs": 2e6, "setupTargetUs": 3e5}],
-    "specifics": {"messageAimUs": [1e5], "tellsDelay": True}, "accounts": [], "areas": ["a"], "az": 0,
-    "caps": {"maxLegs": 3, "connectTimeoutUs": 200000}, "peersTotal": 1,
-    "obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7}}
+    "specifics": {"messageAimUs": [1e5], "tellsDelay": True},
+    "accounts": [],
+    "areas": ["a"],
+    "az": 0,
+    "caps": {"maxLegs": 3, "connectTimeoutUs": 200000},
+    "peersTotal": 1,
+    "obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7},
+}
 
 
 class Lists:
@@ -94,8 +103,14 @@
     """Runs one until it is ready; it goes on serving."""
     begun = time.monotonic()
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "bellrack", "serve", f"--config={path}",
-        stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "bellrack",
+        "serve",
+        f"--config={path}",
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.PIPE,
+    )
     processes.append(process)
     async for line in process.stderr:
         if b"event=serving" in line:
@@ -104,16 +119,21 @@
     return Start()
 
 
-async def measure(count: int, way: str, known: bool, lists: str, rate: float,
-                  seconds: float) -> tuple[list[Start], int]:
+async def measure(
+    count: int, way: str, known: bool, lists: str, rate: float, seconds: float
+) -> tuple[list[Start], int]:
     """What became of each that was started, and how many lists were told."""
     service, processes, tasks = Lists(way, rate), [], []
     listener = await asyncio.start_server(
-        service.called, "127.0.0.1", backlog=4 * MOST, start_serving=way != "refuses")
+        service.called, "127.0.0.1", backlog=4 * MOST, start_serving=way != "refuses"
+    )
     place = "{}:{}".format(*listener.sockets[0].getsockname())
     with tempfile.TemporaryDirectory() as folder:
-        raw: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": place,
-                               "settings": SETTINGS | {"discovery": lists}}
+        raw: dict[str, Any] = {
+            "listen": "127.0.0.1:0",
+            "discovery": place,
+            "settings": SETTINGS | {"discovery": lists},
+        }
         if known:
             raw["known"] = LIST
         path = os.path.join(folder, "config.json")
@@ -143,10 +163,14 @@
 
 def told(starts: list[Start], lists: int, cores: str) -> str:
     """The figures, a line each."""
+
     def spread(values: list[float]) -> str:
         values = sorted(values)
-        return " ".join(f"{name} {values[round(part * (len(values) - 1))]:.2f}"
-                        for name, part in (("least", 0), ("median", 0.5), ("p90", 0.9), ("most", 1)))
+        return " ".join(
+            f"{name} {values[round(part * (len(values) - 1))]:.2f}"
+            for name, part in (("least", 0), ("median", 0.5), ("p90", 0.9), ("most", 1))
+        )
+
     ready = [one for one in starts if one.ready is not None]
     text = f"started {len(starts)}, ready {len(ready)}, lists told {lists}, cores {cores}\n"
     for bound in (6, 10):
@@ -161,12 +185,22 @@
     asked = docopt(__doc__)
     count, way = int(asked["--processes"]), asked["--discovery"]
     if not 1 <= count <= MOST or way not in WAYS or asked["--lists"] not in ("ask", "push"):
-        print(f"bellrack: 1 to {MOST} processes; --discovery {', '.join(WAYS)}; --lists ask, push",
-              file=sys.stderr)
+        print(
+            f"bellrack: 1 to {MOST} processes; --discovery {', '.join(WAYS)}; --lists ask, push",
+            file=sys.stderr,
+        )
         return 2
     before = cores()
-    starts, lists = asyncio.run(measure(count, way, asked["--known"] == "given", asked["--lists"],
-                                        float(asked["--rate"]), float(asked["--seconds"])))
+    starts, lists = asyncio.run(
+        measure(
+            count,
+            way,
+            asked["--known"] == "given",
+            asked["--lists"],
+            float(asked["--rate"]),
+            float(asked["--seconds"]),
+        )
+    )
     print(told(starts, lists, f"{before} at first, {cores()} at last"), end="")
     return 0
 
--- a/bellrack/lab/trace.py
+++ b/bellrack/lab/trace.py
@@ -4,6 +4,7 @@
 and holds all that the referee may judge by. An entry is a tuple of its time (seconds), its kind and its
 fields.
 """
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -12,16 +13,23 @@
 
 FIELDS = {
     # balancers
-    "start": "balancer incarnation", "stop": "balancer how", "fault": "balancer what",
+    "start": "balancer incarnation",
+    "stop": "balancer how",
+    "fault": "balancer what",
     # what a balancer has been told of a server: state and start, as listed
     "told": "balancer server state",
     # a connection that stood before the run
     "stood": "call balancer server",
     # calls: taken by a balancer; answered; nobody waits any more; ended for the client after it stood
-    "call": "call balancer request type guard", "answer": "call how wait", "gone": "call", "over": "call how",
+    "call": "call balancer request type guard",
+    "answer": "call how wait",
+    "gone": "call",
+    "over": "call how",
     # legs: sent; reached the server; took effect there; the balancer was told of its end
-    "leg": "call number balancer server", "work": "server call work demand capacity",
-    "ran": "call number server", "back": "call number kind",
+    "leg": "call number balancer server",
+    "work": "server call work demand capacity",
+    "ran": "call number server",
+    "back": "call number kind",
     # servers: cold, drain, down, fell, hang
     "server": "server what",
     # the script
--- a/bellrack/lab/world.py
+++ b/bellrack/lab/world.py
@@ -4,6 +4,7 @@
 troubles. Same scenario, seed and policy, same trace to the last entry. It holds no decision logic:
 balancers are the builds that it is handed, behind the books that all hosts share.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -37,8 +38,13 @@
 class World:
     legs_form: type[Setups] = Legs
 
-    def __init__(self, scenario: Scenario, seed: int,
-                 policy: Callable[[World], Callable[..., Any]] | None = None, agenda: Agenda | None = None):
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        policy: Callable[[World], Callable[..., Any]] | None = None,
+        agenda: Agenda | None = None,
+    ):
         self.scenario, self.seed = scenario, seed
         self.chance, self.agenda, self.trace = Chance(seed), agenda or Agenda(), Trace()
         self.counters: Counter = Counter()
@@ -78,22 +84,41 @@
     def settings(self, zone: int) -> Settings:
         """What a balancer of that zone is told at its start."""
         scenario, rules = self.scenario, self.scenario.rules
-        types = [TrafficType(kind.effect, kind.group, kind.remembered, kind.setup_target, kind.message_aim)
-                 for kind in scenario.type]
+        types = [
+            TrafficType(kind.effect, kind.group, kind.remembered, kind.setup_target, kind.message_aim)
+            for kind in scenario.type
+        ]
         return Settings(
-            types=types, zone=zone, peers=sum(zone.balancers for zone in scenario.zone),
-            asks=scenario.listing.asks, live=False, report=(), max_legs=rules.max_legs,
-            max_open_wait=rules.max_open_wait, tick=rules.tick, answer_slack=rules.answer_slack,
+            types=types,
+            zone=zone,
+            peers=sum(zone.balancers for zone in scenario.zone),
+            asks=scenario.listing.asks,
+            live=False,
+            report=(),
+            max_legs=rules.max_legs,
+            max_open_wait=rules.max_open_wait,
+            tick=rules.tick,
+            answer_slack=rules.answer_slack,
             cold_share=min((kind.cold_share for kind in scenario.kind), default=1.0),
             ramp_time=max((kind.warm_up for kind in scenario.kind), default=0.0),
-            overload_factor=rules.push_multiple, fall_time=rules.push_window)
+            overload_factor=rules.push_multiple,
+            fall_time=rules.push_window,
+        )
 
     def starts(self, number: int, before: VirtualNode | None = None) -> VirtualNode:
         """A balancer starts, with the list as it last had it."""
         name, zone = forms.balancer_names(self.scenario)[number]
-        node = VirtualNode(self, name, number, zone, before.incarnation + 1 if before else 0,
-                           self.settings(zone), self.chance[f"balancer {name}"].seed(), self.decides)
-        self.nodes[number:number + 1] = [node]
+        node = VirtualNode(
+            self,
+            name,
+            number,
+            zone,
+            before.incarnation + 1 if before else 0,
+            self.settings(zone),
+            self.chance[f"balancer {name}"].seed(),
+            self.decides,
+        )
+        self.nodes[number : number + 1] = [node]
         self.trace.add(self.now, "start", name, node.incarnation)
         known = before.told if before and before.told else self.roster.known
         node.listed([(machine, state, since) for machine, (state, since) in known.items()], True)
@@ -130,8 +155,10 @@
     def stand_at_start(self) -> None:
         """Connections that stood before: in their zones, with their groups, no server far over the mean."""
         stream, orders = self.chance["standing"], {}
-        homes = [[m for m in self.machines if m.zone == zone] or self.machines
-                 for zone in range(len(self.scenario.zone))]
+        homes = [
+            [m for m in self.machines if m.zone == zone] or self.machines
+            for zone in range(len(self.scenario.zone))
+        ]
         can = {m: m.capacity(self.now) for m in self.machines}
         worth = [sum(can[m] for m in home) for home in homes]
         asked = [0.0 for _ in homes]
@@ -145,8 +172,9 @@
             most = GATHER * asked[zone] / worth[zone]
             machine = next((m for m in orders[lot] if m.demand <= most * can[m]), orders[lot][0])
             self.clients.calls += 1
-            attempt = want.attempt = Attempt(self.clients.calls, want, node, self.now, self.now,
-                                             self.client_delay())
+            attempt = want.attempt = Attempt(
+                self.clients.calls, want, node, self.now, self.now, self.client_delay()
+            )
             attempt.said = "completed"
             self.legs.stands_at(node.resume_standing(attempt, machine))
 
@@ -168,8 +196,9 @@
         self.ledger.look(flags)
         if len(self.ledger.looks) * EACH % 1 == 0:
             self.store_calls.append(self.store.calls)
-            self.answers.append({how: self.counters[how] for how in ("completed", "rejected", "released",
-                                                                     "gave_up")})
+            self.answers.append(
+                {how: self.counters[how] for how in ("completed", "rejected", "released", "gave_up")}
+            )
         self.agenda.after(EACH, LOOK, self.look)
 
     def notices(self) -> None:
@@ -236,8 +265,9 @@
             return [self.by_name[name] for name in trouble.servers]
         zones = [zone.name for zone in self.scenario.zone]
         among = [m for m in self.machines if m.up and trouble.zone in ("", zones[m.zone])]
-        return self.chance[f"trouble {trouble.at} {type(trouble).__name__}"].some(among,
-                                                                                 trouble.count or len(among))
+        return self.chance[f"trouble {trouble.at} {type(trouble).__name__}"].some(
+            among, trouble.count or len(among)
+        )
 
     def goes_down(self, machine: Machine, silent: bool) -> None:
         self.trace.add(self.now, "server", machine.name, "down")
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -18,6 +18,7 @@
 The balancer acts through its `Door`. Times are seconds on the host's clock; the host keeps the books of a
 call (`legs`, `done`, `leg.result`) before it tells the balancer.
 """
+
 from __future__ import annotations
 
 import math
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -4,6 +4,7 @@
 two of them. It never answers on its own authority but to malformed lines, and never ends a connection that
 stands without a word unless one of its sides has ended.
 """
+
 from __future__ import annotations
 
 from typing import Any
--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -3,6 +3,7 @@
 Owns the reading of the configuration file. It never opens a socket, and whatever makes a file unusable leaves
 it as one SettingsError with a plain text.
 """
+
 from __future__ import annotations
 
 import json
@@ -77,15 +78,21 @@
         spoilt = str(error)
     try:
         return Config(
-            name=str(raw.get("name", "")), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
-            seed=int(str(raw.get("seed", "0")), 16), sockets=int(raw.get("limits", {}).get("sockets", 1024)),
-            settings=parse_settings(check_shape(raw["settings"])), names=parse_names(raw["settings"]),
-            known=known, spoilt=spoilt,
+            name=str(raw.get("name", "")),
+            listen=address(raw["listen"]),
+            discovery=address(raw["discovery"]),
+            seed=int(str(raw.get("seed", "0")), 16),
+            sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            settings=parse_settings(check_shape(raw["settings"])),
+            names=parse_names(raw["settings"]),
+            known=known,
+            spoilt=spoilt,
             peer_listen=address(raw["peer_listen"]) if raw.get("peer_listen") else None,
             peers=[address(peer) for peer in raw.get("peers", [])],
             peers_all=address(raw["peers_all"]) if raw.get("peers_all") else None,
             control=address(raw["control"]) if raw.get("control") else None,
-            raw={key: value for key, value in raw.items() if key != "known"})
+            raw={key: value for key, value in raw.items() if key != "known"},
+        )
     except KeyError as error:
         raise SettingsError(f"no value at {error}") from error
     except (ValueError, TypeError, AttributeError) as error:
--- a/bellrack/net/control.py
+++ b/bellrack/net/control.py
@@ -3,6 +3,7 @@
 Owns the calls and their one answer each. It never decides which server is used, never waits for anything
 before it answers, and never takes a descriptor that calls of clients need beyond its few.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -88,5 +89,9 @@
     return 200, "out\n" if out else "back\n"
 
 
-CALLS = {"/_ready": ("GET", ready), "/_vars": ("GET", shown), "/_servers/detach": ("POST", detach),
-         "/_servers/attach": ("POST", attach)}
+CALLS = {
+    "/_ready": ("GET", ready),
+    "/_vars": ("GET", shown),
+    "/_servers/detach": ("POST", detach),
+    "/_servers/attach": ("POST", attach),
+}
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -5,6 +5,7 @@
 is doubtful. It never decides when to call where the decisions do, never keeps the list, and takes silence for
 failure. Gaps and ages are worked out in `bellrack/discovery_retry.py`.
 """
+
 from __future__ import annotations
 
 import math
@@ -56,8 +57,10 @@
         if self.reached and not self.asked:
             self.asked, self.asked_at = True, self.node.now
             query = f"?watch=1&after={self.node.server_list.version}" if self.watch else ""
-            self.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
-                       f"Accept: application/json\r\n\r\n".encode())
+            self.write(
+                f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {lines.written(self.address)}\r\n"
+                f"Accept: application/json\r\n\r\n".encode()
+            )
         begun = self.reply.status
         try:
             while self.ring.held and not self.over:
--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -4,6 +4,7 @@
 left in the kernel's queue when there is none to spare. It never looks at who comes through one, and never
 closes the clients' door while connections wait in it that no other process takes.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -101,7 +102,8 @@
             self.node.limits.counted(1)
             sock = socket.create_server(place, backlog=limits.CALLERS)
             self.desk = Listener(
-                self.node, sock, lambda: not self.node.limits.spent(), lambda: Caller(self.node))
+                self.node, sock, lambda: not self.node.limits.spent(), lambda: Caller(self.node)
+            )
 
     async def open(self, taken: socket.socket | None) -> None:
         """Accept from now on, at the door of the process before us if it gave it."""
@@ -121,7 +123,8 @@
     def accept(self) -> None:
         self.socket.listen(limits.BACKLOG)
         self.listener = Listener(
-            self.node, self.socket, lambda: not self.node.limits.crowded(2), lambda: Client(self.node))
+            self.node, self.socket, lambda: not self.node.limits.crowded(2), lambda: Client(self.node)
+        )
 
     def shut(self, for_good: bool = False) -> None:
         """The other process accepts now. Who has come in stays with us; who waits in the door goes to it. Or
@@ -157,7 +160,7 @@
     def close(self) -> None:
         self.shut(for_good=True)
         if self.desk:
-            sock, = self.desk.sockets
+            (sock,) = self.desk.sockets
             self.desk.close()
             sock.close()
         if self.socket:
--- a/bellrack/net/figures.py
+++ b/bellrack/net/figures.py
@@ -3,6 +3,7 @@
 Owns their names and their form. It never counts: it reads the counters, the books and the decisions as they
 are when it is asked.
 """
+
 from __future__ import annotations
 
 from typing import Any
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -4,6 +4,7 @@
 one is gone. It never decides, never moves a connection that stands, and takes a process of another user for
 nobody. Without the other process all is as if there were none.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -44,8 +45,14 @@
     """The process that serves, as the one that starts finds it: its door, what it told, and bytes of what it
     has begun to say after that."""
 
-    def __init__(self, sock: socket.socket, door: socket.socket, way: socket.socket | None, told: dict,
-                 rest: bytes = b""):
+    def __init__(
+        self,
+        sock: socket.socket,
+        door: socket.socket,
+        way: socket.socket | None,
+        told: dict,
+        rest: bytes = b"",
+    ):
         self.sock, self.door, self.way, self.told, self.rest = sock, door, way, told, rest
 
 
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -3,6 +3,7 @@
 Owns which of the two listens, and the state that goes over beside the connections. The Unix socket is
 `handover.py`, the hand-off of connections `passing.py`. Without a sibling nothing here does anything.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -56,15 +57,20 @@
         """The Unix socket to the sibling is up; `early`: bytes of it that are already read."""
         self.sibling = handover.Other(self.node, giver, early)
         self.connecting = self.node.loop.create_task(
-            self.node.loop.create_unix_connection(lambda: self.sibling, sock=sock))
+            self.node.loop.create_unix_connection(lambda: self.sibling, sock=sock)
+        )
 
     def snapshot(self) -> dict[str, Any]:
         """What the process that comes after us is given with the listening socket."""
         node = self.node
         return {
-            "version": handover.VERSION, "list": node.server_list.written(), "learned": node.learned(),
+            "version": handover.VERSION,
+            "list": node.server_list.written(),
+            "learned": node.learned(),
             "out": list(node.server_list.cordoned.values()),
-            "seen": [*node.limits.seen, *node.limits.ids], "started": node.resumed.window.started}
+            "seen": [*node.limits.seen, *node.limits.ids],
+            "started": node.resumed.window.started,
+        }
 
     def publish(self, **words: Any) -> None:
         """Tell the sibling, if there is one."""
--- a/bellrack/net/http.py
+++ b/bellrack/net/http.py
@@ -3,13 +3,22 @@
 Owns the form of both, for callers that ask one thing a connection. It never touches a socket, knows no path,
 and holds no more than a head and a body of bounded size.
 """
+
 from __future__ import annotations
 
 HEAD = 4096  # bytes of the request line and the fields
 BODY = 1024  # bytes; an id is far shorter
-SAID = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-        411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-        503: "Service Unavailable"}
+SAID = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    411: "Length Required",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -39,7 +48,7 @@
         if not self.method:
             self._head()
         if self.method and len(self.rest) >= self.length:
-            self.body, self.done = bytes(self.rest[:self.length]), True
+            self.body, self.done = bytes(self.rest[: self.length]), True
 
     def _head(self) -> None:
         while self.rest.startswith(b"\r\n"):
@@ -50,15 +59,20 @@
         if at < 0:
             return
         first, *fields = self.rest[:at].decode("latin-1").split("\r\n")
-        del self.rest[:at + 4]
+        del self.rest[: at + 4]
         words = first.split(" ")
         if len(words) != 3 or not words[0].isalpha() or not words[2].startswith("HTTP/1."):
             raise HttpError(400)
         named = {}
         for field in fields:
             name, colon, value = field.partition(":")
-            if not colon or not name or name != name.strip() or name.lower() in named and \
-                    name.lower() == "content-length":
+            if (
+                not colon
+                or not name
+                or name != name.strip()
+                or name.lower() in named
+                and name.lower() == "content-length"
+            ):
                 raise HttpError(400)
             named[name.lower()] = value.strip()
         if "transfer-encoding" in named:
@@ -76,5 +90,7 @@
 def answer(status: int, text: str, allow: str = "") -> bytes:
     """A whole answer; the connection ends after it."""
     body, allowed = text.encode(), f"Allow: {allow}\r\n" if allow else ""
-    return (f"HTTP/1.1 {status} {SAID[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n{allowed}"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n").encode() + body
+    return (
+        f"HTTP/1.1 {status} {SAID[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n{allowed}"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    ).encode() + body
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/leaving.py
@@ -4,6 +4,7 @@
 still wait are answered, and when the program ends. It takes no call, never cuts off a connection without a
 word, and never waits past the time that is left.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -25,8 +26,9 @@
         self.node, self.begun = node, node.now
         self.allowed = min(LONGEST, max(node.names.guards)) + GRACE
         standing = [client for client in node.clients if client.other]
-        log.tell("leaving", standing=len(standing), seconds=self.allowed,
-                 handed_over=node.hot_restart.followed)
+        log.tell(
+            "leaving", standing=len(standing), seconds=self.allowed, handed_over=node.hot_restart.followed
+        )
         if node.hot_restart.giver:
             self.hand_over()
         else:
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -3,6 +3,7 @@
 Owns the count of descriptors, the connections to which nothing is owed, oldest first, and the ids that
 are open. It never looks into lines, and never ends a connection that has a call.
 """
+
 from __future__ import annotations
 
 import os
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -3,6 +3,7 @@
 Owns parsing and writing of text, from bytes to plain values and back. It never reads or writes a socket,
 keeps no state of a connection but the part of an HTTP answer that is still to come, and decides nothing.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -16,8 +17,13 @@
 from bellrack import model
 
 STATES = {"in_service": model.READY, "terminating": model.DRAINING, "terminated": model.GONE}
-ANSWERS = {"UP": "up", "BYE": model.COMPLETED, "MOVE": model.CANCELLED, "ERR": model.ERROR,
-           "BUSY": model.FULL}
+ANSWERS = {
+    "UP": "up",
+    "BYE": model.COMPLETED,
+    "MOVE": model.CANCELLED,
+    "ERR": model.ERROR,
+    "BUSY": model.FULL,
+}
 MOST = 1 << 22  # bytes of one line or head of discovery
 DIGITS = 16  # of a number on a line
 LINE = 4096  # bytes of a line of clients and servers, its end included
@@ -73,8 +79,9 @@
 
 def names_server(data: bytes) -> bool:
     """Do these bytes, whole lines or not, begin a resumed connection?"""
-    return any(line.startswith(b"OPEN ") and (b" at=" in line or b",at=" in line)
-               for line in data.split(b"\n"))
+    return any(
+        line.startswith(b"OPEN ") and (b" at=" in line or b",at=" in line) for line in data.split(b"\n")
+    )
 
 
 def with_wait(asked: Wish, seconds: float) -> bytes:
@@ -126,10 +133,23 @@
 def told(rows: Iterable[tuple]) -> dict[str, Any]:
     """A whole list in the form that `listing` reads, from rows of what an entry has."""
     states = {state: word for word, state in STATES.items()}
-    return {"generation": 0, "reset": True, "instances": [
-        {"instanceId": name, "hostPort": written(place), "zone": zone, "lifecycle": states[state],
-         "cell": cell, "weight": weight, "startedAtMs": since * 1000, "machineType": kind}
-        for name, place, zone, state, cell, weight, since, kind in rows]}
+    return {
+        "generation": 0,
+        "reset": True,
+        "instances": [
+            {
+                "instanceId": name,
+                "hostPort": written(place),
+                "zone": zone,
+                "lifecycle": states[state],
+                "cell": cell,
+                "weight": weight,
+                "startedAtMs": since * 1000,
+                "machineType": kind,
+            }
+            for name, place, zone, state, cell, weight, since, kind in rows
+        ],
+    }
 
 
 def entry(item: Any) -> Entry:
@@ -140,9 +160,17 @@
         item = {"hostPort": "", "zone": ""} | item
     since = float(item.get("startedAtMs", 0)) / 1000
     return Entry(
-        item["instanceId"], address(item["hostPort"]) if item["hostPort"] or state != model.GONE else None,
-        item["zone"], (state, int(item.get("cell", 0)), figure(item.get("weight", 1.0)) or None,
-                       since if math.isfinite(since) else 0.0), str(item.get("machineType", "")))
+        item["instanceId"],
+        address(item["hostPort"]) if item["hostPort"] or state != model.GONE else None,
+        item["zone"],
+        (
+            state,
+            int(item.get("cell", 0)),
+            figure(item.get("weight", 1.0)) or None,
+            since if math.isfinite(since) else 0.0,
+        ),
+        str(item.get("machineType", "")),
+    )
 
 
 def figure(told: Any) -> float | None:
--- a/bellrack/net/log.py
+++ b/bellrack/net/log.py
@@ -4,6 +4,7 @@
 module, and the counters of what was taken in, sent and answered. It never decides, and keeps nothing that
 grows with traffic.
 """
+
 from __future__ import annotations
 
 import logging
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -4,6 +4,7 @@
 process. It never chooses a server, never lets one faulty connection end the program, and begins no attempt
 for a client that the kernel knows to be gone.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -153,8 +154,15 @@
         tenant = self.names.tenants.get(values.get("t", ""), 0)
         if "t" in values and self.names.tenants and values["t"] not in self.names.tenants:
             raise lines.LineError("unknown-tenant")
-        call = self.book(kind, wait, key=wish.key, group=wish.number("g", 16) or 0, tenant=tenant,
-                         repeat=values.get("r") == "1", returned=values.get("again") == "1")
+        call = self.book(
+            kind,
+            wait,
+            key=wish.key,
+            group=wish.number("g", 16) or 0,
+            tenant=tenant,
+            repeat=values.get("r") == "1",
+            returned=values.get("again") == "1",
+        )
         self.counters["calls"] += 1
         call.host, client.call = client, call
         self.limits.ids[wish.id] = client
@@ -244,9 +252,15 @@
         self.takes_requests = True
         self.hot_restart.publish(took=True)
         self.address = self.doors.socket.getsockname()
-        log.tell("serving", name=self.config.name, listen=lines.written(self.address),
-                 servers=len(self.servers), weights="live" if self.settings.live else "nominal",
-                 report=",".join(self.settings.report) or "none", after=listening is not None)
+        log.tell(
+            "serving",
+            name=self.config.name,
+            listen=lines.written(self.address),
+            servers=len(self.servers),
+            weights="live" if self.settings.live else "nominal",
+            report=",".join(self.settings.report) or "none",
+            after=listening is not None,
+        )
 
     def can_serve(self) -> bool:
         """It takes calls and has a list, by discovery or, if that is late, from before."""
@@ -270,8 +284,11 @@
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(lambda _, said: log.tell(
-            "loop", what=said.get("message", ""), error=repr(said.get("exception", ""))))
+        loop.set_exception_handler(
+            lambda _, said: log.tell(
+                "loop", what=said.get("message", ""), error=repr(said.get("exception", ""))
+            )
+        )
         await Node(config, loop).serve()
 
     asyncio.run(main())
--- a/bellrack/net/pairing.py
+++ b/bellrack/net/pairing.py
@@ -1,4 +1,5 @@
 """What the two ends of a client's way, its own connection and that to a server, may ask of each other."""
+
 from __future__ import annotations
 
 from typing import Protocol
--- a/bellrack/net/passing.py
+++ b/bellrack/net/passing.py
@@ -4,6 +4,7 @@
 notices: no byte is lost, sent twice or out of order, and nothing is moved. It never hands over a call that is
 still owed its answer: that stays with the process that took it.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -37,7 +38,7 @@
 def read(link: Link, text: str) -> None:
     """What had come in and was not yet taken."""
     data = base64.b64decode(text, validate=True)
-    link.ring.space()[:len(data)] = data
+    link.ring.space()[: len(data)] = data
     link.ring.added(len(data))
 
 
@@ -97,9 +98,14 @@
         return True
 
     def standing(self, link: ServerLink) -> dict[str, Any]:
-        return {"line": link.client.wish.line.decode(), "server": link.place.name,
-                "place": lines.written(link.place.address), "sent": link.leg.sent,
-                "asked": list(link.asked), "said": link.said}
+        return {
+            "line": link.client.wish.line.decode(),
+            "server": link.place.name,
+            "place": lines.written(link.place.address),
+            "sent": link.leg.sent,
+            "asked": list(link.asked),
+            "said": link.said,
+        }
 
     def gone(self, client: Client, links: list[Link]) -> None:
         """Ours no more: our copies of the descriptors are closed, which neither side sees."""
@@ -164,7 +170,7 @@
     def resumed(self, client: Client, line: bytes) -> None:
         """Its first line is read again here, with what came after it: to this process it is a new one."""
         self.node.limits.forget(lines.wish(line).id)
-        client.ring.space()[:len(line)] = line
+        client.ring.space()[: len(line)] = line
         client.ring.added(len(line))
 
     def standing(self, client: Client, words: dict[str, Any]) -> ServerLink:
@@ -173,8 +179,12 @@
         name, place = str(words["server"]), lines.address(words["place"])
         server = node.server(lines.mark(name))
         server.host = server.host or Place(name, place)
-        call = node.book(node.names.types.get(wish.values.get("c", ""), 0), 0.0, key=wish.key,
-                         group=wish.number("g", 16) or 0)
+        call = node.book(
+            node.names.types.get(wish.values.get("c", ""), 0),
+            0.0,
+            key=wish.key,
+            group=wish.number("g", 16) or 0,
+        )
         leg = Leg(call, server, float(words["sent"]))
         call.legs.append(leg)
         call.host, client.call, client.wish = client, call, wish
--- a/bellrack/net/peer_socket.py
+++ b/bellrack/net/peer_socket.py
@@ -1,4 +1,5 @@
 """The UDP socket between the balancers of a tier."""
+
 from __future__ import annotations
 
 import asyncio
@@ -20,8 +21,8 @@
     async def open(node: Any) -> PeerSocket:
         """Listen at the configuration's `peer_listen`. Raises OSError."""
         _, protocol = await node.loop.create_datagram_endpoint(
-            lambda: PeerSocket(node), local_addr=node.config.peer_listen,
-            reuse_port=node.doors.shared or None)
+            lambda: PeerSocket(node), local_addr=node.config.peer_listen, reuse_port=node.doors.shared or None
+        )
         node.limits.counted(1)
         return protocol
 
@@ -39,6 +40,6 @@
         """To one peer, or to all if it is None."""
         config: Config = self.node.config
         # Guards against a tier that is larger than the list of its addresses in this file.
-        address = config.peers_all if peer is None else (config.peers[peer:peer + 1] or [None])[0]
+        address = config.peers_all if peer is None else (config.peers[peer : peer + 1] or [None])[0]
         if address:
             self.transport.sendto(data, address)
--- a/bellrack/net/readiness.py
+++ b/bellrack/net/readiness.py
@@ -3,6 +3,7 @@
 Owns the one judgement of what is known of the list at the start. It has no clock and opens nothing: its host
 tells it what happens, and looks again when it says.
 """
+
 from __future__ import annotations
 
 
--- a/bellrack/net/reload.py
+++ b/bellrack/net/reload.py
@@ -1,4 +1,5 @@
 """SIGHUP: another configuration while the process serves."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -21,9 +22,14 @@
         return
     node.counters["config_reloads"] += 1
     waits = [name for name in NEEDS_RESTART if getattr(config, name) != getattr(node.config, name)]
-    log.tell("reload", discovery=lines.written(config.discovery), sockets=config.sockets,
-             types=",".join(config.names.types), attempts=config.settings.max_legs,
-             needs_restart=",".join(waits) or "nothing")
+    log.tell(
+        "reload",
+        discovery=lines.written(config.discovery),
+        sockets=config.sockets,
+        types=",".join(config.names.types),
+        attempts=config.settings.max_legs,
+        needs_restart=",".join(waits) or "nothing",
+    )
     apply(node, config)
 
 
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -3,6 +3,7 @@
 Owns those that are not up yet. An attempt is an ordinary server connection; it ends here and not at the
 decisions, which hear of a resumed connection only once it is up.
 """
+
 from __future__ import annotations
 
 from typing import Any
--- a/bellrack/net/resumption.py
+++ b/bellrack/net/resumption.py
@@ -5,6 +5,7 @@
 are without I/O and without a clock: the host passes the present time, in seconds on a clock of its own
 choice, and carries out the action that comes back.
 """
+
 from __future__ import annotations
 
 import enum
@@ -123,7 +124,7 @@
         if not (server_known and descriptors_free):
             return Wait(min(now + FIRST_DELAY, self.answer_by))
         self.state = State.ATTEMPTING
-        longest = min(LONGEST_ATTEMPT, FIRST_ATTEMPT * 2 ** self.timeouts)
+        longest = min(LONGEST_ATTEMPT, FIRST_ATTEMPT * 2**self.timeouts)
         return Attempt(min(now + longest, self.answer_by))
 
     def on_attempt_failed(self, now: float, timed_out: bool, may_have_run: bool) -> None:
@@ -132,7 +133,7 @@
             return
         self.state = State.WAITING
         self.may_have_run = self.may_have_run or may_have_run
-        self.not_before = now + self._spread * min(LONGEST_DELAY, FIRST_DELAY * 2 ** self.failures)
+        self.not_before = now + self._spread * min(LONGEST_DELAY, FIRST_DELAY * 2**self.failures)
         self.failures += 1
         self.timeouts += timed_out
 
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -4,6 +4,7 @@
 size, which pauses reading while it is full. It never looks into lines, never decides, and never acts in a
 callback beyond queueing itself for the node's next turn.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -42,7 +43,7 @@
         if not self.held:
             self.start = 0
         end, size = self.start + self.held, self.size
-        return self.view[end - size:self.start] if end >= size else self.view[end:]
+        return self.view[end - size : self.start] if end >= size else self.view[end:]
 
     def added(self, count: int) -> None:
         self.held += count
@@ -76,9 +77,9 @@
         if not count:
             return b""
         size, end = self.size, self.start + count
-        out = bytes(self.view[self.start:end])
+        out = bytes(self.view[self.start : end])
         if end > size:
-            out += bytes(self.view[:end - size])
+            out += bytes(self.view[: end - size])
         return out
 
     def take(self, count: int) -> bytes:
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -3,6 +3,7 @@
 Owns the version in hand, the servers that operators cordoned by hand, and which servers a doubtful list still
 lets be used. It never calls discovery (`discovery.py`) and never chooses a server.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -80,9 +81,19 @@
         zones = {index: name for name, index in self.node.names.zones.items()}
         machines = {index: name for name, index in self.machine_types.items()}
         return lines.told(
-            (server.host.name, server.host.address, zones.get(server.zone, ""), server.state, server.cell,
-             server.weight, server.since, machines.get(server.kind, ""))
-            for server in self.node.servers.values() if server.host and server.state != model.GONE)
+            (
+                server.host.name,
+                server.host.address,
+                zones.get(server.zone, ""),
+                server.state,
+                server.cell,
+                server.weight,
+                server.since,
+                machines.get(server.kind, ""),
+            )
+            for server in self.node.servers.values()
+            if server.host and server.state != model.GONE
+        )
 
     def mark_doubtful(self, window: float) -> None:
         """The list may lack what counts as told: new connections go only to servers that took one within the
--- a/bellrack/net/server_watch.py
+++ b/bellrack/net/server_watch.py
@@ -1,4 +1,5 @@
 """A look at all servers once a second: whose messages are late, and whose connections have gone silent."""
+
 from __future__ import annotations
 
 from typing import Any
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -4,6 +4,7 @@
 of lines to their answers. It never chooses a server, never sends a second leg of its own accord, and writes
 nothing to a server that a drain has been heard of.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -89,8 +90,9 @@
     side = "server"
     passed = "lines_to_clients"
 
-    def __init__(self, node: Any, leg: Leg, client: ClientEnd, until: float, resumes: bool = False,
-                 stood: bool = False):
+    def __init__(
+        self, node: Any, leg: Leg, client: ClientEnd, until: float, resumes: bool = False, stood: bool = False
+    ):
         super().__init__(node)
         self.leg, self.client, self.until, self.resumes = leg, client, until, resumes
         self.asked: deque[float] = deque(maxlen=64)  # when the client's lines still unanswered went on
--- a/bellrack/net/startup.py
+++ b/bellrack/net/startup.py
@@ -1,4 +1,5 @@
 """The start of a process: when it listens, and when it takes requests."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bellrack/net/turns.py
+++ b/bellrack/net/turns.py
@@ -4,6 +4,7 @@
 first, then the actions that the decisions asked for, then all other events, each queue in its order. What
 does not fit in a turn's time slice waits for the next, so that the sockets are polled in between.
 """
+
 from __future__ import annotations
 
 import asyncio
