--- a/bellrack/peers/gossip.py
+++ b/bellrack/peers/gossip.py
@@ -17,6 +17,7 @@
 of the shortest message aim, by what the sender saw itself; polled ones what it holds there. The build before
 knows the forms 1 to 5 and ignores this one, as this one ignores those.
 """
+
 from __future__ import annotations
 
 import math
@@ -58,12 +59,18 @@
     return low + (chance * (SCALE[low + 1] - SCALE[low]) < value - SCALE[low])
 
 
-def pack(held: int, late: Sequence[tuple[int, float]], polled: Sequence[tuple[int, float]],
-         draw: Callable[[], float]) -> bytes:
+def pack(
+    held: int,
+    late: Sequence[tuple[int, float]],
+    polled: Sequence[tuple[int, float]],
+    draw: Callable[[], float],
+) -> bytes:
     late, chance = late[:MOST_LATE], draw()
-    records = [*late, *polled[:MOST - len(late)]]
-    packed = [(one & ID) << 8 | rounded(value, (chance + GOLDEN * at) % 1.0)
-              for at, (one, value) in enumerate(records)]
+    records = [*late, *polled[: MOST - len(late)]]
+    packed = [
+        (one & ID) << 8 | rounded(value, (chance + GOLDEN * at) % 1.0)
+        for at, (one, value) in enumerate(records)
+    ]
     head = HEAD.pack(FORM, VERSION, min(held, 0xFFFFFFFF), len(late), len(records) - len(late))
     return head + struct.pack(f">{len(packed)}I", *packed)
 
@@ -75,7 +82,7 @@
     _, _, held, late, polled = HEAD.unpack_from(data)
     if late > MOST_LATE or len(data) != HEAD.size + RECORD.size * (late + polled):
         return None
-    records = [(one >> 8, SCALE[one & 255]) for one, in RECORD.iter_unpack(data[HEAD.size:])]
+    records = [(one >> 8, SCALE[one & 255]) for (one,) in RECORD.iter_unpack(data[HEAD.size :])]
     return held, records[:late], records[late:]
 
 
@@ -86,8 +93,14 @@
     id_bits, refresh = ID, 1.0
     aggregator = usual = None
 
-    def __init__(self, own: int, peers: int, tell: Callable[[int | None, bytes], None],
-                 draw: Callable[[], float], wait: float):
+    def __init__(
+        self,
+        own: int,
+        peers: int,
+        tell: Callable[[int | None, bytes], None],
+        draw: Callable[[], float],
+        wait: float,
+    ):
         self.own, self.peers, self.tell, self.draw, self.wait = own, peers, tell, draw, wait
         self.near: dict[int, float] = {}  # servers of our zone and their last starts
         self.order: list[int] = []
@@ -156,8 +169,10 @@
         """What the middle one of the balancers known to us holds in our zone."""
         if now != self.middle[0]:
             held = [held for when, held in self.mates.values() if now - when <= VOTE_STANDS]
-            self.middle = now, median([*held, self.held_near]) if len(held) + 1 >= LEAST_VOTES else max(
-                1.0, self.held_near)
+            self.middle = (
+                now,
+                median([*held, self.held_near]) if len(held) + 1 >= LEAST_VOTES else max(1.0, self.held_near),
+            )
         return self.middle[1]
 
     def turn(self, now: float, usual: float) -> None:
@@ -169,12 +184,13 @@
         late = [(one, value) for one, (value, _) in self.news.items()]
         self.news = {one: (value, left - 1) for one, (value, left) in self.news.items() if left > 1}
         start = bisect_right(self.order, self.next) % len(self.order)
-        polled = (self.order[start:] + self.order[:start])[:MOST - len(late)]
+        polled = (self.order[start:] + self.order[:start])[: MOST - len(late)]
         self.next = polled[-1]
         peer = self.chosen(now)
         if peer is not None:
-            self.tell(peer, pack(self.held_near, late, [(one, self.held.get(one, 0)) for one in polled],
-                                 self.draw))
+            self.tell(
+                peer, pack(self.held_near, late, [(one, self.held.get(one, 0)) for one in polled], self.draw)
+            )
 
     def chosen(self, now: float) -> int | None:
         """A mate, or now and then anybody."""
@@ -204,8 +220,11 @@
                 del self.mates[next(iter(self.mates))]
             for one, count in known if held >= LEAST_HELD * len(self.near) else ():
                 self.vote(one, peer, min(1.0, count / held), now)
-        return [(sums.LATE, one, mean) for one, value in late
-                if listed.get(one) and (mean := self.sign(one, peer, min(WORST, value), now)) >= LATE]
+        return [
+            (sums.LATE, one, mean)
+            for one, value in late
+            if listed.get(one) and (mean := self.sign(one, peer, min(WORST, value), now)) >= LATE
+        ]
 
     def vote(self, one: int, peer: int, share: float, now: float) -> None:
         """The latest of each peer. Guards against one that speaks often, or whose datagrams come twice."""
--- a/bellrack/peers/membership.py
+++ b/bellrack/peers/membership.py
@@ -9,6 +9,7 @@
 Owns the state of each seat and when who is asked. It never reads a clock or a socket, compares no clocks of
 two machines, and decides nothing about calls: a test holds that decisions are the same without it.
 """
+
 from __future__ import annotations
 
 import math
@@ -72,8 +73,15 @@
 class Membership:
     """One balancer's view. `send(seat, datagram)` is called for what goes out; `draw()` gives [0, 1)."""
 
-    def __init__(self, own: int, seats: int, life: int, now: float, send: Callable[[int, Datagram], None],
-                 draw: Callable[[], float]):
+    def __init__(
+        self,
+        own: int,
+        seats: int,
+        life: int,
+        now: float,
+        send: Callable[[int, Datagram], None],
+        draw: Callable[[], float],
+    ):
         self.own, self.life, self.incarnation = own, life, 1
         self.seats = [Seat(number, since=now) for number in range(seats)]
         self.seats[own].status, self.seats[own].life, self.seats[own].incarnation = ALIVE, life, 1
@@ -108,8 +116,11 @@
         question = self.question
         if question and not question.helped and now >= question.asked + ANSWER:
             question.helped = True
-            helpers = [seat for seat in self.seats if seat.status == ALIVE
-                       and seat.number not in (self.own, question.seat.number)]
+            helpers = [
+                seat
+                for seat in self.seats
+                if seat.status == ALIVE and seat.number not in (self.own, question.seat.number)
+            ]
             for _ in range(min(HELPERS, len(helpers))):
                 helper = helpers.pop(int(self.draw() * len(helpers)))
                 self.say(helper.number, ASK, question.sequence, question.seat.number)
@@ -228,13 +239,25 @@
         """With what is most to be told; always with what is said of the receiver, that it may refute it."""
         to = self.seats[peer]
         first = [to] if to.status in (SUSPECT, DEAD, LEFT) or to.spoken not in (0, to.life) else []
-        rest = sorted((s for s in self.seats if s.left_to_tell and s not in first and s.status != UNKNOWN),
-                      key=lambda seat: -seat.left_to_tell)
+        rest = sorted(
+            (s for s in self.seats if s.left_to_tell and s not in first and s.status != UNKNOWN),
+            key=lambda seat: -seat.left_to_tell,
+        )
         told = (first + rest)[:CARRIED]
         for seat in told:
             seat.left_to_tell = max(0, seat.left_to_tell - 1)
-        self.send_out(peer, Datagram(kind, self.own, self.life, self.incarnation, sequence, target,
-                                     tuple(seat.rumour() for seat in told)))
+        self.send_out(
+            peer,
+            Datagram(
+                kind,
+                self.own,
+                self.life,
+                self.incarnation,
+                sequence,
+                target,
+                tuple(seat.rumour() for seat in told),
+            ),
+        )
 
     def answer(self, peer: int, kind: int, sequence: int, target: int = NOBODY) -> None:
         """Guards against a flood of questions that makes us send without bound."""
--- a/bellrack/peers/overload.py
+++ b/bellrack/peers/overload.py
@@ -10,6 +10,7 @@
 alike, none is late. The work of set-ups differs widely, so one alone counts half; the aggregator hears of
 all.
 """
+
 from __future__ import annotations
 
 import math
@@ -36,8 +37,13 @@
 class OverloadDetector:
     """One balancer's part. `late(server, delay)` hears what is found."""
 
-    def __init__(self, settings: Settings, tell: Callable[[int | None, bytes], None],
-                 late: Callable[[Server, float], None], large: int | None = None):
+    def __init__(
+        self,
+        settings: Settings,
+        tell: Callable[[int | None, bytes], None],
+        late: Callable[[Server, float], None],
+        large: int | None = None,
+    ):
         self.settings, self.late = settings, late
         own, peers = settings.number, settings.peers
         self.sums: sums.Sums | gossip.Gossip = sums.Sums(own, peers, tell)
@@ -150,8 +156,9 @@
             return {}
         if now < self.filled[0] + self.sums.refresh:
             return self.filled[1]
-        known = {server: self.sums.total(server.mark, now) for server in servers
-                 if self.sums.covers(server.mark)}
+        known = {
+            server: self.sums.total(server.mark, now) for server in servers if self.sums.covers(server.mark)
+        }
         told = {server: total for server, total in known.items() if total is not None}
         if not told or len(told) < LEAST_KNOWN * len(known):
             return {}
--- a/bellrack/peers/sums.py
+++ b/bellrack/peers/sums.py
@@ -12,6 +12,7 @@
 some four per cent); a datagram is one byte FORM and up to MOST records. Two listed servers that share a short
 mark are known by none of this. Membership's datagrams begin with another byte.
 """
+
 from __future__ import annotations
 
 import math
@@ -51,7 +52,7 @@
     """One datagram, or as many as it takes."""
     packed = [(kind << 22 | (mark & MARK) << 8 | rounded(v)).to_bytes(3, "big") for kind, mark, v in records]
     for start in range(0, max(1, len(packed)), MOST):
-        yield bytes([form]) + b"".join(packed[start:start + MOST])
+        yield bytes([form]) + b"".join(packed[start : start + MOST])
 
 
 def unpack(data: bytes) -> tuple[int, list[Record]]:
@@ -59,23 +60,25 @@
     known = data[:1] in (bytes([REPORT]), bytes([BROADCAST]))
     if not known or len(data) % 3 != 1 or len(data) > 1 + 3 * MOST:
         return 0, []
-    packed = [int.from_bytes(data[at:at + 3], "big") for at in range(1, len(data), 3)]
+    packed = [int.from_bytes(data[at : at + 3], "big") for at in range(1, len(data), 3)]
     return data[0], [(one >> 22, one >> 8 & MARK, 2 ** ((one & 255) / STEPS) - 1) for one in packed]
 
 
 def pack_pairs(form: int, pairs: Iterable[tuple[int, int]], flags: Iterable[int]) -> Iterator[bytes]:
     """Datagrams of (mark, group), each with a flag: 1 if it is so, 0 if no longer."""
-    packed = [(flag << 30 | (mark & MARK) << 16 | group & 0xFFFF).to_bytes(4, "big")
-             for (mark, group), flag in zip(pairs, flags)]
+    packed = [
+        (flag << 30 | (mark & MARK) << 16 | group & 0xFFFF).to_bytes(4, "big")
+        for (mark, group), flag in zip(pairs, flags)
+    ]
     for start in range(0, len(packed), MOST_PAIRS):
-        yield bytes([form]) + b"".join(packed[start:start + MOST_PAIRS])
+        yield bytes([form]) + b"".join(packed[start : start + MOST_PAIRS])
 
 
 def unpack_pairs(data: bytes) -> list[tuple[int, tuple[int, int]]]:
     """Flags and pairs."""
     if len(data) % 4 != 1 or len(data) > 1 + 4 * MOST_PAIRS:
         return []
-    packed = [int.from_bytes(data[at:at + 4], "big") for at in range(1, len(data), 4)]
+    packed = [int.from_bytes(data[at : at + 4], "big") for at in range(1, len(data), 4)]
     return [(one >> 30, (one >> 16 & MARK, one & 0xFFFF)) for one in packed]
 
 
@@ -144,8 +147,11 @@
         """Say what is due; a few times a second. `usual` is what a set-up takes as far as we know."""
         if self.broadcast_at == -math.inf:
             self.broadcast_at = now  # nobody has published yet; as if one had just now
-        if self.own < AGGREGATORS and self.aggregator != self.own and (
-                now - self.broadcast_at > SILENT + SILENT_MORE * self.own):
+        if (
+            self.own < AGGREGATORS
+            and self.aggregator != self.own
+            and (now - self.broadcast_at > SILENT + SILENT_MORE * self.own)
+        ):
             self.aggregator, self.published_at = self.own, -math.inf
             self.parts, self.gathered, self.sums, self.paired, self.placements = {}, {}, {}, {}, {}
         if self.aggregator == self.own:
--- a/bellrack/peers/wire.py
+++ b/bellrack/peers/wire.py
@@ -6,6 +6,7 @@
     head:    version u8, kind u8, sender u16, life u32, incarnation u32, sequence u32, target u16, count u8
     rumour:  seat u16, status u8, life u32, incarnation u32      (count times)
 """
+
 from __future__ import annotations
 
 import struct
@@ -49,8 +50,16 @@
     """Raises ValueError for more rumours than there is room for."""
     if len(message.rumours) > RUMOURS:
         raise ValueError(f"{len(message.rumours)} rumours, {RUMOURS} at most")
-    head = HEAD.pack(VERSION, message.kind, message.sender, message.life, message.incarnation,
-                     message.sequence, message.target, len(message.rumours))
+    head = HEAD.pack(
+        VERSION,
+        message.kind,
+        message.sender,
+        message.life,
+        message.incarnation,
+        message.sequence,
+        message.target,
+        len(message.rumours),
+    )
     return head + b"".join(RUMOUR.pack(r.seat, r.status, r.life, r.incarnation) for r in message.rumours)
 
 
@@ -67,7 +76,7 @@
         raise DatagramError("unknown-kind")
     if len(data) != HEAD.size + count * RUMOUR.size:
         raise DatagramError("wrong-length")
-    rumours = tuple(Rumour(*values) for values in RUMOUR.iter_unpack(data[HEAD.size:]))
+    rumours = tuple(Rumour(*values) for values in RUMOUR.iter_unpack(data[HEAD.size :]))
     if any(rumour.status > LEFT for rumour in rumours):
         raise DatagramError("unknown-status")
     return Datagram(kind, sender, life, incarnation, sequence, target, rumours)
--- a/bellrack/settings.py
+++ b/bellrack/settings.py
@@ -1,4 +1,5 @@
 """The settings object that an instance is told at its start, read once for every host of the decisions."""
+
 from __future__ import annotations
 
 import math
@@ -13,8 +14,13 @@
 EFFECTS = {"retryable": model.REPEATABLE, "dedup": model.REFERENCED, "fragile": model.ONCE_ONLY}
 
 
-REPORT = {"x0": model.FULLNESS, "x1": model.BACKLOG, "errors_per_s": model.ERRORS, "utilization": model.BUSY,
-          "outstanding": model.HELD}
+REPORT = {
+    "x0": model.FULLNESS,
+    "x1": model.BACKLOG,
+    "errors_per_s": model.ERRORS,
+    "utilization": model.BUSY,
+    "outstanding": model.HELD,
+}
 MOST_FIELDS = 4
 KEPT = 60.0  # seconds for which a traffic type that has vanished is still served
 WEIGHTS = ("nominal", "rough", "off", "live")
@@ -96,8 +102,13 @@
         special, caps, rules = raw["specifics"], raw["caps"], raw["obligations"]
         aims = special.get("messageAimUs") or [row["setupTargetUs"] for row in raw["trafficTypes"]]
         types = [
-            TrafficType(EFFECTS[row["effect"]], row.get("group", "all"), row.get("keyTtlUs", 0) / 1e6,
-                        row["setupTargetUs"] / 1e6, aim / 1e6)
+            TrafficType(
+                EFFECTS[row["effect"]],
+                row.get("group", "all"),
+                row.get("keyTtlUs", 0) / 1e6,
+                row["setupTargetUs"] / 1e6,
+                aim / 1e6,
+            )
             for row, aim in zip(raw["trafficTypes"], aims, strict=True)
         ]
         peers, number = int(raw["peersTotal"]), int(raw.get("slotNo", -1))
@@ -108,11 +119,16 @@
         if not types or peers < 1:
             raise SettingsError("no traffic types" if not types else f"peersTotal is {peers}")
         return Settings(
-            types=types, zone=int(raw["az"]), peers=peers, asks=raw["discovery"] == "ask",
-            live=raw.get("weights") == "live", report=probes_tell(raw),
+            types=types,
+            zone=int(raw["az"]),
+            peers=peers,
+            asks=raw["discovery"] == "ask",
+            live=raw.get("weights") == "live",
+            report=probes_tell(raw),
             max_legs=int(caps["maxLegs"]),
             max_open_wait=caps.get("maxRetryAfterUs", 0) / 1e6 if caps.get("retryAfter") else 0.0,
-            tick=raw.get("tickUs", 0) / 1e6, answer_slack=rules["answerSlackUs"] / 1e6,
+            tick=raw.get("tickUs", 0) / 1e6,
+            answer_slack=rules["answerSlackUs"] / 1e6,
             cold_share=float(rules["coldShare"]),
             ramp_time=over_nought("rampTimeUs", rules["rampTimeUs"]) / 1e6,
             overload_factor=over_nought("overloadFactor", rules.get("overloadFactor", 1.0)),
@@ -120,7 +136,8 @@
             number=number,
             may_publish=bool(caps.get("mayTell")) and 0 <= number < peers and peers > model.PAIR,
             drain_grace=rules.get("stopSendingWithinUs", 1e6) / 1e6,
-            ask_within=over_nought("askWithinUs", rules.get("askWithinUs", 1e7)) / 1e6)
+            ask_within=over_nought("askWithinUs", rules.get("askWithinUs", 1e7)) / 1e6,
+        )
 
 
 def check_shape(raw: Any) -> Any:
@@ -134,10 +151,12 @@
         if not isinstance(report, dict):
             raise SettingsError("report is no object")
         how, fields = report.get("how", "off"), report.get("fields", [])
-        for key, value, known in (("discovery", raw["discovery"], ("ask", "push")),
-                                  ("weights", raw.get("weights", "nominal"), WEIGHTS),
-                                  ("report.how", how, ("off", "inline", "on_probe")),
-                                  ("caps.probes", raw["caps"].get("probes", False), (True, False))):
+        for key, value, known in (
+            ("discovery", raw["discovery"], ("ask", "push")),
+            ("weights", raw.get("weights", "nominal"), WEIGHTS),
+            ("report.how", how, ("off", "inline", "on_probe")),
+            ("caps.probes", raw["caps"].get("probes", False), (True, False)),
+        ):
             if not isinstance(value, type(known[0])) or value not in known:
                 raise SettingsError(f"{key} is {value!r}, not one of {', '.join(map(str, known))}")
         named = isinstance(fields, list) and all(isinstance(name, str) for name in fields)
@@ -164,4 +183,6 @@
             zones={name: index for index, name in enumerate(raw["areas"])},
             guards=[over_nought("guardTimeUs", row["guardTimeUs"]) / 1e6 for row in raw["trafficTypes"]],
             connect_timeout=over_nought("connectTimeoutUs", raw["caps"]["connectTimeoutUs"]) / 1e6,
-            tells_delay=bool(special.get("tellsDelay")), tells_load=bool(special.get("tellsLoad")))
+            tells_delay=bool(special.get("tellsDelay")),
+            tells_load=bool(special.get("tellsLoad")),
+        )
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -2,6 +2,7 @@
 
 Commands on standard input: `drain NAME`, `back NAME` (changes of the list), `say NAME LINE` (to its clients).
 """
+
 import asyncio
 import json
 import sys
@@ -19,12 +20,28 @@
 
     def entry(self, name):
         host, port = SERVERS[name]
-        return {"instanceId": name, "hostPort": f"{host}:{port}", "zone": "a", "machineType": "toy",
-                "cell": 0, "lifecycle": self.states[name], "weight": 1.0, "startedAtMs": 0}
+        return {
+            "instanceId": name,
+            "hostPort": f"{host}:{port}",
+            "zone": "a",
+            "machineType": "toy",
+            "cell": 0,
+            "lifecycle": self.states[name],
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
     def listing(self):
-        return json.dumps({"generation": self.version, "reset": True,
-                           "instances": [self.entry(name) for name in SERVERS]}).encode() + b"\n"
+        return (
+            json.dumps(
+                {
+                    "generation": self.version,
+                    "reset": True,
+                    "instances": [self.entry(name) for name in SERVERS],
+                }
+            ).encode()
+            + b"\n"
+        )
 
     async def discovery(self, reader, writer):
         """The whole list, once or as a watch; each change sends it whole again."""
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -4,6 +4,7 @@
 of a line that never ends; `again` comes again at once when let go. All come again, so the crowd lasts until
 the process is ended.
 """
+
 import selectors
 import socket
 import sys
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A door that records, settings to start from, a fleet to place calls on; and a node among played peers."""
+
 import asyncio
 import contextlib
 import functools
@@ -20,9 +21,19 @@
 
 def settings(**changes) -> Settings:
     base = {
-        "types": [TrafficType(model.REPEATABLE, "all", 0.0, 0.3, 0.1)], "zone": 0, "peers": 1, "asks": True,
-        "live": False, "report": (), "max_legs": 3, "max_open_wait": 1.5, "tick": 0.004,
-        "answer_slack": 0.016, "cold_share": 0.2, "ramp_time": 20.0}
+        "types": [TrafficType(model.REPEATABLE, "all", 0.0, 0.3, 0.1)],
+        "zone": 0,
+        "peers": 1,
+        "asks": True,
+        "live": False,
+        "report": (),
+        "max_legs": 3,
+        "max_open_wait": 1.5,
+        "tick": 0.004,
+        "answer_slack": 0.016,
+        "cold_share": 0.2,
+        "ramp_time": 20.0,
+    }
     return Settings(**(base | changes))
 
 
@@ -107,20 +118,42 @@
 def raw_settings(effect="retryable", **changes) -> dict:
     """The settings object as an instance on sockets gets it, with one traffic type, in zones a and b."""
     return {
-        "trafficTypes": [{"name": "chat", "effect": effect, "group": "all", "keyTtlUs": 5e6,
-                          "guardTimeUs": 2e6, "setupTargetUs": 3e5}],
+        "trafficTypes": [
+            {
+                "name": "chat",
+                "effect": effect,
+                "group": "all",
+                "keyTtlUs": 5e6,
+                "guardTimeUs": 2e6,
+                "setupTargetUs": 3e5,
+            }
+        ],
         "specifics": {"messageAimUs": [1e5], "tellsDelay": True, "tellsLoad": False},
         "caps": {"maxLegs": 3, "retryAfter": True, "maxRetryAfterUs": 1500000, "connectTimeoutUs": 200000},
         "obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7},
-        "accounts": [{"name": "acme"}], "areas": ["a", "b"], "az": 0, "peersTotal": 1, "discovery": "ask",
-        "tickUs": 4000} | changes
-
-
-CAPS = {"maxLegs": 3, "retryAfter": True, "maxRetryAfterUs": 1500000, "connectTimeoutUs": 200000,
-        "probes": True}
+        "accounts": [{"name": "acme"}],
+        "areas": ["a", "b"],
+        "az": 0,
+        "peersTotal": 1,
+        "discovery": "ask",
+        "tickUs": 4000,
+    } | changes
+
+
+CAPS = {
+    "maxLegs": 3,
+    "retryAfter": True,
+    "maxRetryAfterUs": 1500000,
+    "connectTimeoutUs": 200000,
+    "probes": True,
+}
 # What a deployment of the newer shape tells in other words than raw_settings does.
-LIVE = {"discovery": "push", "weights": "live", "caps": CAPS,
-        "report": {"how": "on_probe", "fields": ["utilization", "x0"]}}
+LIVE = {
+    "discovery": "push",
+    "weights": "live",
+    "caps": CAPS,
+    "report": {"how": "on_probe", "fields": ["utilization", "x0"]},
+}
 
 
 def configured(**changes) -> str:
@@ -161,7 +194,8 @@
     def end(self, how):
         if how == "rst":
             self.writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
             self.writer.transport.abort()
         else:
             self.writer.close()
@@ -170,10 +204,25 @@
 class World:
     """A node on loopback between discovery and servers, whose sides the test plays."""
 
-    def __init__(self, servers=1, effect="retryable", sockets=1024, known=True, control=False,
-                 listen="127.0.0.1:0", apart=False, patience=0.05, **changes):
-        self.raw = {"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964",
-                    "limits": {"sockets": sockets}, "settings": raw_settings(effect, **changes)}
+    def __init__(
+        self,
+        servers=1,
+        effect="retryable",
+        sockets=1024,
+        known=True,
+        control=False,
+        listen="127.0.0.1:0",
+        apart=False,
+        patience=0.05,
+        **changes,
+    ):
+        self.raw = {
+            "name": "n0",
+            "listen": listen,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": sockets},
+            "settings": raw_settings(effect, **changes),
+        }
         self.count, self.known, self.entries, self.control = servers, known, [], control
         self.apart = apart  # each server in a zone and a cell of its own
         self.patience = patience  # with discovery that pushes and says nothing at the start
@@ -182,8 +231,7 @@
 
     async def __aenter__(self):
         self.listeners = [await asyncio.start_server(self.served(n), "127.0.0.1") for n in range(self.count)]
-        lister = await asyncio.start_server(
-            lambda *both: self.questions.put_nowait(Peer(*both)), "127.0.0.1")
+        lister = await asyncio.start_server(lambda *both: self.questions.put_nowait(Peer(*both)), "127.0.0.1")
         self.listeners.append(lister)
         places = ["{}:{}".format(*one.sockets[0].getsockname()) for one in self.listeners]
         self.entries = [self.entry(number, places[number]) for number in range(self.count)]
@@ -202,8 +250,9 @@
         """Discovery says that there is no server: without a list nobody is let in."""
         self.watch, _ = await self.question()
         text = '{"generation":42,"reset":true,"instances":[]}\n'
-        self.watch.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                b"%x\r\n%b\r\n" % (len(text), text.encode()))
+        self.watch.writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(text), text.encode())
+        )
 
     async def start(self, **changes):
         """A process that serves, beside those that do already."""
@@ -239,8 +288,16 @@
 
     def entry(self, number, place, state="in_service", started=0, zone="a"):
         zone, cell = ("ab"[number], number) if self.apart else (zone, 0)
-        return {"instanceId": f"s-{number}", "hostPort": place, "zone": zone, "cell": cell,
-                "machineType": "m", "lifecycle": state, "weight": 1.0, "startedAtMs": started}
+        return {
+            "instanceId": f"s-{number}",
+            "hostPort": place,
+            "zone": zone,
+            "cell": cell,
+            "machineType": "m",
+            "lifecycle": state,
+            "weight": 1.0,
+            "startedAtMs": started,
+        }
 
     async def dial(self):
         return Peer(*await asyncio.open_connection(*self.node.address))
@@ -329,7 +386,9 @@
 
 def played(test):
     """A test that is a coroutine."""
+
     @functools.wraps(test)
     def run(*args, **named):
         asyncio.run(asyncio.wait_for(test(*args, **named), 20))
+
     return run
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,6 +2,7 @@
 
 Nothing here sleeps: whoever waits, waits for a line of a log, an answer, or the bound that the pages give.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -59,8 +60,10 @@
 
     def wait_for(self, text: str, count: int = 1) -> str:
         """The first line with this text, once so many have it."""
+
         def found() -> list[str]:
             return [line for line in self.lines if text in line]
+
         with self.changed:
             self.changed.wait_for(lambda: len(found()) >= count or self.ended, DEADLINE)
             assert len(found()) >= count, f"no {text!r} among {self.lines[-5:]}"
@@ -81,8 +84,11 @@
 
     def start(self) -> BalancerProcess:
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "bellrack", "serve", f"--config={self.path}"], cwd=ROOT,
-            stderr=subprocess.PIPE, env=os.environ | {"TMPDIR": str(self.folder)})
+            [sys.executable, "-m", "bellrack", "serve", f"--config={self.path}"],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            env=os.environ | {"TMPDIR": str(self.folder)},
+        )
         self.log = LineReader(self.process.stderr)
         return self
 
@@ -116,7 +122,9 @@
     def __init__(self, count: int, number: int = 0):
         self.process = subprocess.Popen(
             [sys.executable, str(ROOT / "tests" / "stand_ins.py"), str(count), str(number)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         told = json.loads(self.process.stdout.readline())
         self.discovery, self.entries = told["discovery"], told["entries"]
 
@@ -240,6 +248,10 @@
 
 def balancer_settings(stand_ins: StandInProcess, standing: int, **changes: Any) -> dict[str, Any]:
     """A configuration with the descriptors that the pages give beside those of standing connections."""
-    return {"listen": "127.0.0.1:0", "discovery": stand_ins.discovery,
-            "limits": {"sockets": 1024 + 2 * standing}, "settings": raw_settings(),
-            "known": {"generation": 0, "reset": True, "instances": stand_ins.entries}} | changes
+    return {
+        "listen": "127.0.0.1:0",
+        "discovery": stand_ins.discovery,
+        "limits": {"sockets": 1024 + 2 * standing},
+        "settings": raw_settings(),
+        "known": {"generation": 0, "reset": True, "instances": stand_ins.entries},
+    } | changes
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -3,6 +3,7 @@
 `stand_ins.py COUNT [PROCESS]` prints one JSON line with the addresses, then reads JSON commands from standard
 input, one a line, and answers each with one JSON line. Ends with its standard input.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -91,9 +92,20 @@
         return {"discovery": "{}:{}".format(*discovery.sockets[0].getsockname()), "entries": self.entries()}
 
     def entries(self) -> list[dict[str, Any]]:
-        return [{"instanceId": name, "hostPort": self.addresses[name], "zone": self.zones[name], "cell": 0,
-                 "machineType": "m", "lifecycle": state, "weight": 1.0, "startedAtMs": 0}
-                for name, state in self.states.items() if state != "unlisted"] + self.others
+        return [
+            {
+                "instanceId": name,
+                "hostPort": self.addresses[name],
+                "zone": self.zones[name],
+                "cell": 0,
+                "machineType": "m",
+                "lifecycle": state,
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+            for name, state in self.states.items()
+            if state != "unlisted"
+        ] + self.others
 
     async def discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """A watch that sends the whole list at each change, and an empty line while there is none."""
@@ -145,9 +157,15 @@
                 self.answering = words["answering"]
                 self.announce()
             case "report":
-                return {server.name: {"open": {name: count for name, count in server.open.items() if count},
-                                      "attempts": sum(server.attempts.values()), "ups": server.ups,
-                                      "misplaced": server.misplaced} for server in self.servers}
+                return {
+                    server.name: {
+                        "open": {name: count for name, count in server.open.items() if count},
+                        "attempts": sum(server.attempts.values()),
+                        "ups": server.ups,
+                        "misplaced": server.misplaced,
+                    }
+                    for server in self.servers
+                }
         return None
 
     def named(self, words: dict[str, Any]) -> list[Server]:
--- a/tests/test_blind.py
+++ b/tests/test_blind.py
@@ -1,4 +1,5 @@
 """Many balancers whom nobody tells what the others hold, on servers that pay for each group once."""
+
 import random
 
 import pytest
@@ -73,7 +74,7 @@
             self.served += len(self.held(number))
         if self.over[number] > PILED:
             held = self.held(number)
-            for leg in held[len(held) // 2:]:
+            for leg in held[len(held) // 2 :]:
                 self.resets += 1
                 self.again(leg.call.group)
                 self.end(leg, model.RESET)
@@ -93,8 +94,9 @@
     assert served > 0.38  # with three lots each 0.32
 
 
-@pytest.mark.parametrize("told", [
-    {"may_publish": True}, {"report": (model.FULLNESS,)}, {"peers": model.PAIR}])
+@pytest.mark.parametrize(
+    "told", [{"may_publish": True}, {"report": (model.FULLNESS,)}, {"peers": model.PAIR}]
+)
 def test_who_is_told_what_others_hold_or_sees_most_itself_asks_a_groups_further_servers(told):
     assert settings(peers=BALANCERS).blind
     assert not settings(**{"peers": BALANCERS} | told).blind
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,5 @@
 """The fits of the scale run, what it counts of each role, and the arithmetic of docs/CAPACITY.md."""
+
 import asyncio
 import json
 import math
@@ -20,12 +21,12 @@
 
 
 def test_a_power_is_found_to_the_digit_and_its_error_is_that_of_the_textbook():
-    fit = fit_power(SIZES, [3.0 * size ** 1.5 for size in SIZES])
+    fit = fit_power(SIZES, [3.0 * size**1.5 for size in SIZES])
     assert (fit.slope, fit.factor) == (pytest.approx(1.5, abs=1e-12), pytest.approx(3.0, rel=1e-9))
     assert fit.error < 1e-9 and fit.residual < 1e-9
-    assert fit.at(4800) == pytest.approx(3.0 * 4800 ** 1.5)
+    assert fit.at(4800) == pytest.approx(3.0 * 4800**1.5)
     bent = [1.1, 0.9, 1.1, 0.9, 1.1]
-    fit = fit_power(SIZES, [3.0 * size ** 1.5 * by for size, by in zip(SIZES, bent)])
+    fit = fit_power(SIZES, [3.0 * size**1.5 * by for size, by in zip(SIZES, bent)])
     # By hand: x = -2..2 doublings, y = +-h around the line but for its mean; slope unchanged by symmetry.
     x = [math.log(size) for size in SIZES]
     y = [math.log(by) for by in bent]
@@ -44,7 +45,10 @@
     assert fit.at(4800) == pytest.approx(7e7 + 16.5 * 4800)
     flat = fit_line(SIZES, [247] * 5)
     assert (flat.base, flat.per_unit, flat.residual) == (
-        pytest.approx(247), pytest.approx(0, abs=1e-9), pytest.approx(0, abs=1e-9))
+        pytest.approx(247),
+        pytest.approx(0, abs=1e-9),
+        pytest.approx(0, abs=1e-9),
+    )
     assert flat.per_unit == 0 and fit_power(SIZES, [247] * 5).error == 0
     assert fit_line(SIZES, [3 * n for n in SIZES]).base == 0
     # A tenth too much at the largest size: by plain least squares the smallest would be off by half.
@@ -53,10 +57,10 @@
     # The error is that of weighted least squares, by hand for weights of one over the value.
     sizes, values = [1.0, 2.0, 3.0, 4.0], [2.0, 2.9, 4.1, 5.0]
     fit = fit_line(sizes, values)
-    w = [1 / value ** 2 for value in values]
+    w = [1 / value**2 for value in values]
     s, sx, sxx = sum(w), sum(a * b for a, b in zip(w, sizes)), sum(a * b * b for a, b in zip(w, sizes))
     left = sum(a * (fit.at(n) - v) ** 2 for a, n, v in zip(w, sizes, values)) / 2
-    assert fit.error == pytest.approx(math.sqrt(left * s / (s * sxx - sx ** 2)), rel=1e-6)
+    assert fit.error == pytest.approx(math.sqrt(left * s / (s * sxx - sx**2)), rel=1e-6)
 
 
 @pytest.mark.parametrize("sizes, values", [([1, 2], [1, 2]), ([1, 1, 1], [1, 2, 3]), ([1, 2, 3], [1, 2])])
@@ -192,8 +196,11 @@
     monkeypatch.setattr(standins, "SETTLE", 0.0)
 
     async def play(name, after):
-        monkeypatch.setattr(standins.Child, "text", lambda self: f"event=serving name=b0 listen={name} "
-                                                                 f"after={self is children[-1] and after}")
+        monkeypatch.setattr(
+            standins.Child,
+            "text",
+            lambda self: f"event=serving name=b0 listen={name} after={self is children[-1] and after}",
+        )
         async with standins.StandIns(roles.deployment(), roles.rows) as around:
             children = around.children
             return await standins.met(around)
@@ -229,7 +236,7 @@
     for at, line in enumerate(lines_of):
         if line.startswith(f"| {head} |"):
             columns = [cell.strip() for cell in line.strip("|").split("|")]
-            for row in lines_of[at + 2:]:
+            for row in lines_of[at + 2 :]:
                 if not row.startswith("|"):
                     break
                 cells = [cell.strip() for cell in row.strip("|").split("|")]
@@ -242,8 +249,10 @@
 
     def __init__(self, row):
         self.row, self.unmeasured = row, 0
-        self.values = {int(size): figure_of(value) for size, _, value in
-                       (pair.partition(":") for pair in row["values by n"].split(";"))}
+        self.values = {
+            int(size): figure_of(value)
+            for size, _, value in (pair.partition(":") for pair in row["values by n"].split(";"))
+        }
 
     def __call__(self, size):
         if size in self.values:
@@ -336,8 +345,11 @@
         for size in sizes:
             assert slope.formula(size) == pytest.approx(fit.at(size), rel=2e-3), (name, size)
         assert figure_of(slope.row["residual"]) == pytest.approx(100 * fit.residual, abs=0.2), name
-        assert figure_of(slope.row["error"]) == pytest.approx(fit.error, rel=0.1, abs=1e-3 * abs(
-            fit.slope if "**" in slope.row["formula"] else fit.per_unit or 1.0)), name
+        assert figure_of(slope.row["error"]) == pytest.approx(
+            fit.error,
+            rel=0.1,
+            abs=1e-3 * abs(fit.slope if "**" in slope.row["formula"] else fit.per_unit or 1.0),
+        ), name
 
 
 def test_what_the_page_counts_is_what_is_counted_now():
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -1,4 +1,5 @@
 """The ordinary path, and a test for each failure found."""
+
 import pytest
 from helpers import Bench, settings
 
@@ -138,7 +139,7 @@
 def test_after_a_restart_servers_half_warm_are_not_taken_for_cold():
     # Guards against calls rejected while servers that the others fill stand empty.
     bench = Bench(settings())
-    known, = bench.fleet(0, since=bench.now - 10)
+    (known,) = bench.fleet(0, since=bench.now - 10)
     bench.call()
     assert known.stand.open == 1
     late = Server(9, 0, since=bench.now - 10)  # told late: this one counts from now
@@ -151,7 +152,7 @@
 def test_a_small_holder_that_was_cut_takes_more_again_as_is_usual():
     # Guards against a fresh balancer that held one connection where others held many: shut for long.
     bench = Bench(settings(peers=2))
-    server, = bench.fleet(0)
+    (server,) = bench.fleet(0)
     place(bench, 1)
     bench.rack.delayed(next(iter(server.stand.legs)), 0.07)
     assert not bench.rack.draw.room(server)
@@ -251,13 +252,19 @@
     assert place(bench, 1)
 
 
-@pytest.mark.parametrize(("blind", "story"), [
-    # The servers chosen on this story since a kept call looks beyond its group's holders; and, as nobody
-    # tells three balancers what the others hold, since a group's first lot is asked alone and resets close.
-    (False, "00268422486842486103308403723177376171133502718555556735056020811847640345583"),
-    (True, "0026842248332338471371507646801682333706610726371845842574814")])
+@pytest.mark.parametrize(
+    ("blind", "story"),
+    [
+        # The servers chosen on this story since a kept call looks beyond its group's holders; and, as nobody
+        # tells three balancers what the others hold, since a group's first lot is asked alone and resets
+        # close.
+        (False, "00268422486842486103308403723177376171133502718555556735056020811847640345583"),
+        (True, "0026842248332338471371507646801682333706610726371845842574814"),
+    ],
+)
 def test_without_live_weights_and_reports_a_fixed_seed_chooses_the_same_and_asks_nothing(
-        monkeypatch, blind, story):
+    monkeypatch, blind, story
+):
     monkeypatch.setattr(model.Settings, "blind", blind)
     bench = Bench(settings(peers=3, ramp_time=6.0, cold_share=0.12), seed=25)
     fleet = [Server(mark * 77 + 5, mark % 2, weight=[3.5, 2.0][mark % 3 > 0]) for mark in range(9)]
@@ -352,7 +359,7 @@
 
 def test_a_late_leg_on_a_server_out_by_hand_is_moved_too():
     bench = Bench(settings())
-    server, = bench.fleet(0)
+    (server,) = bench.fleet(0)
     bench.call()
     leg = bench.sent[0][0]
     bench.rack.withheld(server, True)
@@ -380,7 +387,7 @@
 
 def test_a_restart_that_the_list_told_while_a_server_was_out_counts_from_then():
     bench = Bench(settings())
-    server, = bench.fleet(0)
+    (server,) = bench.fleet(0)
     bench.rack.withheld(server, True)
     bench.run(bench.now + 2.0)
     server.since = bench.now
@@ -399,7 +406,7 @@
         bench.run(bench.now + 0.5)
     bench.call(group=3), bench.call(group=4), bench.call(group=5)
     bench.run(bench.now + 0.5)
-    holder, = {leg.server for leg, _ in bench.sent[:2]}
+    (holder,) = {leg.server for leg, _ in bench.sent[:2]}
     holder.stand.ceiling, holder.stand.cut = 0.0, bench.now  # full, and the others are not
     call = bench.call(group=7)
     kind = call.type
@@ -439,7 +446,7 @@
 
 def test_a_cold_server_takes_nothing_where_a_clock_ran_back():
     bench = Bench(settings(peers=3, ramp_time=20.0))
-    one, = bench.fleet(0)
+    (one,) = bench.fleet(0)
     bench.rack.starts(one, bench.now, bench.now)
     one.stand.issued, one.stand.taken, one.stand.issued_at = 0.0, 5, bench.now + 100
     assert not bench.rack.cold.room(one) and one.stand.issued == 0.0
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,5 @@
 """Rule 4 for the sum over all balancers, on generated starts."""
+
 import asyncio
 import time
 from dataclasses import replace
@@ -32,6 +33,7 @@
     def uncounted(stage, server):
         honest(stage, server)
         server.stand.taken -= 1
+
     honest = choice.Cold.sent
     monkeypatch.setattr(choice.Cold, "sent", uncounted)
 
@@ -45,13 +47,35 @@
 
 
 # Two hundred balancers whose clients come again while the first of a warm-up's tokens are out.
-CROWD = replace(cold.drawn(7), balancers=200, idle=0.0, fresh=0.0, spread=0.0, bears=20.0, size=1.0, used=0.8,
-                warm=3, cold=2, zone=False, overload_factor=2.0, fall_time=1.5, ramp_time=15.0, demand=4.0,
-                rush=0.6, rush_at=0.2, drowning=True, retries=3, short=0.3, tells=False, cold_share=0.12)
-
-
-@pytest.mark.parametrize("mutant", [None, twice_the_budget, ended_set_ups_uncounted, all_begin_with_one,
-                                    all_tokens_kept])
+CROWD = replace(
+    cold.drawn(7),
+    balancers=200,
+    idle=0.0,
+    fresh=0.0,
+    spread=0.0,
+    bears=20.0,
+    size=1.0,
+    used=0.8,
+    warm=3,
+    cold=2,
+    zone=False,
+    overload_factor=2.0,
+    fall_time=1.5,
+    ramp_time=15.0,
+    demand=4.0,
+    rush=0.6,
+    rush_at=0.2,
+    drowning=True,
+    retries=3,
+    short=0.3,
+    tells=False,
+    cold_share=0.12,
+)
+
+
+@pytest.mark.parametrize(
+    "mutant", [None, twice_the_budget, ended_set_ups_uncounted, all_begin_with_one, all_tokens_kept]
+)
 def test_each_broken_cold_rule_is_seen(mutant, monkeypatch):
     if mutant:
         mutant(monkeypatch)
@@ -70,8 +94,11 @@
 async def test_twenty_nodes_on_sockets_keep_to_the_budget_of_one_cold_server():
     """All have it as their only server, and three calls each; what is sent there ends at once. The window is
     longer than the test, so whatever is sent lies in one."""
-    rules = raw_settings()["obligations"] | {"rampTimeUs": RAMP * 1e6, "overloadFactor": FACTOR,
-                                             "fallUs": WINDOW * 1e6}
+    rules = raw_settings()["obligations"] | {
+        "rampTimeUs": RAMP * 1e6,
+        "overloadFactor": FACTOR,
+        "fallUs": WINDOW * 1e6,
+    }
     async with HalfWarm(peersTotal=NODES, slotNo=0, obligations=rules) as world:
         first, others = world.node, []
         for number in range(1, NODES):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,5 @@
 """The operators' door: its form, its figures and its promise to answer beside whoever holds it."""
+
 import asyncio
 import collections
 import random
@@ -23,13 +24,21 @@
     assert (request.done, request.method, request.path, request.body) == (True, "POST", "/_x", body)
 
 
-@pytest.mark.parametrize("text, status", [
-    ("GET\r\n\r\n", 400), ("GET /  HTTP/1.1\r\n\r\n", 400), ("OPEN 1 2\r\n\r\n", 400),
-    ("GET / HTTP/1.1\r\nno field\r\n\r\n", 400), ("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-    ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
-    ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
-    ("POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", 413),
-    ("POST / HTTP/1.1\r\nContent-Length: " + "9" * 4000 + "\r\n\r\n", 413), ("G" * 5000, 431)])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        ("GET\r\n\r\n", 400),
+        ("GET /  HTTP/1.1\r\n\r\n", 400),
+        ("OPEN 1 2\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nno field\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
+        ("POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", 413),
+        ("POST / HTTP/1.1\r\nContent-Length: " + "9" * 4000 + "\r\n\r\n", 413),
+        ("G" * 5000, 431),
+    ],
+)
 def test_a_bad_request_has_one_status(text, status):
     with pytest.raises(HttpError) as raised:
         Request().feed(text.encode())
@@ -56,9 +65,18 @@
 async def test_figures_are_what_peers_saw():
     async with World(servers=2, control=True, effect="fragile") as world:
         assert await world.figures() == {
-            "completed.chat": 0, "rejected.chat": 0, "failed.chat": 0, "upstream_requests": 0, "pending": 0,
-            "config_reloads": 0, "config_reload_errors": 0, "members": 2, "members_unavailable": 0,
-            "bad_weights": 0, "list_lines": 1}
+            "completed.chat": 0,
+            "rejected.chat": 0,
+            "failed.chat": 0,
+            "upstream_requests": 0,
+            "pending": 0,
+            "config_reloads": 0,
+            "config_reload_errors": 0,
+            "members": 2,
+            "members_unavailable": 0,
+            "bad_weights": 0,
+            "list_lines": 1,
+        }
         client, server = await world.standing()
         failing = await world.call()
         (await world.leg())[1].say("ERR")
@@ -143,7 +161,8 @@
         for state in ("terminated", "in_service"):
             entry = place | {"lifecycle": state}
             world.node.server_list.on_list(
-                lines.listing({"generation": 50, "reset": False, "instances": [entry]}))
+                lines.listing({"generation": 50, "reset": False, "instances": [entry]})
+            )
             world.node.server_watch.look()
             world.node.server_watch.look()
         assert [s.out for s in world.node.balancer.fleet if s.host.name == "s-0"] == [True]
@@ -169,8 +188,9 @@
                 seen["upstream_requests"] += 1
                 server.say("BUSY")
             told = await client.line()
-            seen["completed" if told.startswith("UP") else
-                 "rejected" if told.startswith("BUSY") else "failed"] += 1
+            seen[
+                "completed" if told.startswith("UP") else "rejected" if told.startswith("BUSY") else "failed"
+            ] += 1
             if told.startswith("UP"):
                 standing.append((client, server))
             if standing and chance.random() < 0.5:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,4 +1,5 @@
 """A crowd holds all descriptors that it can get while discovery is down: who still gets one, in real life."""
+
 import asyncio
 import contextlib
 import errno
@@ -56,8 +57,9 @@
         while await peer.line() not in ("", "fin", "rst"):
             pass
         news = json.dumps({"generation": 50, "reset": True, "instances": self.entries}) + "\n"
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
-                     % (len(news), news.encode()))
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(news), news.encode())
+        )
         self.watches.append(peer)
         with contextlib.suppress(ConnectionError):
             while not writer.is_closing():
@@ -76,10 +78,19 @@
         def limited():
             if hard:
                 resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
         with open(self.path.with_suffix(".log"), "wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "bellrack", "serve", f"--config={self.path}", cwd=ROOT, stderr=log,
-                env=os.environ | {"TMPDIR": str(self.path.parent)}, preexec_fn=limited)
+                sys.executable,
+                "-m",
+                "bellrack",
+                "serve",
+                f"--config={self.path}",
+                cwd=ROOT,
+                stderr=log,
+                env=os.environ | {"TMPDIR": str(self.path.parent)},
+                preexec_fn=limited,
+            )
         self.counting = asyncio.create_task(self.count())
         return self
 
@@ -122,9 +133,17 @@
 
 @contextlib.asynccontextmanager
 async def crowd(port, count, how):
-    there = [await asyncio.create_subprocess_exec(
-        sys.executable, str(ROOT / "tests" / "crowd.py"), str(port), str(min(CHILD, count - begun)), how,
-        stdout=asyncio.subprocess.PIPE) for begun in range(0, count, CHILD)]
+    there = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "tests" / "crowd.py"),
+            str(port),
+            str(min(CHILD, count - begun)),
+            how,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for begun in range(0, count, CHILD)
+    ]
     try:
         for one in there:
             assert await asyncio.wait_for(one.stdout.readline(), PATIENCE) == b"there\n"
@@ -143,14 +162,28 @@
         if (await Peer(reader, writer).line()).startswith("OPEN"):
             writer.write(b"UP 1\r\n")
         up.put_nowait(writer)
+
     server = await asyncio.start_server(serve, "127.0.0.1")
-    entry = {"hostPort": place(server.sockets[0]), "zone": "a", "cell": 0, "machineType": "m",
-             "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}
+    entry = {
+        "hostPort": place(server.sockets[0]),
+        "zone": "a",
+        "cell": 0,
+        "machineType": "m",
+        "lifecycle": "in_service",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
     discovery.entries = [entry | {"instanceId": f"s-{number}"} for number in range(3)]
     rules = {"obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7, "askWithinUs": 5e5}}
-    raw = {"name": "n0", "listen": place(clients), "seed": "8c1f30d27a5be964", "limits": {"sockets": limit},
-           "discovery": place(lister.sockets[0]), "settings": raw_settings(**rules),
-           "known": {"generation": 41, "reset": True, "instances": discovery.entries[:1]}}
+    raw = {
+        "name": "n0",
+        "listen": place(clients),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": limit},
+        "discovery": place(lister.sockets[0]),
+        "settings": raw_settings(**rules),
+        "known": {"generation": 41, "reset": True, "instances": discovery.entries[:1]},
+    }
     allowed = min(limit, hard or limit)
     first, second = (Process(folder / f"{name}.json", raw) for name in ("first", "second"))
     started = []
@@ -191,16 +224,22 @@
             sock.close()
 
 
-@pytest.mark.parametrize("cases", [
-    [("silent", 64, None), ("slow", 64, None), ("again", 64, None)],
-    [("again", 20000, 64), ("slow", 256, None), ("silent", 1024, None)]])
+@pytest.mark.parametrize(
+    "cases",
+    [
+        [("silent", 64, None), ("slow", 64, None), ("again", 64, None)],
+        [("again", 20000, 64), ("slow", 256, None), ("silent", 1024, None)],
+    ],
+)
 def test_a_crowd_that_fills_everything_leaves_control_its_descriptors(tmp_path, capsys, cases):
     async def all_of_them():  # beside one another: most of each is waiting
         folders = [tmp_path / str(number) for number in range(len(cases))]
         for folder in folders:
             folder.mkdir()
-        return await asyncio.gather(*[
-            story(folder, limit, hard, how) for folder, (how, limit, hard) in zip(folders, cases)])
+        return await asyncio.gather(
+            *[story(folder, limit, hard, how) for folder, (how, limit, hard) in zip(folders, cases)]
+        )
+
     found = asyncio.run(asyncio.wait_for(all_of_them(), 120))
     with capsys.disabled():
         for (how, limit, hard), most in zip(cases, found):
@@ -248,6 +287,7 @@
                 failed.append(OSError(errno.EMFILE, "no"))
                 raise failed[-1]
             take(self)
+
         monkeypatch.setattr(doors.Listener, "take", fails)
         await world.standing()
         assert len(failed) == 3
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """Told after 6 s: whatever becomes of calls to discovery, nothing new goes to a server that drains later than
 6 s and the grace after discovery had it and could be reached. On virtual time, with many balancers at a
 service of ten lists a second, and on real connections."""
+
 import asyncio
 import contextlib
 import heapq
@@ -141,8 +142,13 @@
 
     def listed(self, drained):
         self.has = drained
-        self.entries([(mark, model.DRAINING if drained and mark == DRAINS else model.READY, 0, 0, 1.0, 0.0, 0)
-                      for mark in range(SERVERS)], True)
+        self.entries(
+            [
+                (mark, model.DRAINING if drained and mark == DRAINS else model.READY, 0, 0, 1.0, 0.0, 0)
+                for mark in range(SERVERS)
+            ],
+            True,
+        )
 
     def after(self, wait, what, *values):
         self.world.after(self, wait, what, *values)
@@ -318,8 +324,10 @@
     sent = sum(at > told for node in tier.nodes for at, _ in node.sent)
     turned = sum(at > told for node in tier.nodes for at in node.turned)
     with capsys.disabled():
-        print(f"\n200 balancers refused for 20 s: {refused} calls meanwhile, {tier.service.calls} in all; "
-              f"all have the list {tier.now - begun:.0f} s after")
+        print(
+            f"\n200 balancers refused for 20 s: {refused} calls meanwhile, {tier.service.calls} in all; "
+            f"all have the list {tier.now - begun:.0f} s after"
+        )
         print(f"20 of them with clients, in doubt: {sent} legs, {turned} turned away")
     assert not sends_after(tier, told)
     assert refused <= 5 * 200 and tier.service.calls <= 6 * 200
@@ -344,8 +352,10 @@
     told = tier.now
     tier.run(60.0)
     with capsys.disabled():
-        print(f"\n200 balancers, discovery down for 8 s: {had} have the list in time, {before} calls while "
-              f"down, {tier.service.calls - before} after")
+        print(
+            f"\n200 balancers, discovery down for 8 s: {had} have the list in time, {before} calls while "
+            f"down, {tier.service.calls - before} after"
+        )
     assert had > 0.4 * A_SECOND * BOUND
     assert not tier.without and not sends_after(tier, told) and tier.service.calls - before <= 5 * 200
 
@@ -373,10 +383,16 @@
 
 # On real connections. Times are a tenth, order and counts are looked at.
 
+
 @pytest.fixture
 def quick(monkeypatch):
-    for name, value in {"GAP_FIRST": 0.05, "GAP_MOST": 0.2, "OVERLAP": 0.3, "CONNECT": 0.15,
-                        "AT_ONCE": 0.025}.items():
+    for name, value in {
+        "GAP_FIRST": 0.05,
+        "GAP_MOST": 0.2,
+        "OVERLAP": 0.3,
+        "CONNECT": 0.15,
+        "AT_ONCE": 0.025,
+    }.items():
         monkeypatch.setattr(discovery_retry, name, value)
     monkeypatch.setattr(discovery, "LOOK", 0.025)
 
@@ -395,7 +411,7 @@
     await world.until(lambda: server(world, number).state == model.DRAINING)
 
 
-HALVES = [b"", b"HTTP/1.1 200 OK\r\nTransfer-Enc", HEAD, HEAD + b"3f\r\n{\"generation\": 5"]
+HALVES = [b"", b"HTTP/1.1 200 OK\r\nTransfer-Enc", HEAD, HEAD + b'3f\r\n{"generation": 5']
 
 
 @pytest.mark.parametrize("said", HALVES)
@@ -431,7 +447,8 @@
 
 @played
 async def test_a_refusal_at_once_tells_that_discovery_is_down_and_a_late_one_that_it_was_reached(
-        quick, monkeypatch):
+    quick, monkeypatch
+):
     refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
     monkeypatch.setattr(discovery_retry, "AT_ONCE", 60.0)
     async with World() as world:
@@ -493,8 +510,9 @@
         for filler in fillers:
             filler.close()
         asked = asyncio.Queue()
-        world.listeners.append(await asyncio.start_server(
-            lambda *both: asked.put_nowait(Peer(*both)), sock=door))
+        world.listeners.append(
+            await asyncio.start_server(lambda *both: asked.put_nowait(Peer(*both)), sock=door)
+        )
         while True:
             new = await asyncio.wait_for(asked.get(), 5)
             if (await new.line()).startswith("GET"):  # the others are what filled it, and calls given up
@@ -521,6 +539,7 @@
                     await asyncio.sleep(2 * discovery_retry.AT_ONCE)  # as one that waited too long is told
                     refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
                     peer.writer.write(HEAD + news(world) if living.is_set() else refusal)
+
         took = []
 
         async def serve():
@@ -530,6 +549,7 @@
                 await peer.line()
                 took.append(number)
                 peer.say("BUSY" if number else "UP 1")
+
         answering, serving = asyncio.create_task(answer()), asyncio.create_task(serve())
         first, *others = (server(world, number) for number in range(3))
 
@@ -539,6 +559,7 @@
             client.end("fin")
             await asyncio.sleep(0.02)  # a pace, and no wait for anything
             return line == "UP 1"
+
         while not world.node.discovery.doubts:
             await served()
         assert set(took) == {0, 1, 2} and first.usable and not any(one.usable for one in others)
@@ -562,6 +583,7 @@
     def late(link):
         link.leg.server.doubtful = True
         made(link)
+
     monkeypatch.setattr(ServerLink, "made", late)
     async with World() as world:
         client = await world.call()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,4 +1,5 @@
 """What is owed at the instant at which something ends: each bad order is made by stand-ins, every time."""
+
 import asyncio
 import errno
 import json
@@ -28,6 +29,7 @@
 
 # A server that hangs, or ends, in the middle.
 
+
 @pytest.mark.parametrize("part", ["half a ", "x" * 3000])
 @played
 async def test_a_server_that_hangs_in_the_middle_of_a_line_is_left(monkeypatch, part):
@@ -83,6 +85,7 @@
 
 # One answer, whatever comes at the same instant.
 
+
 @pytest.mark.parametrize("first, told", [("time", "BUSY 500"), ("server", "UP 1")])
 @played
 async def test_time_and_answer_at_the_same_instant_give_one_answer(monkeypatch, first, told):
@@ -120,6 +123,7 @@
 
 # A client that leaves while it waits is not sent on.
 
+
 @pytest.mark.parametrize("how", ["fin", "rst"])
 @played
 async def test_a_client_that_leaves_as_its_leg_comes_up_is_not_sent_on(monkeypatch, how):
@@ -140,6 +144,7 @@
 async def test_a_burst_that_leaves_at_once_is_not_sent_on(how):
     # The line and the end of each are there before the balancer looks: none of them is connected for.
     async with World(servers=2) as world:
+
         def burst():
             for number in range(60):
                 sock = socket.create_connection(world.node.address)
@@ -147,6 +152,7 @@
                 if how == "rst":
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
                 sock.close()
+
         burst()  # the loop stands meanwhile
         await world.until(lambda: world.node.counters["ended_client"] >= 60 and not world.node.clients)
         assert not world.node.counters["upstream_requests"] and not world.node.balancer.held
@@ -171,6 +177,7 @@
 
 # Leaving.
 
+
 @played
 async def test_asked_to_end_it_waits_for_a_line_that_is_half_there(monkeypatch):
     monkeypatch.setattr(leaving, "STAY", 0.1)
@@ -225,8 +232,9 @@
         assert door.accept.called and not world.node.counters["faults"]
 
 
-@pytest.mark.parametrize("effect, told", [
-    ("retryable", "BUSY 500"), ("fragile", "ERR"), ("dedup", "BUSY 500")])
+@pytest.mark.parametrize(
+    "effect, told", [("retryable", "BUSY 500"), ("fragile", "ERR"), ("dedup", "BUSY 500")]
+)
 @played
 async def test_asked_to_end_it_answers_who_waits_for_a_server_that_hangs(monkeypatch, effect, told):
     monkeypatch.setattr(leaving, "LONGEST", 0.3)
@@ -246,8 +254,14 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(world.raw))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "bellrack", "serve", f"--config={path}", cwd=ROOT,
-            stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "bellrack",
+            "serve",
+            f"--config={path}",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
         await world.question()  # it waits for its list, which does not come
         process.send_signal(signal.SIGTERM)
         _, said = await asyncio.wait_for(process.communicate(), 5)
@@ -256,6 +270,7 @@
 
 # Being told.
 
+
 @pytest.mark.parametrize("begun", [HEAD, HEAD + chunk('{"generation": 50,\n'), b"HTTP/1.1 200 OK\r\nX: "])
 @pytest.mark.parametrize("part", [b"x", b"1\r\n \r\n"])
 @played
@@ -273,6 +288,7 @@
             while True:
                 watch.writer.write(part)
                 await asyncio.sleep(0.05)
+
         dribbling = asyncio.create_task(dribble())
         await world.question()
         dribbling.cancel()
@@ -311,13 +327,20 @@
     async with World(servers=2) as world:
         watch, _ = await world.question()
         one, other = world.node.servers.values()
-        change = {"generation": 50, "reset": False, "instances": [
-            world.entries[0] | {"lifecycle": "terminating", "note": 'a "}" {['}]}
-        text = json.dumps(change, indent=2) + "\n\n" + json.dumps(
-            {"generation": 51, "reset": True, "instances": [world.entries[1]]}, indent="\t") + "\n"
+        change = {
+            "generation": 50,
+            "reset": False,
+            "instances": [world.entries[0] | {"lifecycle": "terminating", "note": 'a "}" {['}],
+        }
+        text = (
+            json.dumps(change, indent=2)
+            + "\n\n"
+            + json.dumps({"generation": 51, "reset": True, "instances": [world.entries[1]]}, indent="\t")
+            + "\n"
+        )
         watch.writer.write(HEAD)
         for at in range(0, len(text), 37):
-            watch.writer.write(chunk(text[at:at + 37]))
+            watch.writer.write(chunk(text[at : at + 37]))
         await world.until(lambda: world.node.server_list.version == 51)
         assert (one.state, other.state) == (model.GONE, model.READY)
         assert not world.node.counters["list_failures"]
@@ -342,6 +365,7 @@
         watch, _ = await world.question()
         draining = world.entries[0] | {"lifecycle": "terminating"}
         watch.writer.write(HEAD + chunk(listed(50, draining, whole=False)))
+
     answering = asyncio.create_task(agent())
     async with world:
         assert world.node.readiness.heard and answering.done()
@@ -370,7 +394,7 @@
     for _ in range(40):
         bench.wakes.clear()
         bench.rack.unlisted()
-        (when, what), = bench.wakes
+        ((when, what),) = bench.wakes
         assert what == "watch" and when - bench.now <= 1.5  # four times that holds after a call that failed
 
 
@@ -381,8 +405,16 @@
 
 
 def kinds(effect, group):
-    return [{"name": "chat", "effect": effect, "group": group, "keyTtlUs": 5e6, "guardTimeUs": 2e6,
-             "setupTargetUs": 2e5}]
+    return [
+        {
+            "name": "chat",
+            "effect": effect,
+            "group": group,
+            "keyTtlUs": 5e6,
+            "guardTimeUs": 2e6,
+            "setupTargetUs": 2e5,
+        }
+    ]
 
 
 @pytest.mark.parametrize("outcome", [*RAN, "BUSY"])
@@ -425,6 +457,7 @@
 
 # Short of time.
 
+
 @pytest.mark.parametrize("wait, goes", [(0.012, True), (0.1, True), (0.0, False), (-1.0, False)])
 def test_a_short_deadline_leaves_time_for_a_leg(wait, goes):
     bench = Bench(settings())  # an answer's way is taken for 24 ms
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,22 +1,23 @@
 """Counts over the logs of a fleet, on small logs written here."""
+
 import sys
 
 from bellrack.drill import fleet
 from bellrack.net import log
 
-ONE = '''\
+ONE = """\
 0.150 time=1.0 level=info event=serving name=n0 listen=10.0.0.1:3000 servers=9
 7.437 time=1.0 level=info event=mode text="server swamped: held 1, ceiling 0.9"
 7.500 time=1.0 level=info event=ended side=server reason=refused server=s-1 result="no connection"
 7.900 time=1.0 level=info event=ended side=client reason=rejected
 something else
-'''
-OTHER = '''\
+"""
+OTHER = """\
 7.100 time=1.0 level=info event=ended side=client reason=rejected
 7.200 time=1.0 level=info event=ended side=client reason=rejected
 7.300 time=1.0 level=info event=ended side=server reason=completed server=s-1 result=completed
 7.400 time=1.0 level=info event=mode text="server swamped: held 3, ceiling 2.8"
-'''
+"""
 
 
 def test_a_fleet_is_counted_by_second_and_by_server(tmp_path, capsys, monkeypatch):
@@ -29,7 +30,8 @@
         "second 7: 3 client rejected, 1 leg completed, 1 leg no connection, 2 server swamped; "
         "turned away by 2",
         "server s-1: 2 legs ended, 1 badly: {'no connection': 1, 'completed': 1}",
-        "lines of no known form: 1"]
+        "lines of no known form: 1",
+    ]
 
 
 def test_a_folder_without_logs_is_one_plain_line(tmp_path, capsys, monkeypatch):
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -1,4 +1,5 @@
 """No attempt begins for a client that has closed: the kernel knows of its end before the node has read it."""
+
 import asyncio
 import contextlib
 import select
@@ -48,6 +49,7 @@
 
 # An end that is in the kernel and not yet read, as after a long turn.
 
+
 @ENDS
 @played
 async def test_a_queued_request_whose_client_leaves_before_it_is_looked_at_is_not_sent(how):
@@ -61,9 +63,11 @@
         def one_turn():
             leave_now(world, client, how)
             world.node.server_list.on_list(
-                lines.listing({"generation": 42, "reset": True, "instances": [entry]}))
+                lines.listing({"generation": 42, "reset": True, "instances": [entry]})
+            )
             world.node.balancer.woke("kept")
             assert not world.node.balancer.kept and world.node.actions  # it was placed
+
         world.node.queue(one_turn)
         await nothing_left(world)
         assert not world.node.counters["legs"] and world.arrived.empty()
@@ -111,6 +115,7 @@
         if self.side == "server":
             await gate.wait()
         await opened(self, *args)
+
     monkeypatch.setattr(servers.Outgoing, "_open", slowly)
     async with World(trafficTypes=PATIENT) as world:
         client = come(world)
@@ -127,9 +132,11 @@
 @played
 async def test_a_line_and_the_end_behind_it_make_no_attempt(how):
     async with World(servers=2) as world:
+
         def burst():
             for number in range(20):
                 leave(come(world, number + 1), how)
+
         burst()  # both are there before the loop looks
         await world.until(lambda: world.node.counters["ended_client"] >= 20)
         await nothing_left(world)
@@ -181,6 +188,7 @@
 
 # No long turn.
 
+
 @pytest.mark.parametrize("queue", ["events", "acts"])
 @played
 async def test_a_long_turn_stops_so_that_ends_and_lists_come_in_between(monkeypatch, queue):
@@ -196,6 +204,7 @@
             if not number:
                 leave_now(world, client, "fin")
                 host.queue(lambda: told.append(len(seen)), first=True)
+
         monkeypatch.setattr(host, "clock", lambda: clock() + late)
         if queue == "events":
             for number in range(300):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,4 +1,5 @@
 """Large tiers, in which nobody adds up: a poll of a few mates, its price, its error, what does it no harm."""
+
 import math
 import random
 import statistics
@@ -52,8 +53,12 @@
 
     def start(self, number, held, kind=Gossip):
         node = self.nodes[number] = kind(
-            number, self.peers, lambda peer, data: self.post(number, node, peer, data),
-            Chance(number).draw, 0.065)
+            number,
+            self.peers,
+            lambda peer, data: self.post(number, node, peer, data),
+            Chance(number).draw,
+            0.065,
+        )
         node.listed(self.listed, 0)
         for server, share in self.share.items():
             node.holds(server.mark, self.about(share * held), 0, 0)
@@ -117,8 +122,7 @@
     some_of_them = large.numbers[:16]
     assert all(large.nodes[number].hears(large.now) for number in some_of_them)
     assert large.fair(some_of_them)
-    alone = [Zone.errors(large, [number]) for number in some_of_them
-             if not large.nodes[number].votes.clear()]
+    alone = [Zone.errors(large, [number]) for number in some_of_them if not large.nodes[number].votes.clear()]
     off = sorted(sum(alone, []))
     assert off[int(0.9 * len(off))] > 0.15  # what each sees itself is not enough
 
@@ -157,8 +161,11 @@
         for number in before:
             zone.nodes[number].holds(server.mark, 0, 0, 0)
     zone.run(gossip.VOTE_STANDS + 5)
-    told = [[zone.nodes[number].total(server.mark, zone.now) for number in side] for server in zone.near[:5]
-            for side in (rest[:10], rest[10:])]
+    told = [
+        [zone.nodes[number].total(server.mark, zone.now) for number in side]
+        for server in zone.near[:5]
+        for side in (rest[:10], rest[10:])
+    ]
     assert not any(sum(one) for one in told[::2]) and all(min(one) for one in told[1::2])
     for number in zone.numbers[::2]:
         zone.start(number, 4000)
@@ -191,8 +198,13 @@
 
 def pair(**changes):
     """One node in a tier of 300 and ten servers of which it holds 30 each."""
-    node = Gossip(0, 300, lambda peer, data: changes.setdefault("out", []).append((peer, data)),
-                  random.Random(1).random, 0.065)
+    node = Gossip(
+        0,
+        300,
+        lambda peer, data: changes.setdefault("out", []).append((peer, data)),
+        random.Random(1).random,
+        0.065,
+    )
     listed = {mark: model.Server(mark) for mark in range(1, 11)}
     node.listed(listed, 0)
     for mark in listed:
@@ -310,7 +322,7 @@
     node, listed, out = pair()
     late = poll([30] * 10, [(4, 9.0)])
     assert not [news for _ in range(9) for news in node.heard(10.0, 1, late, listed)]
-    (kind, mark, value), = node.heard(11.0, 2, late, listed)
+    ((kind, mark, value),) = node.heard(11.0, 2, late, listed)
     assert (kind, mark) == (sums.LATE, 4) and value <= gossip.WORST
     assert not node.heard(20.0, 1, late, listed)  # the other is long ago
     for peer in (2, 3):
@@ -363,18 +375,22 @@
         with pytest.raises(wire.DatagramError):
             wire.unpack(data)
     state = repr(vars(new))
-    theirs = [*sums.pack(sums.REPORT, [(sums.HELD, 4, 9), (sums.LATE, 4, 3)]),
-              *sums.pack(sums.BROADCAST, [(sums.SUM, 4, 9), (sums.LATE, 4, 3)]),
-              *sums.pack_pairs(sums.GROUPS, [(4, 1)], [1]), *sums.pack_pairs(sums.PLACEMENTS, [(4, 1)], [1]),
-              wire.pack(wire.Datagram(wire.PING, 1, 1, 1)),
-              bytes([gossip.FORM, gossip.VERSION + 1]) + poll([30] * 10)[2:],
-              *(bytes([form]) + poll([30] * 10)[1:] for form in range(1, 6))]
+    theirs = [
+        *sums.pack(sums.REPORT, [(sums.HELD, 4, 9), (sums.LATE, 4, 3)]),
+        *sums.pack(sums.BROADCAST, [(sums.SUM, 4, 9), (sums.LATE, 4, 3)]),
+        *sums.pack_pairs(sums.GROUPS, [(4, 1)], [1]),
+        *sums.pack_pairs(sums.PLACEMENTS, [(4, 1)], [1]),
+        wire.pack(wire.Datagram(wire.PING, 1, 1, 1)),
+        bytes([gossip.FORM, gossip.VERSION + 1]) + poll([30] * 10)[2:],
+        *(bytes([form]) + poll([30] * 10)[1:] for form in range(1, 6)),
+    ]
     for data in theirs:
         assert not new.heard(1.0, 1, data, listed) and repr(vars(new)) == state
 
 
 def test_processes_of_the_build_before_add_up_among_themselves_beside_the_new_ones():
     """Balancers 0 to 5 of the build before, 6 to 19 new: the old sums come out as without the new ones."""
+
     def played(count):
         now, nodes = [100.0], []
         listed = {mark: model.Server(mark) for mark in range(1, 11)}
@@ -384,10 +400,15 @@
                 for other in range(len(nodes)) if peer is None else [peer]:
                     if other != own and other < len(nodes):
                         nodes[other].heard(now[0], own, data, listed)
+
             return tell
+
         for own in range(count):
-            node = sums.Sums(own, 300, told(own)) if own < 6 else Gossip(
-                own, 20, told(own), Chance(own).draw, 0.065)
+            node = (
+                sums.Sums(own, 300, told(own))
+                if own < 6
+                else Gossip(own, 20, told(own), Chance(own).draw, 0.065)
+            )
             node.listed(listed, 0)
             for mark in listed:
                 node.holds(mark, 20 + mark, 0, 0)
@@ -397,18 +418,23 @@
             for node in nodes:
                 node.turn(now[0], 0.02)
         return [[node.total(mark, now[0]) for mark in listed] for node in nodes], nodes
+
     (alone, _), (mixed, nodes) = played(6), played(20)
     assert mixed[:6] == alone and all(5.5 * 21 < row[0] < 6.5 * 21 for row in alone)
     assert {node.aggregator for node in nodes[:6]} == {0}
     assert all(node.hears(160.0) and not set(node.mates) & set(range(6)) for node in nodes[6:])
 
 
-@pytest.mark.parametrize("peers, kind", [
-    (3, sums.Sums), (gossip.LARGE, sums.Sums), (gossip.LARGE + 1, Gossip)])
+@pytest.mark.parametrize(
+    "peers, kind", [(3, sums.Sums), (gossip.LARGE, sums.Sums), (gossip.LARGE + 1, Gossip)]
+)
 def test_the_size_of_the_tier_chooses_and_up_to_256_nothing_is_changed(peers, kind):
     out = []
-    one = OverloadDetector(settings(peers=peers, number=0, may_publish=True),
-                           lambda peer, data: out.append(data), lambda server, late: None)
+    one = OverloadDetector(
+        settings(peers=peers, number=0, may_publish=True),
+        lambda peer, data: out.append(data),
+        lambda server, late: None,
+    )
     one.listed([model.Server(5)])
     for turn in range(20):
         one.turn(100.0 + turn)
@@ -479,10 +505,16 @@
         def tell(peer, data):
             if peer < len(detectors):
                 detectors[peer].heard(own, data, now[0])
+
         return tell
+
     for own in range(12):
-        one = OverloadDetector(settings(peers=12, number=own, may_publish=True), told(own),
-                               lambda server, late, own=own: found.append((own, server)), large=0)
+        one = OverloadDetector(
+            settings(peers=12, number=own, may_publish=True),
+            told(own),
+            lambda server, late, own=own: found.append((own, server)),
+            large=0,
+        )
         one.listed(fleet)
         for server in fleet:
             one.sums.holds(server.mark, 20, 0, 0)
@@ -503,7 +535,7 @@
 
     LIAR = 6
 
-    @initialize(seed=some.integers(0, 2 ** 32))
+    @initialize(seed=some.integers(0, 2**32))
     def begin(self, seed):
         self.random, self.now, self.parted, self.waiting = random.Random(seed), 1000.0, set(), []
         self.listed = {mark: model.Server(mark) for mark in range(1, 9)}
@@ -514,7 +546,8 @@
     @rule(own=some.integers(0, 5), held=some.lists(some.integers(20, 60), min_size=8, max_size=8))
     def start(self, own, held=(30,) * 8):
         node = self.nodes[own] = Gossip(
-            own, 7, lambda peer, data: self.post(own, peer, data), self.random.random, 0.065)
+            own, 7, lambda peer, data: self.post(own, peer, data), self.random.random, 0.065
+        )
         node.listed(self.listed, 0)
         for mark, count in zip(self.listed, held):
             node.holds(mark, count, 0, 0)
@@ -532,8 +565,12 @@
     def part(self, who):
         self.parted = who
 
-    @rule(counts=some.lists(some.integers(0, 65000), min_size=8, max_size=8),
-          held=some.integers(0, 2 ** 32 - 1), late=some.integers(1, 8), to=some.integers(0, 5))
+    @rule(
+        counts=some.lists(some.integers(0, 65000), min_size=8, max_size=8),
+        held=some.integers(0, 2**32 - 1),
+        late=some.integers(1, 8),
+        to=some.integers(0, 5),
+    )
     def lies(self, counts, held, late, to):
         data = gossip.pack(held, [(late, 60000.0)], list(zip(self.listed, counts)), self.random.random)
         for _ in range(3):
--- a/tests/test_gossip_live.py
+++ b/tests/test_gossip_live.py
@@ -1,4 +1,5 @@
 """The poll of a large tier between real processes: seven in three zones on loopback, faults between them."""
+
 import asyncio
 import json
 import os
@@ -69,27 +70,57 @@
         for sender in range(len(ZONES)):
             for receiver in range(len(ZONES)):
                 _, self.ways[sender, receiver] = await loop.create_datagram_endpoint(
-                    lambda ends=(sender, receiver): Way(self, *ends), local_addr=(HOST, 0))
+                    lambda ends=(sender, receiver): Way(self, *ends), local_addr=(HOST, 0)
+                )
         for number, zone in enumerate(ZONES):
             path = folder / f"{number}.json"
             path.write_text(json.dumps(self.config(number, zone)))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", SERVE, str(path), json.dumps(HELD[number]), cwd=ROOT,
-                env=os.environ | {"TMPDIR": str(folder)}, stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.DEVNULL)
+                sys.executable,
+                "-c",
+                SERVE,
+                str(path),
+                json.dumps(HELD[number]),
+                cwd=ROOT,
+                env=os.environ | {"TMPDIR": str(folder)},
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.DEVNULL,
+            )
             self.processes.append(process)
             self.tasks.append(loop.create_task(self.follow(number, process)))
 
     def config(self, number, zone):
-        peers = [f"{HOST}:{self.ways[number, other].transport.get_extra_info('sockname')[1]}"
-                 for other in range(len(ZONES))]
-        servers = [{"instanceId": f"{name}-{one}", "hostPort": f"{HOST}:1", "zone": name, "cell": 0,
-                    "lifecycle": "in_service", "weight": 1.0} for name in "abc" for one in range(4)]
-        return {"name": f"n{number}", "listen": f"{HOST}:0", "discovery": f"{HOST}:1",
-                "peer_listen": f"{HOST}:{self.ports[number]}", "peers": peers,
-                "known": {"generation": 1, "reset": True, "instances": servers},
-                "settings": raw_settings(areas=["a", "b", "c"], az="abc".index(zone), slotNo=number,
-                                         peersTotal=len(ZONES), caps=CAPS | {"mayTell": True})}
+        peers = [
+            f"{HOST}:{self.ways[number, other].transport.get_extra_info('sockname')[1]}"
+            for other in range(len(ZONES))
+        ]
+        servers = [
+            {
+                "instanceId": f"{name}-{one}",
+                "hostPort": f"{HOST}:1",
+                "zone": name,
+                "cell": 0,
+                "lifecycle": "in_service",
+                "weight": 1.0,
+            }
+            for name in "abc"
+            for one in range(4)
+        ]
+        return {
+            "name": f"n{number}",
+            "listen": f"{HOST}:0",
+            "discovery": f"{HOST}:1",
+            "peer_listen": f"{HOST}:{self.ports[number]}",
+            "peers": peers,
+            "known": {"generation": 1, "reset": True, "instances": servers},
+            "settings": raw_settings(
+                areas=["a", "b", "c"],
+                az="abc".index(zone),
+                slotNo=number,
+                peersTotal=len(ZONES),
+                caps=CAPS | {"mayTell": True},
+            ),
+        }
 
     async def follow(self, number, process):
         async for line in process.stdout:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,4 +1,5 @@
 """Two processes that are one balancer: the door goes over whole, and nothing is lost on the way."""
+
 import asyncio
 import contextlib
 import json
@@ -171,7 +172,8 @@
         async with world.beside() as second:
             here, there = (
                 sorted((s.mark, s.zone, s.state, s.size, s.host.address) for s in one.servers.values())
-                for one in (world.node, second))
+                for one in (world.node, second)
+            )
             assert here == there and len(here) == 2
 
 
@@ -188,7 +190,7 @@
         new, world.node = world.node, old
         assert (await world.ask("/_servers/attach", "s-0"))[0] == 200
         await world.until(lambda: len(new.server_list.cordoned) == 1)
-        server, = (s for s in new.servers.values() if s.host.name == "s-0")
+        (server,) = (s for s in new.servers.values() if s.host.name == "s-0")
         assert not server.out and server.stand.warm_at > new.now  # restarted meanwhile, as far as we know
         new.over.set()
         await serving
@@ -238,8 +240,16 @@
     monkeypatch.setattr(ring, "HELD", 0.0)
     async with World(control=True) as world:
         line = lines.wish(b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n")
-        words = {"in": "", "back": "", "line": line.line.decode(), "server": "s-0", "place": "127.0.0.1:1",
-                 "sent": 1.0, "asked": [], "said": ""}
+        words = {
+            "in": "",
+            "back": "",
+            "line": line.line.decode(),
+            "server": "s-0",
+            "place": "127.0.0.1:1",
+            "sent": 1.0,
+            "asked": [],
+            "said": "",
+        }
         sides = [socket.socketpair() for _ in range(2)]
         ours, theirs = passing.pair()
         taker, up = passing.Taker(world.node, theirs), passing.Taker.up
@@ -303,9 +313,18 @@
         for number, desk in enumerate(desks):
             path = tmp_path / f"{number}.json"
             path.write_text(json.dumps(world.raw | {"listen": listen, "control": desk}))
-            processes.append(await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "bellrack", "serve", f"--config={path}", cwd=ROOT,
-                env=os.environ | {"TMPDIR": str(tmp_path)}, stderr=asyncio.subprocess.DEVNULL))
+            processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "bellrack",
+                    "serve",
+                    f"--config={path}",
+                    cwd=ROOT,
+                    env=os.environ | {"TMPDIR": str(tmp_path)},
+                    stderr=asyncio.subprocess.DEVNULL,
+                )
+            )
             while (await asked(desk))[:1] != b"2":
                 await asyncio.sleep(0.02)
             if not number:
@@ -361,8 +380,9 @@
 
 def test_what_is_handed_over_reads_as_a_list():
     from bellrack.net import lines
+
     row = ("s-1", ("127.0.0.1", 9), "a", "draining", 3, 1.5, 100.25, "m2")
-    entry, = lines.listing(json.loads(json.dumps(lines.told([row])))).entries
+    (entry,) = lines.listing(json.loads(json.dumps(lines.told([row])))).entries
     assert (entry.name, entry.address, entry.zone, entry.machine) == ("s-1", ("127.0.0.1", 9), "a", "m2")
     assert entry.row == ("draining", 3, 1.5, 100.25)
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,5 +1,6 @@
 """The lab on virtual time: its hard cases, that it repeats itself to the byte, and that its referee
 convicts."""
+
 import json
 import math
 import os
@@ -26,10 +27,15 @@
 def raw(*troubles, **changes):
     """A small scenario: two zones of two servers, a balancer in each, no chance in the network."""
     base = {
-        "name": "small", "length": 20.0, "zone": [{"name": "a"}, {"name": "b"}],
-        "kind": [{"name": "k"}], "net": {"jitter": 0.0},
+        "name": "small",
+        "length": 20.0,
+        "zone": [{"name": "a"}, {"name": "b"}],
+        "kind": [{"name": "k"}],
+        "net": {"jitter": 0.0},
         "servers": [{"zone": "a", "kind": "k", "count": 2}, {"zone": "b", "kind": "k", "count": 2}],
-        "type": [{"name": "view"}], "clients": {"rate": 5.0, "life": 5.0}}
+        "type": [{"name": "view"}],
+        "clients": {"rate": 5.0, "life": 5.0},
+    }
     return base | {"trouble": list(troubles)} | changes
 
 
@@ -71,7 +77,8 @@
     agenda.at(START + 1, TIMER, lambda: agenda.after(0, NEWS, seen.append, "put down meanwhile"))
     agenda.run(START + 1)
     assert [one for one in seen if one != "put down meanwhile"] == [
-        (rank, turn) for rank in (TROUBLE, NEWS, RESULT, ARRIVAL, TIMER, GUARD) for turn in "ab"]
+        (rank, turn) for rank in (TROUBLE, NEWS, RESULT, ARRIVAL, TIMER, GUARD) for turn in "ab"
+    ]
     assert seen.index("put down meanwhile") == seen.index((GUARD, "a")) - 1  # before whatever comes later
 
 
@@ -85,8 +92,9 @@
             if not call.done:
                 self.door.reject(call)
 
-    world = played(policy=lambda world: Punctual, length=2.0,
-                   clients={"again": [0.0, 0.0], "retries": 0, "life": 600.0})
+    world = played(
+        policy=lambda world: Punctual, length=2.0, clients={"again": [0.0, 0.0], "retries": 0, "life": 600.0}
+    )
     assert world.counters["calls"] > 3
     assert world.counters["gave_up"] == (0 if in_time else world.counters["calls"])
 
@@ -94,11 +102,19 @@
 def test_a_server_that_dies_between_accepting_and_answering_leaves_the_doubt():
     slow = [{"name": "k", "setup": 0.9, "cores": 1.0}]
     types = [{"name": "order", "effect": "once-only", "guard": 3.0, "setup_target": 3.0}]
-    world = played({"kind": "crash", "at": 5.0, "servers": ["a-k-1", "a-k-2", "b-k-1", "b-k-2"]},
-                   kind=slow, type=types, clients={"rate": 6.0, "life": 30.0}, length=6.0)
+    world = played(
+        {"kind": "crash", "at": 5.0, "servers": ["a-k-1", "a-k-2", "b-k-1", "b-k-2"]},
+        kind=slow,
+        type=types,
+        clients={"rate": 6.0, "life": 30.0},
+        length=6.0,
+    )
     ran = {entry[2] for entry in entries(world, "ran")}
-    died_in_set_up = [entry for entry in entries(world, "back") if entry[0] < START + 5.1
-                      and entry[4] == model.RESET and entry[2] not in ran]
+    died_in_set_up = [
+        entry
+        for entry in entries(world, "back")
+        if entry[0] < START + 5.1 and entry[4] == model.RESET and entry[2] not in ran
+    ]
     assert died_in_set_up
     released = {entry[2] for entry in entries(world, "answer") if entry[3] == "released"}
     assert {entry[2] for entry in died_in_set_up} <= released  # neither sent again nor rejected
@@ -106,14 +122,22 @@
 
 
 def test_a_drain_told_to_one_balancer_and_not_yet_to_another():
-    world = played({"kind": "drain", "at": 5.0, "servers": ["a-k-1"], "lasts": 12.0}, seed=3,
-                   policy=lambda world: Blind, listing={"notice": [0.0, 0.0], "spread": 5.0},
-                   clients={"rate": 40.0, "life": 2.0}, rules={"drain_grace": 0.1})
+    world = played(
+        {"kind": "drain", "at": 5.0, "servers": ["a-k-1"], "lasts": 12.0},
+        seed=3,
+        policy=lambda world: Blind,
+        listing={"notice": [0.0, 0.0], "spread": 5.0},
+        clients={"rate": 40.0, "life": 2.0},
+        rules={"drain_grace": 0.1},
+    )
     told = {entry[2]: entry[0] for entry in entries(world, "told") if entry[4] == model.DRAINING}
     early, late = sorted(told, key=told.__getitem__)
     assert told[late] - told[early] > 0.5
-    between = [entry for entry in entries(world, "leg")
-               if told[early] + 0.1 < entry[0] < told[late] and entry[5] == "a-k-1"]
+    between = [
+        entry
+        for entry in entries(world, "leg")
+        if told[early] + 0.1 < entry[0] < told[late] and entry[5] == "a-k-1"
+    ]
     assert {entry[4] for entry in between} == {early, late}  # Blind sends on
     broken = [breach for breach in Referee(world.scenario).judge(world.trace.entries) if breach.rule == 3]
     balancer = {entry[2]: entry[3] for entry in entries(world, "call")}
@@ -151,16 +175,18 @@
 
 
 def test_a_trouble_that_outlasts_the_run_and_one_that_overlaps_another():
-    world = played({"kind": "crash", "at": 19.0, "servers": ["a-k-1"], "lasts": 3600.0},
-                   {"kind": "slow", "at": 2.0, "count": 4, "lasts": 900.0, "factor": 2.0},
-                   {"kind": "slow", "at": 3.0, "count": 4, "lasts": 4.0, "factor": 3.0},
-                   {"kind": "list-down", "at": 5.0, "lasts": 6.0},
-                   {"kind": "list-down", "at": 8.0, "lasts": 8.0},
-                   {"kind": "failing", "at": 2.0, "count": 4, "share": 0.25, "lasts": 900.0},
-                   {"kind": "failing", "at": 3.0, "count": 4, "share": 0.75, "lasts": 2.0},
-                   {"kind": "zone-lost", "at": 12.0, "zone": "b", "lasts": 4.0},
-                   {"kind": "crash", "at": 12.5, "servers": ["b-k-1"], "lasts": 1.0},
-                   rules={"push_multiple": 50.0})  # a balancer that restarts is not told of starts at once
+    world = played(
+        {"kind": "crash", "at": 19.0, "servers": ["a-k-1"], "lasts": 3600.0},
+        {"kind": "slow", "at": 2.0, "count": 4, "lasts": 900.0, "factor": 2.0},
+        {"kind": "slow", "at": 3.0, "count": 4, "lasts": 4.0, "factor": 3.0},
+        {"kind": "list-down", "at": 5.0, "lasts": 6.0},
+        {"kind": "list-down", "at": 8.0, "lasts": 8.0},
+        {"kind": "failing", "at": 2.0, "count": 4, "share": 0.25, "lasts": 900.0},
+        {"kind": "failing", "at": 3.0, "count": 4, "share": 0.75, "lasts": 2.0},
+        {"kind": "zone-lost", "at": 12.0, "zone": "b", "lasts": 4.0},
+        {"kind": "crash", "at": 12.5, "servers": ["b-k-1"], "lasts": 1.0},
+        rules={"push_multiple": 50.0},
+    )  # a balancer that restarts is not told of starts at once
     assert not world.by_name["a-k-1"].up and world.roster.down == 0
     assert [machine.slow for machine in world.machines] == pytest.approx([2.0] * 4)
     assert [machine.failing for machine in world.machines] == [0.25] * 4
@@ -168,9 +194,15 @@
     assert kept(world)
 
 
-@pytest.mark.parametrize("changes", [
-    {"servers": [{"zone": "a", "kind": "k", "count": 2}]}, {"servers": []},
-    {"clients": {"rate": 0.0}}, {"clients": {"rate": 0.0, "standing": 7}}])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"servers": [{"zone": "a", "kind": "k", "count": 2}]},
+        {"servers": []},
+        {"clients": {"rate": 0.0}},
+        {"clients": {"rate": 0.0, "standing": 7}},
+    ],
+)
 def test_a_zone_without_servers_no_servers_and_no_clients(changes):
     world = played(**changes)
     result = run.result_of(world, "bellrack")
@@ -188,22 +220,26 @@
         run.run(raw(clients={"rate": 1e6}), 1)
 
 
-@pytest.mark.parametrize("key, value, place, reason", [
-    ("clients.rte", 5.0, "clients", "unknown field `rte`"),
-    ("clients.life", "40s", "clients.life", "got `str`"),
-    ("type[0].setup_target", 300.0, "type[0].setup_target", "<= 60"),
-    ("type[0].setup_target", 30.0, "type[0].setup_target", "beyond the guard time"),
-    ("kind[0].cold_share", 1.5, "kind[0].cold_share", "<= 1"),
-    ("zone[1].name", "a", "zone[1].name", "named twice"),
-    ("servers[1].zone", "c", "servers[1].zone", "no zone c"),
-    ("clients.rejoin", [2.0, 1.0], "clients.rejoin", "backwards"),
-    ("kind[0].cores", math.inf, "kind[0].cores", "not a finite number"),
-    ("trouble", [{"kind": "flood", "at": 1.0}], "trouble[0].kind", "flood"),
-    ("trouble", [{"kind": "crash", "at": 99.0, "count": 1}], "trouble[0].at", "begins after the end"),
-    ("trouble", [{"kind": "crash", "at": 1.0}], "trouble[0]", "names no servers"),
-    ("trouble", [{"kind": "crash", "at": 1.0, "servers": ["a-k-9"]}], "trouble[0].servers", "a-k-9"),
-    ("trouble", [{"kind": "dear", "at": 1.0, "type": "view", "tenant": "x"}], "trouble[0]", "either"),
-    ("zone", [{"name": "a", "balancers": 0}], "zone", "no zone has a balancer")])
+@pytest.mark.parametrize(
+    "key, value, place, reason",
+    [
+        ("clients.rte", 5.0, "clients", "unknown field `rte`"),
+        ("clients.life", "40s", "clients.life", "got `str`"),
+        ("type[0].setup_target", 300.0, "type[0].setup_target", "<= 60"),
+        ("type[0].setup_target", 30.0, "type[0].setup_target", "beyond the guard time"),
+        ("kind[0].cold_share", 1.5, "kind[0].cold_share", "<= 1"),
+        ("zone[1].name", "a", "zone[1].name", "named twice"),
+        ("servers[1].zone", "c", "servers[1].zone", "no zone c"),
+        ("clients.rejoin", [2.0, 1.0], "clients.rejoin", "backwards"),
+        ("kind[0].cores", math.inf, "kind[0].cores", "not a finite number"),
+        ("trouble", [{"kind": "flood", "at": 1.0}], "trouble[0].kind", "flood"),
+        ("trouble", [{"kind": "crash", "at": 99.0, "count": 1}], "trouble[0].at", "begins after the end"),
+        ("trouble", [{"kind": "crash", "at": 1.0}], "trouble[0]", "names no servers"),
+        ("trouble", [{"kind": "crash", "at": 1.0, "servers": ["a-k-9"]}], "trouble[0].servers", "a-k-9"),
+        ("trouble", [{"kind": "dear", "at": 1.0, "type": "view", "tenant": "x"}], "trouble[0]", "either"),
+        ("zone", [{"name": "a", "balancers": 0}], "zone", "no zone has a balancer"),
+    ],
+)
 def test_what_is_amiss_in_a_file_is_told_with_file_key_and_reason(tmp_path, key, value, place, reason):
     path = tmp_path / "odd.toml"
     with pytest.raises(ScenarioError) as error:
@@ -216,9 +252,24 @@
     bytes_seen = set()
     for number, jobs in enumerate((1, 2)):
         out = tmp_path / str(number)
-        subprocess.run([sys.executable, "-m", "bellrack", "lab", "run", file, "--seeds=2", f"--jobs={jobs}",
-                        f"--out={out}", "--quiet"], check=True, capture_output=True,
-                       env=os.environ | {"PYTHONHASHSEED": str(number + 1)}, cwd=EXAMPLES.parent.parent)
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "bellrack",
+                "lab",
+                "run",
+                file,
+                "--seeds=2",
+                f"--jobs={jobs}",
+                f"--out={out}",
+                "--quiet",
+            ],
+            check=True,
+            capture_output=True,
+            env=os.environ | {"PYTHONHASHSEED": str(number + 1)},
+            cwd=EXAMPLES.parent.parent,
+        )
         bytes_seen.add(b"".join((out / f"bellrack-{seed}.json").read_bytes() for seed in (1, 2)))
     assert len(bytes_seen) == 1
 
@@ -233,9 +284,16 @@
 
     monkeypatch.setattr(Clients, "want", noted)
     seen = []
-    for troubles in ([], [{"kind": "crash", "at": 3.0, "count": 2}, {"kind": "drop", "at": 9.0},
-                          {"kind": "dear", "at": 1.0, "type": "view"}, {"kind": "store-slow", "at": 2.0},
-                          {"kind": "killed", "at": 5.0, "balancers": ["b-b1"]}]):
+    for troubles in (
+        [],
+        [
+            {"kind": "crash", "at": 3.0, "count": 2},
+            {"kind": "drop", "at": 9.0},
+            {"kind": "dear", "at": 1.0, "type": "view"},
+            {"kind": "store-slow", "at": 2.0},
+            {"kind": "killed", "at": 5.0, "balancers": ["b-b1"]},
+        ],
+    ):
         wishes = []
         played(*troubles)
         seen.append(wishes)
@@ -271,55 +329,95 @@
 ONCE, REFERENCED = {"effect": "once-only"}, {"effect": "referenced"}
 
 
-@pytest.mark.parametrize("trace, kind, verdict", [
-    ([REJECT], {}, None),
-    ([(3.016, "answer", 7, "completed", 0.0)], {}, None),
-    ([(3.017, "answer", 7, "completed", 0.0)], {}, (1, "answered 0.017 s after the guard time")),
-    ([], {}, (1, "never answered")),
-    ([(2.9, "gone", 7)], {}, None),
-    ([(3.0, "gone", 7)], {}, (1, "never answered")),
-    ([(2.0, "stop", "n", "killed")], {}, None),
-    ([(2.0, "stop", "n", "left")], {}, (1, "cut off by a balancer on its way out")),
-    ([REJECT, (1.2, "stood", 8, "n", "a-k-1"), (2.0, "stop", "n", "left")], {}, (1, "cut off by")),
-    ([REJECT, (1.2, "stood", 8, "n", "a-k-1"), (1.9, "back", 8, 1, "cancelled"),
-      (2.0, "stop", "n", "left")], {}, None),
-    ([(1.9, "answer", 7, "rejected", 0.0)], {}, (1, "rejected held back for 0.600 s")),
-    ([LEG, (1.9, "answer", 7, "rejected", 0.0)], {}, None),
-    ([LEG, (1.8, "back", 7, 1, "full"), (1.9, "answer", 7, "rejected", 0.0)], {}, None),
-    ([LEG, (1.2, "leg", 7, 2, "n", "a-k-2"), REJECT], {}, (2, "two legs out")),
-    ([LEG, (1.1, "back", 7, 1, "full"), (1.1, "leg", 7, 2, "n", "a-k-2"), REJECT], ONCE,
-     (2, "once-only rejected")),
-    ([LEG, (1.1, "back", 7, 1, "reset"), REJECT], REFERENCED, None),
-    ([LEG, (1.1, "back", 7, 1, "reset"), REJECT], REFERENCED | {"group": "cell"}, (2, "referenced rejected")),
-    ([LEG, (1.1, "back", 7, 1, "error"), (1.9, "leg", 7, 2, "n", "b-k-1"), (2.9, "gone", 7)], REFERENCED,
-     None),
-    ([LEG, (1.1, "back", 7, 1, "error"), (2.1, "leg", 7, 2, "n", "b-k-1"), (2.9, "gone", 7)], REFERENCED,
-     (2, "referenced sent again when it is forgotten")),
-    ([LEG, (1.1, "back", 7, 1, "error"), (1.2, "leg", 7, 2, "n", "b-k-1"), (2.9, "gone", 7)],
-     REFERENCED | {"group": "zone"}, (2, "referenced sent again outside its zone")),
-    ([LEG, (1.1, "ran", 7, 1, "a-k-1"), (1.2, "ran", 7, 1, "a-k-1"), (2.9, "gone", 7)], ONCE,
-     (2, "once-only took effect 2 times")),
-    ([(0.2, "told", "n", "a-k-1", "draining"), LEG, REJECT], {}, (3, "sent to a-k-1")),
-    ([(0.6, "told", "n", "a-k-1", "draining"), LEG, REJECT], {}, None),
-    ([(0.2, "told", "n", "a-k-1", "gone"), (0.9, "told", "n", "a-k-1", "ready"), LEG, REJECT], {}, None),
-    ([(0.2, "told", "other", "a-k-1", "gone"), LEG, REJECT], {}, None),
-    ([REJECT, (1.2, "leg", 7, 1, "n", "a-k-1")], {}, (1, "a leg after its end (rejected)"))])
+@pytest.mark.parametrize(
+    "trace, kind, verdict",
+    [
+        ([REJECT], {}, None),
+        ([(3.016, "answer", 7, "completed", 0.0)], {}, None),
+        ([(3.017, "answer", 7, "completed", 0.0)], {}, (1, "answered 0.017 s after the guard time")),
+        ([], {}, (1, "never answered")),
+        ([(2.9, "gone", 7)], {}, None),
+        ([(3.0, "gone", 7)], {}, (1, "never answered")),
+        ([(2.0, "stop", "n", "killed")], {}, None),
+        ([(2.0, "stop", "n", "left")], {}, (1, "cut off by a balancer on its way out")),
+        ([REJECT, (1.2, "stood", 8, "n", "a-k-1"), (2.0, "stop", "n", "left")], {}, (1, "cut off by")),
+        (
+            [
+                REJECT,
+                (1.2, "stood", 8, "n", "a-k-1"),
+                (1.9, "back", 8, 1, "cancelled"),
+                (2.0, "stop", "n", "left"),
+            ],
+            {},
+            None,
+        ),
+        ([(1.9, "answer", 7, "rejected", 0.0)], {}, (1, "rejected held back for 0.600 s")),
+        ([LEG, (1.9, "answer", 7, "rejected", 0.0)], {}, None),
+        ([LEG, (1.8, "back", 7, 1, "full"), (1.9, "answer", 7, "rejected", 0.0)], {}, None),
+        ([LEG, (1.2, "leg", 7, 2, "n", "a-k-2"), REJECT], {}, (2, "two legs out")),
+        (
+            [LEG, (1.1, "back", 7, 1, "full"), (1.1, "leg", 7, 2, "n", "a-k-2"), REJECT],
+            ONCE,
+            (2, "once-only rejected"),
+        ),
+        ([LEG, (1.1, "back", 7, 1, "reset"), REJECT], REFERENCED, None),
+        (
+            [LEG, (1.1, "back", 7, 1, "reset"), REJECT],
+            REFERENCED | {"group": "cell"},
+            (2, "referenced rejected"),
+        ),
+        (
+            [LEG, (1.1, "back", 7, 1, "error"), (1.9, "leg", 7, 2, "n", "b-k-1"), (2.9, "gone", 7)],
+            REFERENCED,
+            None,
+        ),
+        (
+            [LEG, (1.1, "back", 7, 1, "error"), (2.1, "leg", 7, 2, "n", "b-k-1"), (2.9, "gone", 7)],
+            REFERENCED,
+            (2, "referenced sent again when it is forgotten"),
+        ),
+        (
+            [LEG, (1.1, "back", 7, 1, "error"), (1.2, "leg", 7, 2, "n", "b-k-1"), (2.9, "gone", 7)],
+            REFERENCED | {"group": "zone"},
+            (2, "referenced sent again outside its zone"),
+        ),
+        (
+            [LEG, (1.1, "ran", 7, 1, "a-k-1"), (1.2, "ran", 7, 1, "a-k-1"), (2.9, "gone", 7)],
+            ONCE,
+            (2, "once-only took effect 2 times"),
+        ),
+        ([(0.2, "told", "n", "a-k-1", "draining"), LEG, REJECT], {}, (3, "sent to a-k-1")),
+        ([(0.6, "told", "n", "a-k-1", "draining"), LEG, REJECT], {}, None),
+        ([(0.2, "told", "n", "a-k-1", "gone"), (0.9, "told", "n", "a-k-1", "ready"), LEG, REJECT], {}, None),
+        ([(0.2, "told", "other", "a-k-1", "gone"), LEG, REJECT], {}, None),
+        ([REJECT, (1.2, "leg", 7, 1, "n", "a-k-1")], {}, (1, "a leg after its end (rejected)")),
+    ],
+)
 def test_the_referee_judges_by_the_trace_alone(trace, kind, verdict):
     found = judged(*trace, **kind)
     assert found == verdict if verdict is None else found[0] == verdict[0] and found[1].startswith(verdict[1])
 
 
-@pytest.mark.parametrize("knowing, unknowing, falls", [
-    (6, 0, False), (7, 0, True), (5, 2, True), (14, 7, True), (4, 3, False), (2, 1, False)])
+@pytest.mark.parametrize(
+    "knowing, unknowing, falls",
+    [(6, 0, False), (7, 0, True), (5, 2, True), (14, 7, True), (4, 3, False), (2, 1, False)],
+)
 def test_a_cold_server_falls_over_its_budget_and_the_rule_if_over_two_thirds_knew(knowing, unknowing, falls):
     """4 times what fills 25 connections over 20 s, at a fifth, for 2 s: N is 2 less the set-ups' work, so the
     limit is 6.8."""
     work = [(1.2, "work", "a-k-1", 8, 0.008, 0.0, 0.4)] * unknowing + [
-        (1.2, "work", "a-k-1", 7, 0.008, 0.0, 0.4)] * knowing
+        (1.2, "work", "a-k-1", 7, 0.008, 0.0, 0.4)
+    ] * knowing
     if unknowing == 7:
         work.sort(key=lambda entry: entry[3])  # the first fall counts: at that one all knew
-    found = judged((0.5, "server", "a-k-1", "cold"), (0.6, "told", "n", "a-k-1", "ready"),
-                   (1.1, "call", 8, "m", 2, 0, 3.0), *work, REJECT, (1.3, "answer", 8, "rejected", 0.0))
+    found = judged(
+        (0.5, "server", "a-k-1", "cold"),
+        (0.6, "told", "n", "a-k-1", "ready"),
+        (1.1, "call", 8, "m", 2, 0, 3.0),
+        *work,
+        REJECT,
+        (1.3, "answer", 8, "rejected", 0.0),
+    )
     assert found == ((4, "a-k-1") if falls else None)
 
 
@@ -345,11 +443,15 @@
 def test_comparisons_say_no_difference_where_none_is_shown(tmp_path):
     def results(values, policy="bellrack"):
         figures = dict.fromkeys(experiment.COMPARED, 1)
-        return [figures | {"seed": seed, "policy": policy, "service": value}
-                for seed, value in enumerate(values)]
+        return [
+            figures | {"seed": seed, "policy": policy, "service": value} for seed, value in enumerate(values)
+        ]
+
     base = results([0.5, 0.6, 0.7, 0.8])
+
     def verdict(other):
         return experiment.compare(base, results(other))[0]["verdict"]
+
     assert verdict([0.6, 0.7, 0.81, 0.9]) == "better"
     assert verdict([0.4, 0.5, 0.59, 0.7]) == "worse"
     assert verdict([0.6, 0.5, 0.72, 0.79]) == "no difference shown"
@@ -359,9 +461,12 @@
 
 
 def test_a_failing_scenario_shrinks_to_the_one_trouble_that_matters():
-    troubles = [{"kind": "list-down", "at": 1.0},
-                {"kind": "drain", "at": 4.0, "servers": ["a-k-1"], "lasts": 9.0},
-                {"kind": "store-slow", "at": 2.0}, {"kind": "drop", "at": 8.0}]
+    troubles = [
+        {"kind": "list-down", "at": 1.0},
+        {"kind": "drain", "at": 4.0, "servers": ["a-k-1"], "lasts": 9.0},
+        {"kind": "store-slow", "at": 2.0},
+        {"kind": "drop", "at": 8.0},
+    ]
     least = experiment.shrink(raw(*troubles, clients={"rate": 10.0}), 1, "broken:sends-to-drained")
     assert [trouble["kind"] for trouble in least["trouble"]] == ["drain"]
     assert not run.run(least, 1, "broken:sends-to-drained")["kept"] and run.run(least, 1)["kept"]
@@ -372,8 +477,16 @@
 def test_a_sweep_sets_keys_of_the_file_and_constants_of_the_decisions(tmp_path):
     rows = experiment.sweep(raw(), "clients.rate", [2.0, 8.0], [1], "bellrack", tmp_path / "a", 1, quiet=True)
     assert rows[0]["store_calls"] < rows[1]["store_calls"]
-    rows = experiment.sweep(raw({"kind": "failing", "at": 1.0, "count": 2, "lasts": 18.0}), "choice.FAILURES",
-                            [1, 50], [1], "bellrack", tmp_path / "b", 1, quiet=True)
+    rows = experiment.sweep(
+        raw({"kind": "failing", "at": 1.0, "count": 2, "lasts": 18.0}),
+        "choice.FAILURES",
+        [1, 50],
+        [1],
+        "bellrack",
+        tmp_path / "b",
+        1,
+        quiet=True,
+    )
     assert rows[0] != rows[1]
     with pytest.raises(ScenarioError, match="no such constant"):
         experiment.sweep(raw(), "choice.NOTHING", [1], [1], "bellrack", tmp_path / "c", 1, quiet=True)
@@ -392,9 +505,13 @@
 
     def heard(**form):
         Talks.heard_at = []
-        played({"kind": "partition", "at": 5.0, "zone": "a", "other": "b", "one_way": True, "lasts": 5.0},
-               policy=lambda world: Talks, datagrams={"allowed": True} | form)
+        played(
+            {"kind": "partition", "at": 5.0, "zone": "a", "other": "b", "one_way": True, "lasts": 5.0},
+            policy=lambda world: Talks,
+            datagrams={"allowed": True} | form,
+        )
         return Talks.heard_at
+
     plain = heard()
     cut = [at for at, zone, peer, _ in plain if zone == 1 and START + 5.02 < at < START + 10]
     assert plain and not cut and any(zone == 0 and START + 5 < at < START + 10 for at, zone, _, _ in plain)
@@ -406,54 +523,78 @@
 
 
 def test_the_daemon_imports_nothing_of_the_lab(tmp_path):
-    code = ("import sys; sys.argv = ['bellrack', 'check', 'examples/config.json']\n"
-            "from bellrack.__main__ import main; main(); import bellrack.net.node\n"
-            "import json; print(json.dumps(sorted(sys.modules)))")
-    shown = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True,
-                           cwd=EXAMPLES.parent.parent).stdout
+    code = (
+        "import sys; sys.argv = ['bellrack', 'check', 'examples/config.json']\n"
+        "from bellrack.__main__ import main; main(); import bellrack.net.node\n"
+        "import json; print(json.dumps(sorted(sys.modules)))"
+    )
+    shown = subprocess.run(
+        [sys.executable, "-c", code], check=True, capture_output=True, text=True, cwd=EXAMPLES.parent.parent
+    ).stdout
     modules = json.loads(shown.splitlines()[-1])
     heavy = {"numpy", "matplotlib", "msgspec", "tqdm", "hdrh", "tomli_w"}
     assert not [name for name in modules if name.split(".")[0] in heavy]
     files = (EXAMPLES.parent.parent / "bellrack" / "net").glob("[a-z]*.py")
     net = {"bellrack.net." + path.stem for path in files}
     assert {name for name in modules if name.startswith("bellrack.")} == net | {
-        "bellrack.__main__", "bellrack.books", "bellrack.chance", "bellrack.choice",
-        "bellrack.discovery_retry", "bellrack.model", "bellrack.net", "bellrack.peers",
-        "bellrack.peers.gossip", "bellrack.peers.overload", "bellrack.peers.sums", "bellrack.settings"}
+        "bellrack.__main__",
+        "bellrack.books",
+        "bellrack.chance",
+        "bellrack.choice",
+        "bellrack.discovery_retry",
+        "bellrack.model",
+        "bellrack.net",
+        "bellrack.peers",
+        "bellrack.peers.gossip",
+        "bellrack.peers.overload",
+        "bellrack.peers.sums",
+        "bellrack.settings",
+    }
 
 
 def test_the_report_is_one_page_that_loads_nothing_and_repeats_itself(tmp_path):
     from bellrack.lab import report
+
     troubles = [{"kind": "crash", "at": 5.0, "count": 1, "lasts": 3.0}]
-    results = experiment.batch(raw(*troubles, tenant=[{"name": "acme"}]), [1, 2],
-                               ["bellrack", "random"], tmp_path, 1, quiet=True)
+    results = experiment.batch(
+        raw(*troubles, tenant=[{"name": "acme"}]), [1, 2], ["bellrack", "random"], tmp_path, 1, quiet=True
+    )
     page = report.page(results)
     assert page == report.page(results)
     assert page.count("<svg") == 4 and "crash" in page and "<script" not in page
     for reference in ("src=", "<link", "@import", "url(http"):
         assert reference not in page
-    broken = [results[0] | {"rules": results[0]["rules"] | {"3": {"kept": False, "breaches": 1, "first": [
-        {"at": 1.0, "what": "<sent>", "call": 1}]}}}]
+    broken = [
+        results[0]
+        | {
+            "rules": results[0]["rules"]
+            | {"3": {"kept": False, "breaches": 1, "first": [{"at": 1.0, "what": "<sent>", "call": 1}]}}
+        }
+    ]
     assert "rule 3, bellrack, seed 1, at 1.000 s: &lt;sent&gt;" in report.page(broken)
     empty = experiment.batch(raw(servers=[]), [1], ["bellrack"], tmp_path / "empty", 1, quiet=True)
     assert "<svg" in report.page(empty)
 
 
-@pytest.mark.parametrize("arguments, words", [
-    (["run", "nowhere.toml"], "nowhere.toml: No such file"),
-    (["run", "{file}", "--policy=best"], "policy: no best"),
-    (["run", "{file}", "--policy=broken:nothing"], "policy: no broken:nothing"),
-    (["run", "{file}", "--policy=nowhere.py"], "nowhere.py: no such file"),
-    (["run", "{file}", "--seeds=many"], "--seeds: 'many' is no number"),
-    (["run", "{file}", "--seeds=0"], "--seeds: 0 is under 1"),
-    (["run", "{file}", "--seeds=2", "--trace=x"], "--trace: of one run only"),
-    (["sweep", "{file}", "clients.rate"], "not of the form KEY="),
-    (["sweep", "{file}", "kind[3].cores=1"], "kind[3].cores: leads nowhere"),
-    (["sweep", "{file}", "clients.rate=fast", "--quiet"], "clients.rate: Expected `float`"),
-    (["shrink", "{file}", "--quiet"], "it does not fail"),
-    (["compare", "{folder}", "{folder}"], "no results"),
-    (["report", "{folder}"], "no results"),
-    (["speed", "--size=9"], "not of the form 4x8")])
+@pytest.mark.parametrize(
+    "arguments, words",
+    [
+        (["run", "nowhere.toml"], "nowhere.toml: No such file"),
+        (["run", "{file}", "--policy=best"], "policy: no best"),
+        (["run", "{file}", "--policy=broken:nothing"], "policy: no broken:nothing"),
+        (["run", "{file}", "--policy=nowhere.py"], "nowhere.py: no such file"),
+        (["run", "{file}", "--seeds=many"], "--seeds: 'many' is no number"),
+        (["run", "{file}", "--seeds=0"], "--seeds: 0 is under 1"),
+        (["run", "{file}", "--seeds=2", "--trace=x"], "--trace: of one run only"),
+        (["sweep", "{file}", "clients.rate"], "not of the form KEY="),
+        (["sweep", "{file}", "kind[3].cores=1"], "kind[3].cores: leads nowhere"),
+        (["sweep", "{file}", "clients.rate=fast", "--quiet"], "clients.rate: Expected `float`"),
+        (["shrink", "{file}", "--quiet"], "it does not fail"),
+        (["compare", "{folder}", "{folder}"], "no results"),
+        (["report", "{folder}"], "no results"),
+        (["speed", "--size=9"], "not of the form 4x8"),
+    ],
+)
 def test_what_cannot_be_done_is_one_plain_line_and_exit_2(tmp_path, capsys, arguments, words):
     file, folder = tmp_path / "small.toml", tmp_path / "empty"
     file.write_text(tomli_w.dumps(raw(length=2.0)))
@@ -470,11 +611,25 @@
     def told(*arguments):
         code = cli.main([*arguments, "--json=-"])
         return code, json.loads(capsysbinary.readouterr().out)
-    code, run_told = told("run", str(file), "--seeds=3", f"--out={out}", "--quiet", "--policy=bellrack",
-                          "--policy=random")
+
+    code, run_told = told(
+        "run", str(file), "--seeds=3", f"--out={out}", "--quiet", "--policy=bellrack", "--policy=random"
+    )
     assert code == 0 and [row["policy"] for row in run_told["figures"]] == ["bellrack", "random"]
-    assert {"service", "worst_window", "rules", "kept", "set_up", "crossings", "moves", "store_calls",
-            "wasted", "by_type", "by_tenant", "digest"} <= set(run_told["results"][0])
+    assert {
+        "service",
+        "worst_window",
+        "rules",
+        "kept",
+        "set_up",
+        "crossings",
+        "moves",
+        "store_calls",
+        "wasted",
+        "by_type",
+        "by_tenant",
+        "digest",
+    } <= set(run_told["results"][0])
     code, compared = told("compare", f"{out}:bellrack", f"{out}:random")
     assert code == 0 and {"figure", "difference", "low", "high", "verdict"} <= set(compared[0])
     assert told("report", out)[0] == 0 and (tmp_path / "out" / "report.html").exists()
@@ -488,6 +643,7 @@
 
 def test_speed_measures_each_size_in_a_process_of_its_own():
     from bellrack.lab import speed
+
     rows = speed.curve(((2, 2), (2, 4)), 10.0, profile=True)
     assert [(row["balancers"], row["servers"], row["kept"]) for row in rows] == [(2, 2, True), (2, 4, True)]
     assert all(row["calls"] > 100 and row["memory_mb"] > 0 for row in rows)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -1,4 +1,5 @@
 """Rings, lines, HTTP answers and log lines, without a socket."""
+
 import logging
 
 import pytest
@@ -18,14 +19,14 @@
         while piece:
             room = ring.space()
             assert len(room) > 0 or ring.full
-            part = piece[:len(room)]
-            room[:len(part)] = part
+            part = piece[: len(room)]
+            room[: len(part)] = part
             ring.added(len(part))
             plain += part
-            piece = piece[len(part):]
+            piece = piece[len(part) :]
             while (line := ring.line()) is not None:
                 assert line.endswith(b"\n") and plain.startswith(line) and b"\n" not in line[:-1]
-                del plain[:len(line)]
+                del plain[: len(line)]
             assert b"\n" not in plain and ring.held == len(plain)
             if ring.full:
                 assert ring.take(ring.held) == bytes(plain)
@@ -33,8 +34,11 @@
 
 
 BODY = (b'{"a":1}\n', b"\n", b"x" * 300)
-CHUNKED = (b"HTTP/1.1 200 OK\r\ntransfer-encoding:  Chunked\r\nX: y\r\n\r\n"
-           + b"".join(b"%x;ext=1\r\n%b\r\n" % (len(part), part) for part in BODY) + b"0\r\n\r\n")
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding:  Chunked\r\nX: y\r\n\r\n"
+    + b"".join(b"%x;ext=1\r\n%b\r\n" % (len(part), part) for part in BODY)
+    + b"0\r\n\r\n"
+)
 SIZED = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 309\r\n\r\n" + b"".join(BODY)
 
 
@@ -42,23 +46,37 @@
 @pytest.mark.parametrize("step", [1, 2, 3, 7, 1000])
 def test_an_answer_comes_out_the_same_in_any_pieces(answer, step):
     reply = lines.Answer()
-    body = b"".join(reply.feed(answer[at:at + step]) for at in range(0, len(answer), step))
+    body = b"".join(reply.feed(answer[at : at + step]) for at in range(0, len(answer), step))
     assert (reply.status, reply.done, body) == (200, True, b"".join(BODY))
 
 
-@pytest.mark.parametrize("answer", [
-    b"SSH-2.0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"SSH-2.0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
 def test_what_is_not_an_answer_is_refused(answer):
     with pytest.raises(lines.LineError):
         lines.Answer().feed(answer)
 
 
-@pytest.mark.parametrize("raw", [
-    [], {}, {"generation": 1, "reset": True, "instances": [{}]},
-    {"generation": float("inf"), "reset": True, "instances": []},
-    {"generation": 1, "reset": True, "instances": [
-        {"instanceId": "s", "zone": "a", "lifecycle": "in_service"}]}])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        [],
+        {},
+        {"generation": 1, "reset": True, "instances": [{}]},
+        {"generation": float("inf"), "reset": True, "instances": []},
+        {
+            "generation": 1,
+            "reset": True,
+            "instances": [{"instanceId": "s", "zone": "a", "lifecycle": "in_service"}],
+        },
+    ],
+)
 def test_a_list_that_cannot_be_read_is_refused(raw):
     with pytest.raises(lines.LineError):
         lines.listing(raw)
@@ -69,14 +87,22 @@
     gone = {"instanceId": "s-2", "lifecycle": "terminated"}
     news = lines.listing({"generation": 1, "reset": False, "instances": [odd, gone]})
     assert [(entry.row[0], entry.address) for entry in news.entries] == [
-        (model.DRAINING, ("h", 1)), (model.GONE, None)]
+        (model.DRAINING, ("h", 1)),
+        (model.GONE, None),
+    ]
 
 
-@pytest.mark.parametrize("weight", [0, -1, float("inf"), float("nan"), None, "many", True, 10 ** 400])
+@pytest.mark.parametrize("weight", [0, -1, float("inf"), float("nan"), None, "many", True, 10**400])
 def test_a_weight_or_a_start_that_is_no_figure_spoils_no_sums(weight):
     # Guards against one odd entry that makes every mean over servers odd.
-    raw = {"instanceId": "s", "hostPort": "h:1", "zone": "a", "lifecycle": "in_service", "weight": weight,
-           "startedAtMs": float("nan")}
+    raw = {
+        "instanceId": "s",
+        "hostPort": "h:1",
+        "zone": "a",
+        "lifecycle": "in_service",
+        "weight": weight,
+        "startedAtMs": float("nan"),
+    }
     assert lines.entry(raw).row[2:] == (None, 0.0)  # what was listed before stands
     assert lines.entry(raw | {"weight": 3.5}).row[2] == 3.5
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,5 @@
 """The program on sockets: what passes through it, how connections end, and a test for each failure found."""
+
 import asyncio
 import json
 import os
@@ -104,10 +105,20 @@
         assert not (world.node.clients or world.node.balancer.held or world.node.counters["faults"])
 
 
-@pytest.mark.parametrize("effect, answer, told", [
-    ("retryable", "ERR", "UP 2"), ("retryable", "BUSY", "UP 2"), ("retryable", "rst", "UP 2"),
-    ("fragile", "BUSY", "UP 2"), ("fragile", "ERR", "ERR"), ("fragile", "fin", "ERR"),
-    ("fragile", "rst", "ERR"), ("fragile", "what?", "ERR"), ("dedup", "rst", "UP 2")])
+@pytest.mark.parametrize(
+    "effect, answer, told",
+    [
+        ("retryable", "ERR", "UP 2"),
+        ("retryable", "BUSY", "UP 2"),
+        ("retryable", "rst", "UP 2"),
+        ("fragile", "BUSY", "UP 2"),
+        ("fragile", "ERR", "ERR"),
+        ("fragile", "fin", "ERR"),
+        ("fragile", "rst", "ERR"),
+        ("fragile", "what?", "ERR"),
+        ("dedup", "rst", "UP 2"),
+    ],
+)
 @played
 async def test_a_failed_leg_goes_again_only_if_that_is_harmless(effect, answer, told):
     async with World(servers=2, effect=effect) as world:
@@ -278,8 +289,11 @@
         await world.until(lambda: world.node.counters["legs"])
         chosen = next(s for s in world.node.servers.values() if s.stand.open).host.name[-1]
         drained = world.entry(chosen, world.entries[int(chosen)]["hostPort"], "terminating")
-        world.node.queue(world.node.server_list.on_list, lines.listing(
-            {"generation": 42, "reset": False, "instances": [drained]}), first=True)
+        world.node.queue(
+            world.node.server_list.on_list,
+            lines.listing({"generation": 42, "reset": False, "instances": [drained]}),
+            first=True,
+        )
         gate.set()
         number, _, line = await world.leg()
         assert (number, line) == (int(chosen), "fin")  # it came up and ended without a byte
@@ -306,14 +320,34 @@
         client.end("fin")
 
 
-@pytest.mark.parametrize("line", [
-    b"HELLO\r\n", b"OPEN 1\r\n", b"OPEN 1 2\r\n", b"OPEN 1 zz c=chat\r\n", b"OPEN 1 2 c=none\r\n",
-    b"OPEN 1 2 chat\r\n", b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c=chat,d=-1\r\n", b"OPEN 1 2 c=chat,g=x\r\n",
-    b"OPEN  1 2 c=chat\r\n", b"OPEN 1 2 c=chat \r\n", b"OPEN 1 2 c=chat\n", b"OPEN 1 2 c=chat,c=chat\r\n",
-    b"OPEN 1 2 c=chat,t=nobody\r\n", b"OPEN 1 2 c=chat,\xc3=1\r\n", b"open 1 2 c=chat\r\n", b"\xff\xfe\r\n",
-    b"OPEN 1 2 c=chat,d=99999999999999999999999\r\n", b"OPEN 1 2 c=chat,d=60001\r\n",
-    b"OPEN 1 2 c=chat\r\nOPEN 2 2 c=chat\r\n",
-    b"\r\n", b"x" * 5000, b"OPEN 1 2 c=chat,h=" + b"1" * 5000 + b"\r\n"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HELLO\r\n",
+        b"OPEN 1\r\n",
+        b"OPEN 1 2\r\n",
+        b"OPEN 1 zz c=chat\r\n",
+        b"OPEN 1 2 c=none\r\n",
+        b"OPEN 1 2 chat\r\n",
+        b"OPEN 1 2 c=chat,d=x\r\n",
+        b"OPEN 1 2 c=chat,d=-1\r\n",
+        b"OPEN 1 2 c=chat,g=x\r\n",
+        b"OPEN  1 2 c=chat\r\n",
+        b"OPEN 1 2 c=chat \r\n",
+        b"OPEN 1 2 c=chat\n",
+        b"OPEN 1 2 c=chat,c=chat\r\n",
+        b"OPEN 1 2 c=chat,t=nobody\r\n",
+        b"OPEN 1 2 c=chat,\xc3=1\r\n",
+        b"open 1 2 c=chat\r\n",
+        b"\xff\xfe\r\n",
+        b"OPEN 1 2 c=chat,d=99999999999999999999999\r\n",
+        b"OPEN 1 2 c=chat,d=60001\r\n",
+        b"OPEN 1 2 c=chat\r\nOPEN 2 2 c=chat\r\n",
+        b"\r\n",
+        b"x" * 5000,
+        b"OPEN 1 2 c=chat,h=" + b"1" * 5000 + b"\r\n",
+    ],
+)
 @played
 async def test_a_malformed_line_gets_one_failing_answer_and_the_end(line):
     # Guards against passing on what no client sent: the line goes to a server as it is.
@@ -535,8 +569,11 @@
         assert target == "/v1/endpoints?watch=1&after=41"
         refused.writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
         watch, _ = await world.question()
-        change = {"generation": 43, "reset": False, "instances": [
-            world.entry(0, world.entries[0]["hostPort"], "terminating")]}
+        change = {
+            "generation": 43,
+            "reset": False,
+            "instances": [world.entry(0, world.entries[0]["hostPort"], "terminating")],
+        }
         watch.writer.write(HEAD + chunk("\n") + chunk(json.dumps(change) + "\n"))
         one, other = world.node.servers.values()
         await world.until(lambda: one.state == model.DRAINING)
@@ -589,8 +626,11 @@
             await asyncio.sleep(0.03)
         new = await asyncio.wait_for(asked.get(), 2)
         assert (await new.line()).split()[1] == "/v1/endpoints?watch=1&after=0" and asked.empty()
-        gone = {"generation": 91, "reset": False, "instances": [
-            world.entry(0, world.entries[0]["hostPort"], "terminating")]}
+        gone = {
+            "generation": 91,
+            "reset": False,
+            "instances": [world.entry(0, world.entries[0]["hostPort"], "terminating")],
+        }
         old.writer.write(chunk(json.dumps(gone) + "\n"))  # the old one still tells what it has to
         one, other = world.node.servers.values()
         await world.until(lambda: one.state == model.DRAINING)
@@ -613,16 +653,18 @@
     monkeypatch.setattr(server_watch, "FORGET", 0.1)
     async with World(servers=2) as world:
         client, server = await world.standing()
-        world.node.queue(world.node.server_list.on_list,
-                         lines.listing({"generation": 42, "reset": True, "instances": []}))
+        world.node.queue(
+            world.node.server_list.on_list, lines.listing({"generation": 42, "reset": True, "instances": []})
+        )
         await world.until(lambda: len(world.node.servers) == 1)
         await asyncio.sleep(0.2)
         client.say("M 1")
         assert await server.line() == "M 1" and len(world.node.balancer.fleet) == 1
         client.end("fin")
         await world.until(lambda: not world.node.servers and not world.node.balancer.fleet)
-        world.node.queue(world.node.server_list.on_list,
-                         lines.listing(world.raw["known"] | {"generation": 43}))
+        world.node.queue(
+            world.node.server_list.on_list, lines.listing(world.raw["known"] | {"generation": 43})
+        )
         await world.standing()
 
 
@@ -673,12 +715,20 @@
         assert await server.line() == "M 1" and world.node.counters["faults"] == 1
 
 
-@pytest.mark.parametrize("text, told", [
-    (None, "No such file"), ("{", "Expecting"), ("[]", "not an object"), ("{}", "'listen'"),
-    ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'"),
-    (configured(trafficTypes=[], specifics={}), "no traffic types"),
-    (configured(peersTotal=0), "peersTotal is 0"), (configured(az="x"), "invalid literal"),
-    (configured(caps={}), "'maxLegs'")])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        (None, "No such file"),
+        ("{", "Expecting"),
+        ("[]", "not an object"),
+        ("{}", "'listen'"),
+        ('{"listen": "here", "discovery": "127.0.0.1:1"}', "no address: 'here'"),
+        (configured(trafficTypes=[], specifics={}), "no traffic types"),
+        (configured(peersTotal=0), "peersTotal is 0"),
+        (configured(az="x"), "invalid literal"),
+        (configured(caps={}), "'maxLegs'"),
+    ],
+)
 def test_an_unusable_configuration_is_one_plain_line(tmp_path, capsys, monkeypatch, text, told):
     assert told in refused(tmp_path, capsys, monkeypatch, text)
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,4 +1,5 @@
 """What balancers tell one another of servers: records, aggregator, and what set-ups and resets show."""
+
 import random
 
 from hypothesis import given
@@ -23,8 +24,10 @@
         self.detectors = []
         for number in range(count):
             detector = OverloadDetector(
-                settings(peers=count, number=number, may_publish=True, **rules), self.tell(number),
-                lambda server, delay, by=number: self.late.append((by, server, delay)))
+                settings(peers=count, number=number, may_publish=True, **rules),
+                self.tell(number),
+                lambda server, delay, by=number: self.late.append((by, server, delay)),
+            )
             detector.listed(self.fleet)
             self.detectors.append(detector)
 
@@ -34,6 +37,7 @@
             for other in range(len(self.detectors)) if peer is None else [peer]:
                 if other != own and not {own, other} & self.cut and self.chance.random() >= self.loss:
                     self.detectors[other].heard(own, data, self.now)
+
         return told
 
     def run(self, seconds):
@@ -76,8 +80,12 @@
         for detector in tier.detectors:
             fill = detector.fill(tier.fleet, tier.now)
             sums_right = fill and all(9 <= fill[server] <= 12.5 for server in tier.fleet[:2])
-            right[detector][look // 15] += bool(sums_right and not fill[tier.fleet[2]] and detector.holder(
-                tier.fleet[0], 9, tier.now) and not detector.holder(tier.fleet[3], 9, tier.now))
+            right[detector][look // 15] += bool(
+                sums_right
+                and not fill[tier.fleet[2]]
+                and detector.holder(tier.fleet[0], 9, tier.now)
+                and not detector.holder(tier.fleet[3], 9, tier.now)
+            )
     assert all(min(halves) for halves in right.values())
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,5 @@
 """Membership among balancers on a played network: who is taken for alive, through loss, cuts and restarts."""
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as some
@@ -39,8 +40,13 @@
     def start(self, number):
         stream = self.chance[f"life {number}"]
         node = self.nodes[number] = Membership(
-            number, len(self.nodes), 1 + int(stream.even() * 0xFFFFFFF0), self.agenda.now,
-            lambda peer, message: self.post(number, node, peer, message), stream.even)
+            number,
+            len(self.nodes),
+            1 + int(stream.even() * 0xFFFFFFF0),
+            self.agenda.now,
+            lambda peer, message: self.post(number, node, peer, message),
+            stream.even,
+        )
         self.tick(number, node)
 
     def tick(self, number, node):
@@ -107,8 +113,12 @@
     tier.nodes[3].leave()
     tier.run(30)
     assert set(tier.views(7)) == {DEAD} and set(tier.views(3)) == {LEFT}
-    assert not any(change.seat == 3 and change.status not in (ALIVE, LEFT)
-                   for node in tier.nodes if node for change in node.changes)
+    assert not any(
+        change.seat == 3 and change.status not in (ALIVE, LEFT)
+        for node in tier.nodes
+        if node
+        for change in node.changes
+    )
 
 
 def test_kill_and_start_under_the_same_name_within_200_ms():
@@ -202,15 +212,17 @@
     tier = Tier(3).run(10)
     tier.nodes[0].heard(tier.agenda.now, 1, Datagram(PING, 2, 77, 99))
     tier.nodes[0].heard(tier.agenda.now, 9, Datagram(PING, 9, 77, 99))
-    tier.nodes[0].heard(tier.agenda.now, 1, Datagram(ACK, 1, tier.nodes[1].life, 1, 0, 60_000,
-                                                     (Rumour(60_000, DEAD, 1, 1),)))
+    tier.nodes[0].heard(
+        tier.agenda.now, 1, Datagram(ACK, 1, tier.nodes[1].life, 1, 0, 60_000, (Rumour(60_000, DEAD, 1, 1),))
+    )
     assert tier.nodes[0].seats[2].incarnation < 99 and tier.run(5).agree() and tier.agenda.now > START
 
 
 short, long = some.integers(0, 0xFFFF), some.integers(0, 0xFFFFFFFF)
 rumours = some.builds(Rumour, short, some.integers(0, 3), long, long)
-messages = some.builds(Datagram, some.integers(1, 4), short, long, long, long, short,
-                       some.lists(rumours, max_size=20).map(tuple))
+messages = some.builds(
+    Datagram, some.integers(1, 4), short, long, long, long, short, some.lists(rumours, max_size=20).map(tuple)
+)
 
 
 @given(messages)
@@ -219,9 +231,12 @@
 
 
 @settings(max_examples=300)
-@given(some.binary(max_size=300)
-       | some.tuples(messages, some.integers(0, 255), some.binary(min_size=1, max_size=3)).map(
-           lambda parts: pack(parts[0])[:parts[1]] + parts[2]))
+@given(
+    some.binary(max_size=300)
+    | some.tuples(messages, some.integers(0, 255), some.binary(min_size=1, max_size=3)).map(
+        lambda parts: pack(parts[0])[: parts[1]] + parts[2]
+    )
+)
 def test_bytes_from_anywhere_are_a_datagram_or_an_error_with_a_reason(data):
     try:
         assert pack(unpack(data)) == data
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -1,5 +1,6 @@
 """Who starts is ready in time, and never without a list that may be used. Real processes; the clock of 200 is
 played."""
+
 import asyncio
 import contextlib
 import heapq
@@ -39,6 +40,7 @@
 
 # The judgement, and 200 at once in played time.
 
+
 @pytest.mark.parametrize("at_once", [True, False])
 @pytest.mark.parametrize("failed", [True, False])
 def test_without_a_list_no_time_and_no_failure_makes_one_ready(at_once, failed):
@@ -84,6 +86,7 @@
 
     def at(when, *what):
         heapq.heappush(events, (when, next(order), what))
+
     for number in range(count):
         at(3 * rng.random(), "start", number)
     starts = {}
@@ -123,6 +126,7 @@
 
 # One process: what it does with each list it may know and each way of discovery.
 
+
 @contextlib.asynccontextmanager
 async def starting(patience, **changes):
     """A process at its start, with the questions it asks discovery."""
@@ -130,8 +134,13 @@
     listener = await asyncio.start_server(lambda *both: asked.put_nowait(Peer(*both)), "127.0.0.1")
     place = "{}:{}".format(*listener.sockets[0].getsockname())
     mode = changes.pop("discovery", "ask")
-    raw = {"name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "discovery": place,
-           "settings": raw_settings(discovery=mode)} | changes
+    raw = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "control": "127.0.0.1:0",
+        "discovery": place,
+        "settings": raw_settings(discovery=mode),
+    } | changes
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(node, "LISTED", patience)
         patch.setattr("bellrack.discovery_retry.GAP_FIRST", 0.02)
@@ -262,6 +271,7 @@
 
 # Twenty processes at once.
 
+
 class Lists:
     """List services of one machine, an address for each caller; of all that are asked, one call is served at
     a time, and none before `open`."""
@@ -273,8 +283,8 @@
 
     async def place(self, number, how):
         listener = await asyncio.start_server(
-            lambda *both: self.called(number, how, *both), "127.0.0.1",
-            start_serving=how != "refuses")  # bound all the same
+            lambda *both: self.called(number, how, *both), "127.0.0.1", start_serving=how != "refuses"
+        )  # bound all the same
         self.listeners.append(listener)
         return "{}:{}".format(*listener.sockets[0].getsockname())
 
@@ -302,10 +312,18 @@
     return None
 
 
-WAYS = [("refuses", "push", GIVEN), ("says nothing", "push", GIVEN), ("by turn", "push", GIVEN),
-        ("refuses", "ask", GIVEN), ("says nothing", "ask", GIVEN), ("by turn", "ask", EMPTY),
-        ("by turn", "push", None), ("refuses with 503", "push", EMPTY), ("refuses with 503", "push", SPOILT),
-        ("by turn", "push", DRAINING)]
+WAYS = [
+    ("refuses", "push", GIVEN),
+    ("says nothing", "push", GIVEN),
+    ("by turn", "push", GIVEN),
+    ("refuses", "ask", GIVEN),
+    ("says nothing", "ask", GIVEN),
+    ("by turn", "ask", EMPTY),
+    ("by turn", "push", None),
+    ("refuses with 503", "push", EMPTY),
+    ("refuses with 503", "push", SPOILT),
+    ("by turn", "push", DRAINING),
+]
 
 
 def test_of_twenty_processes_none_says_pong_without_a_list_and_none_is_held_back(tmp_path):
@@ -313,13 +331,27 @@
         lists, processes, words = Lists(), [], {}
         try:
             for number, (how, mode, known) in enumerate(WAYS * 2):
-                raw = {"name": f"n{number}", "listen": "127.0.0.1:0", "known": known,
-                       "discovery": await lists.place(number, how), "settings": raw_settings(discovery=mode)}
+                raw = {
+                    "name": f"n{number}",
+                    "listen": "127.0.0.1:0",
+                    "known": known,
+                    "discovery": await lists.place(number, how),
+                    "settings": raw_settings(discovery=mode),
+                }
                 path = tmp_path / f"{number}.json"
                 path.write_text(json.dumps(raw))
-                processes.append(await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "bellrack", "serve", f"--config={path}", cwd=ROOT,
-                    stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.DEVNULL))
+                processes.append(
+                    await asyncio.create_subprocess_exec(
+                        sys.executable,
+                        "-m",
+                        "bellrack",
+                        "serve",
+                        f"--config={path}",
+                        cwd=ROOT,
+                        stderr=asyncio.subprocess.PIPE,
+                        stdout=asyncio.subprocess.DEVNULL,
+                    )
+                )
                 words[number] = asyncio.create_task(first_word(processes[-1]))
             usable = {number for number, (_, _, known) in enumerate(WAYS * 2) if known is GIVEN}
             without = set(words) - usable
@@ -347,28 +379,42 @@
                 writer.close()
             for listener in lists.listeners:
                 listener.close()
+
     asyncio.run(asyncio.wait_for(twenty(), 60))
 
 
 # What a start costs.
 
-@pytest.mark.parametrize("given", [["serve"], ["serve", "--config=a.json"], ["serve", "--config="],
-                                   ["serve", "--config=a=b"], ["serve", "--config", "a.json"]])
+
+@pytest.mark.parametrize(
+    "given",
+    [
+        ["serve"],
+        ["serve", "--config=a.json"],
+        ["serve", "--config="],
+        ["serve", "--config=a=b"],
+        ["serve", "--config", "a.json"],
+    ],
+)
 def test_the_daemon_reads_its_arguments_as_its_page_says(given):
     keys = ("version", "check", "FILE", "--config")
     read, page = program.arguments(given), docopt(program.__doc__, given)
     assert [read[key] or None for key in keys] == [page[key] or None for key in keys]
 
 
-@pytest.mark.parametrize("way, known, lists, ready", [
-    ("answers", False, "ask", 2), ("refuses", True, "push", 2), ("says-nothing", False, "push", 0)])
+@pytest.mark.parametrize(
+    "way, known, lists, ready",
+    [("answers", False, "ask", 2), ("refuses", True, "push", 2), ("says-nothing", False, "push", 0)],
+)
 def test_a_measurement_of_starts_counts_those_that_are_ready_and_leaves_none(
-        monkeypatch, way, known, lists, ready):
+    monkeypatch, way, known, lists, ready
+):
     made, make = [], asyncio.create_subprocess_exec
 
     async def kept(*words, **how):
         made.append(await make(*words, **how))
         return made[-1]
+
     monkeypatch.setattr(asyncio, "create_subprocess_exec", kept)
     begun = asyncio.run(starts.measure(2, way, known, lists, 10.0, 2.0 if not ready else 30.0))
     assert begun[1] == (2 if way == "answers" else 0)
@@ -378,12 +424,20 @@
 
 
 def test_a_start_loads_nothing_that_it_does_not_serve_by():
-    code = ("import sys; sys.argv = ['bellrack', 'serve']\n"
-            "from bellrack import __main__ as program\nfrom bellrack.net import node\n"
-            "node.run = lambda config: print(*sys.modules)\nassert program.main() == 0")
+    code = (
+        "import sys; sys.argv = ['bellrack', 'serve']\n"
+        "from bellrack import __main__ as program\nfrom bellrack.net import node\n"
+        "node.run = lambda config: print(*sys.modules)\nassert program.main() == 0"
+    )
     env = os.environ | {"BALANCER_CONFIG": os.path.join(ROOT, "examples", "config.json")}
-    said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, env=env, capture_output=True, text=True,
-                          check=True)
+    said = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, env=env, capture_output=True, text=True, check=True
+    )
     loaded = set(said.stdout.split())
     assert "bellrack.net.node" in loaded and not loaded & {
-        "docopt", "bellrack.lab", "bellrack.drill", "bellrack.peers.membership", "bellrack.peers.wire"}
+        "docopt",
+        "bellrack.lab",
+        "bellrack.drill",
+        "bellrack.peers.membership",
+        "bellrack.peers.wire",
+    }
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,4 +1,5 @@
 """Live weights and reports that come to probes alone."""
+
 import pytest
 from helpers import Bench, settings
 
@@ -39,7 +40,7 @@
     bench.call(group=9)
     servers, before = [], len(bench.sent)
     for load in loads:
-        server, = bench.probes
+        (server,) = bench.probes
         assert len(bench.sent) == before  # it waits
         bench.answer(server, 0.5, load)
         servers.append(server)
@@ -72,7 +73,7 @@
 @pytest.mark.parametrize("answer", [{"kind": model.TIMEOUT}, {"kind": model.FULL}, None])
 def test_a_probe_that_fails_proves_nothing_and_holds_no_call_for_long(answer):
     bench = Bench(settings(**PROBED))
-    server, = bench.fleet(0)
+    (server,) = bench.fleet(0)
     asked(bench)
     if answer:
         bench.answer(server, **answer)
@@ -85,7 +86,7 @@
     # Guards against groups that open ever new servers, each at the group's price.
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0, 0)
-    first, = asked(bench, 0.85)
+    (first,) = asked(bench, 0.85)
     assert sent(bench) == [first]
     bench.run(bench.now + 1.2)
     _, _, third = asked(bench, 0.92, 0.85, 0.3)  # the second is as full as the first was when it took one
@@ -96,9 +97,9 @@
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0)
     asked(bench)
-    gone, = bench.probes
+    (gone,) = bench.probes
     bench.answer(gone, kind=model.NO_CONN)
-    other, = bench.probes
+    (other,) = bench.probes
     bench.answer(other, 0.1, 0.1)
     assert sent(bench) == [other] and gone.stand.bad_until == 0.0
     bench.run(bench.now + 2.2)
@@ -110,7 +111,7 @@
 def test_after_a_reset_or_failed_connect_no_earlier_report_stands(kind):
     bench = Bench(settings(**PROBED))
     bench.fleet(0, 0)
-    first, = asked(bench, 0.1)
+    (first,) = asked(bench, 0.1)
     bench.stand(bench.sent[0][0])
     assert bench.rack.draw.reported(first)
     bench.back(bench.sent[0][0], kind)
@@ -123,7 +124,7 @@
 
 def test_a_full_report_stands_longer_than_others():
     bench = Bench(settings(**PROBED))
-    server, = bench.fleet(0)
+    (server,) = bench.fleet(0)
     asked(bench, 1.5)
     for wait, probes in ((1.5, []), (1.0, [server])):
         bench.run(bench.now + wait)
@@ -131,12 +132,13 @@
         assert bench.probes == probes
 
 
-@pytest.mark.parametrize("report, probes", [
-    ((model.BACKLOG, model.BUSY), 1), ((model.ERRORS, model.HELD), 0), ((), 0)])
+@pytest.mark.parametrize(
+    "report, probes", [((model.BACKLOG, model.BUSY), 1), ((model.ERRORS, model.HELD), 0), ((), 0)]
+)
 def test_fullness_is_read_from_what_a_report_holds_or_nothing_is_asked(report, probes):
     bench = Bench(settings(**PROBED | {"report": report}))
-    server, = bench.fleet(0)
+    (server,) = bench.fleet(0)
     bench.call()
     assert len(bench.probes) == probes
-    bench.rack.probed(server, Result(model.COMPLETED, 0.001, (7.0, 0.95)[:len(report)]))
+    bench.rack.probed(server, Result(model.COMPLETED, 0.001, (7.0, 0.95)[: len(report)]))
     assert server.stand.full == 0.95 * probes and len(bench.sent) == 1 - probes
--- a/tests/test_resumed.py
+++ b/tests/test_resumed.py
@@ -1,4 +1,5 @@
 """Resumed connections on sockets: one process, whose clients, servers and discovery the test plays."""
+
 import asyncio
 import contextlib
 import errno
@@ -42,6 +43,7 @@
 
 # The order.
 
+
 @played
 async def test_ordinary_requests_first_and_between_change_nothing():
     async with World(servers=1) as world:
@@ -67,6 +69,7 @@
 
 # The time.
 
+
 @pytest.mark.parametrize("after, served", [(41.0, True), (69.0, True), (71.0, False)])
 @pytest.mark.parametrize("first", [False, True])
 @played
@@ -84,14 +87,16 @@
             assert world.arrived.empty() and not world.node.resumed.pending
 
 
-@pytest.mark.parametrize("values, waits", [
-    ("c=chat,t=acme,at=s-9", 40.0), (f"{AT[:-1]}9", 40.0), ("c=chat,t=acme,d=7000,at=s-9", 7.0)])
+@pytest.mark.parametrize(
+    "values, waits",
+    [("c=chat,t=acme,at=s-9", 40.0), (f"{AT[:-1]}9", 40.0), ("c=chat,t=acme,d=7000,at=s-9", 7.0)],
+)
 @played
 async def test_its_time_is_that_of_the_page_and_not_that_of_its_traffic_type(values, waits):
     async with World(servers=1) as world:
         client = await world.call(values)
         await world.until(lambda: world.node.resumed.pending)
-        resumed, = world.node.resumed.pending.values()
+        (resumed,) = world.node.resumed.pending.values()
         assert resumed.answer_by == pytest.approx(world.node.clock() + waits, abs=1.0)
         client.end("fin")
 
@@ -108,6 +113,7 @@
 
 # Once it is up.
 
+
 @played
 async def test_none_is_moved_before_the_run_by_the_decisions():
     # The run begins when all are up at once. Before, 93 of 300 were moved within 20 s, to their own zone.
@@ -139,6 +145,7 @@
 
 # Slow clients.
 
+
 @played
 async def test_who_writes_late_is_waited_for_until_a_request_comes(monkeypatch):
     monkeypatch.setattr(limits, "FIRST_LINE", 0.1)
@@ -186,6 +193,7 @@
 
 # Short of descriptors.
 
+
 @played
 async def test_it_waits_for_a_descriptor_and_is_not_told_busy():
     async with World(servers=1, sockets=200) as world:
@@ -236,6 +244,7 @@
             if failures:
                 raise failures.pop()
             return socket.socket(*family)
+
         monkeypatch.setattr(servers, "socket", SimpleNamespace(socket=fails, AF_INET=socket.AF_INET))
         client = await world.call(values)
         _, server, _ = await world.leg()
@@ -247,6 +256,7 @@
 
 # Its server.
 
+
 async def listed(world, entries):
     """Discovery sends the whole list, on the watch that stands."""
     if not hasattr(world, "watch"):
@@ -310,6 +320,7 @@
         async def late(sock, address):
             await release.wait()
             await connect(sock, address)
+
         client = await world.dial()
         monkeypatch.setattr(loop, "sock_connect", late)
         client.say(f"OPEN 00000000000000ff 7f3a9c21e0b4d655 {AT}")
@@ -338,8 +349,11 @@
 async def test_a_server_that_drains_or_left_the_list_still_has_it(state):
     # It stands there already, so it is nothing new to that server.
     async with World(servers=2) as world:
-        gone = {"terminating": [world.entries[0] | {"lifecycle": "terminating"}, world.entries[1]],
-                "unlisted": world.entries[1:], "cordoned": world.entries}[state]
+        gone = {
+            "terminating": [world.entries[0] | {"lifecycle": "terminating"}, world.entries[1]],
+            "unlisted": world.entries[1:],
+            "cordoned": world.entries,
+        }[state]
         await listed(world, gone)
         await world.until(lambda: world.node.server_list.version == 50)
         if state == "cordoned":
@@ -410,6 +424,7 @@
 
 # The process: SIGTERM, SIGHUP, a hot restart, a start without a list.
 
+
 @pytest.mark.parametrize("sent, told", [(False, "BUSY"), (True, "ERR")])
 @played
 async def test_asked_to_end_it_answers_those_that_are_not_up(sent, told):
@@ -438,8 +453,13 @@
 async def test_a_reload_changes_nothing_for_those_that_are_not_up(tmp_path):
     async with World(servers=1) as world:
         path = tmp_path / "config.json"
-        changed = {**world.raw, "settings": {**world.raw["settings"], "trafficTypes": [
-            world.raw["settings"]["trafficTypes"][0] | {"name": "other"}]}}
+        changed = {
+            **world.raw,
+            "settings": {
+                **world.raw["settings"],
+                "trafficTypes": [world.raw["settings"]["trafficTypes"][0] | {"name": "other"}],
+            },
+        }
         path.write_text(json.dumps(changed))
         world.node.config.path = str(path)
         client = await world.call(AT)
@@ -475,8 +495,7 @@
             await world.until(lambda: old.resumed.pending)
             world.node, serving = await world.start()
             await world.until(lambda: old.hot_restart.followed)
-            assert world.node.resumed.window.started == pytest.approx(
-                old.resumed.window.started, abs=1.0)
+            assert world.node.resumed.window.started == pytest.approx(old.resumed.window.started, abs=1.0)
             old.leave()
             if sent:
                 assert await before.line() in ("fin", "rst")
--- a/tests/test_resumed_live.py
+++ b/tests/test_resumed_live.py
@@ -3,6 +3,7 @@
 Clients are threads here; servers and discovery are a process of their own (`stand_ins.py`). Nothing measures
 time: the one bound is that of the pages, 40 s from the first connection.
 """
+
 import contextlib
 import os
 import signal
@@ -78,12 +79,16 @@
 def in_many_ways(number, line):
     """At once, late, in pieces, or behind a PING."""
     late = LATE * (number % 7 + 1) / 7
-    return {0: [(late, line)], 1: [(0.0, line[:9]), (late / 2, line[9:40]), (late, line[40:])],
-            2: [(0.0, b"PING\r\n"), (late, line)]}.get(number % 10, [(0.0, line)])
+    return {
+        0: [(late, line)],
+        1: [(0.0, line[:9]), (late / 2, line[9:40]), (late, line[40:])],
+        2: [(0.0, b"PING\r\n"), (late, line)],
+    }.get(number % 10, [(0.0, line)])
 
 
 # The start, on cores that are busy.
 
+
 def test_hundreds_come_up_at_processes_that_share_busy_cores(tmp_path, stand_ins):
     cores, standing = len(os.sched_getaffinity(0)), 120
     count = cores + 4
@@ -104,20 +109,25 @@
 def test_who_writes_late_comes_up_where_nobody_else_shows_that_the_run_has_not_begun(tmp_path, stand_ins):
     with tier(tmp_path, stand_ins, 1, 10) as (balancer,):
         address = balancer.address()
-        all_up(stand_ins, [Clients(resumed(
-            stand_ins, address, range(1, 11), lambda number, line: [(LATE, line)]))])
+        all_up(
+            stand_ins,
+            [Clients(resumed(stand_ins, address, range(1, 11), lambda number, line: [(LATE, line)]))],
+        )
 
 
 # Servers in trouble.
 
+
 @pytest.mark.parametrize("mode", ["resets-first", "silent-first", "drains"])
 def test_all_come_up_whose_servers_are_in_trouble_at_first(tmp_path, stand_ins, mode):
     stand_ins.command("mode", mode=mode, servers=stand_ins.names[:3])
     if mode == "drains":
         stand_ins.command("list", state="terminating", servers=stand_ins.names[:3])
     with tier(tmp_path, stand_ins, 3, 100) as balancers:
-        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
-                  for first, balancer in zip((1000, 2000, 3000), balancers)]
+        groups = [
+            Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
+            for first, balancer in zip((1000, 2000, 3000), balancers)
+        ]
         all_up(stand_ins, groups)
 
 
@@ -125,8 +135,10 @@
     with tier(tmp_path, stand_ins, 3, 100) as balancers:
         addresses = [balancer.address() for balancer in balancers]
         stand_ins.pause()
-        groups = [Clients(resumed(stand_ins, address, range(first, first + 100)))
-                  for first, address in zip((1000, 2000, 3000), addresses)]
+        groups = [
+            Clients(resumed(stand_ins, address, range(first, first + 100)))
+            for first, address in zip((1000, 2000, 3000), addresses)
+        ]
         for balancer in balancers:
             wait_for_count(balancer, "calls", 100)
             balancer.log.wait_for("side=server reason=timeout", 100)  # each was given up once
@@ -144,8 +156,10 @@
     later = StandInProcess(SERVERS, number=1)  # its servers are listed by the first one's discovery
     try:
         with tier(tmp_path, stand_ins, 3, 100) as balancers:
-            groups = [Clients(resumed(later, balancer.address(), range(first, first + 100)))
-                      for first, balancer in zip((1000, 2000, 3000), balancers)]
+            groups = [
+                Clients(resumed(later, balancer.address(), range(first, first + 100)))
+                for first, balancer in zip((1000, 2000, 3000), balancers)
+            ]
             for balancer in balancers:
                 wait_for_count(balancer, "calls", 100)
             stand_ins.command("others", entries=later.entries)
@@ -160,14 +174,17 @@
     others = [entry | {"instanceId": f"other-{number}"} for number in range(5000)]
     stand_ins.command("others", entries=others)
     with tier(tmp_path, stand_ins, 3, 200) as balancers:
-        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 200)))
-                  for first, balancer in zip((1000, 2000, 3000), balancers)]
+        groups = [
+            Clients(resumed(stand_ins, balancer.address(), range(first, first + 200)))
+            for first, balancer in zip((1000, 2000, 3000), balancers)
+        ]
         stand_ins.command("others", entries=others[1:])
         all_up(stand_ins, groups)
 
 
 # Descriptors.
 
+
 def test_all_come_up_where_idle_connections_hold_all_descriptors(tmp_path, stand_ins):
     limit, standing = 256, 40
     with tier(tmp_path, stand_ins, 2, standing, limits={"sockets": limit}) as balancers:
@@ -175,8 +192,10 @@
         idle = [Clients([Client("", None, address, []) for _ in range(limit)]) for address in addresses]
         for balancer in balancers:
             balancer.log.wait_for("event=serving")
-        groups = [Clients(resumed(stand_ins, address, range(first, first + standing), in_many_ways))
-                  for first, address in zip((1000, 2000), addresses)]
+        groups = [
+            Clients(resumed(stand_ins, address, range(first, first + standing), in_many_ways))
+            for first, address in zip((1000, 2000), addresses)
+        ]
         all_up(stand_ins, groups)
         for group in idle:
             group.close()
@@ -184,11 +203,14 @@
 
 # Signals in the middle of it.
 
+
 def test_all_come_up_with_a_new_configuration_on_the_way(tmp_path, stand_ins):
     stand_ins.command("mode", mode="late")
     with tier(tmp_path, stand_ins, 3, 100) as balancers:
-        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
-                  for first, balancer in zip((1000, 2000, 3000), balancers)]
+        groups = [
+            Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
+            for first, balancer in zip((1000, 2000, 3000), balancers)
+        ]
         for balancer in balancers:
             wait_for_count(balancer, "calls", 100)
             balancer.raw["limits"] = {"sockets": 2000}
@@ -210,7 +232,8 @@
             raw = balancer_settings(stand_ins, 100, name=f"n{number}", listen=written(listen))
             old, new = (
                 BalancerProcess(tmp_path, f"n{number}-{which}", raw | {"control": written(control)})
-                for which, control in zip(("old", "new"), controls))
+                for which, control in zip(("old", "new"), controls)
+            )
             processes.append((old.start(), new))
         for first, (old, _) in zip((1000, 2000, 3000), processes):
             groups.append(Clients(resumed(stand_ins, old.address(), range(first, first + 100))))
@@ -237,8 +260,10 @@
 def test_asked_to_end_each_that_is_not_up_has_one_answer(tmp_path, stand_ins):
     stand_ins.command("mode", mode="late")
     with tier(tmp_path, stand_ins, 2, 100) as balancers:
-        groups = [Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
-                  for first, balancer in zip((1000, 2000), balancers)]
+        groups = [
+            Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
+            for first, balancer in zip((1000, 2000), balancers)
+        ]
         for balancer in balancers:
             wait_for_count(balancer, "calls", 100)
             balancer.send_signal(signal.SIGTERM)
--- a/tests/test_resumption.py
+++ b/tests/test_resumption.py
@@ -1,4 +1,5 @@
 """The state of a resumed connection, and when one is admitted: the clock is moved on, not waited for."""
+
 import math
 import random
 
@@ -30,6 +31,7 @@
 
 # When one is admitted.
 
+
 def test_the_times_are_those_of_the_pages():
     assert (ALL_READY_WITHIN, UP_WITHIN) == (30.0, 40.0)
     assert LISTEN_AFTER <= ALL_READY_WITHIN - 10  # our 30 s began after those of the page
@@ -85,6 +87,7 @@
 
 # One of them.
 
+
 def test_it_is_sent_at_once_where_its_server_is_known():
     resumption = Resumption(100.0, 7)
     assert next_action(resumption, 100.0) == Attempt(100.0 + FIRST_ATTEMPT)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -1,4 +1,5 @@
 """New settings at SIGHUP: taken whole or not at all, and connections under way keep what they came with."""
+
 import copy
 import json
 import os
@@ -95,8 +96,17 @@
 
 @played
 async def test_types_renamed_and_reordered_leave_calls_that_are_kept_out_or_stand_as_they_were(tmp_path):
-    kinds = [{"name": name, "effect": effect, "group": "all", "keyTtlUs": 5e6, "guardTimeUs": 2e6,
-              "setupTargetUs": 1.5e6} for name, effect in (("one", "fragile"), ("two", "retryable"))]
+    kinds = [
+        {
+            "name": name,
+            "effect": effect,
+            "group": "all",
+            "keyTtlUs": 5e6,
+            "guardTimeUs": 2e6,
+            "setupTargetUs": 1.5e6,
+        }
+        for name, effect in (("one", "fragile"), ("two", "retryable"))
+    ]
     special = {"messageAimUs": [1e5, 1e5], "tellsDelay": False}
     async with World(servers=2, trafficTypes=kinds, specifics=special) as world:
         client, server = await world.standing("c=one,t=acme,d=2000")
@@ -139,19 +149,25 @@
     new = changed(raw, other={}, more={})
     text = json.dumps(new)
     yield "empty", ""
-    yield "cut off", text[:len(text) // 2]
+    yield "cut off", text[: len(text) // 2]
     yield "no object", "[]"
     for key in ("settings", "listen", "discovery"):
         yield f"no {key}", {name: value for name, value in new.items() if name != key}
     for key in raw["settings"]:
-        yield f"settings lack {key}", new | {"settings": {
-            name: value for name, value in new["settings"].items() if name != key}}
+        yield (
+            f"settings lack {key}",
+            new | {"settings": {name: value for name, value in new["settings"].items() if name != key}},
+        )
     for key in raw["settings"]["trafficTypes"][0]:
         bad = copy.deepcopy(new)
         del bad["settings"]["trafficTypes"][1][key]
         yield f"a row lacks {key}", bad
-    for place, key in (("caps", "maxLegs"), ("caps", "connectTimeoutUs"), (None, "guardTimeUs"),
-                       (None, "setupTargetUs")):
+    for place, key in (
+        ("caps", "maxLegs"),
+        ("caps", "connectTimeoutUs"),
+        (None, "guardTimeUs"),
+        (None, "setupTargetUs"),
+    ):
         for value in (0, -5, "x", None, float("nan")):
             bad = copy.deepcopy(new)
             (bad["settings"][place] if place else bad["settings"]["trafficTypes"][1])[key] = value
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """A slow, plain model of the four rules beside the module, on generated events."""
+
 import pytest
 from helpers import Bench, settings
 from hypothesis import given
@@ -10,27 +11,41 @@
 
 ENDS = [model.COMPLETED, model.ERROR, model.FULL, model.TIMEOUT, model.NO_CONN, model.RESET]
 RAN = [model.ERROR, model.TIMEOUT, model.RESET, model.CANCELLED]
-KINDS = [TrafficType(effect, group, 1.0, 0.3, 0.1) for effect, group in [
-    (model.REPEATABLE, "all"), (model.REFERENCED, "all"), (model.REFERENCED, "zone"),
-    (model.REFERENCED, "cell"), (model.ONCE_ONLY, "all")]]
+KINDS = [
+    TrafficType(effect, group, 1.0, 0.3, 0.1)
+    for effect, group in [
+        (model.REPEATABLE, "all"),
+        (model.REFERENCED, "all"),
+        (model.REFERENCED, "zone"),
+        (model.REFERENCED, "cell"),
+        (model.ONCE_ONLY, "all"),
+    ]
+]
 STATES = [model.READY, model.READY, model.DRAINING, model.GONE]
-steps = st.lists(st.one_of(
-    st.tuples(st.just("call"), st.integers(0, 4), st.integers(0, 3)),
-    st.tuples(st.just("end"), st.integers(0, 99), st.sampled_from(ENDS)),
-    st.tuples(st.just("stand"), st.integers(0, 99), st.none()),
-    st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(STATES)),
-    st.tuples(st.just("left"), st.none(), st.none()),
-    st.tuples(st.just("restart"), st.integers(0, 5), st.none()),
-    st.tuples(st.just("delay"), st.integers(0, 99), st.sampled_from([0.01, 0.06, 0.4])),
-    st.tuples(st.just("probed"), st.integers(0, 99), st.sampled_from(
-        [model.COMPLETED, model.TIMEOUT, model.NO_CONN, model.FULL])),
-    st.tuples(st.just("weight"), st.integers(0, 5), st.sampled_from([0.1, 1.0, 8.0])),
-    st.tuples(st.just("wait"), st.sampled_from([0.0, 0.01, 0.3, 1.1, 4.0]), st.none())), max_size=40)
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("call"), st.integers(0, 4), st.integers(0, 3)),
+        st.tuples(st.just("end"), st.integers(0, 99), st.sampled_from(ENDS)),
+        st.tuples(st.just("stand"), st.integers(0, 99), st.none()),
+        st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(STATES)),
+        st.tuples(st.just("left"), st.none(), st.none()),
+        st.tuples(st.just("restart"), st.integers(0, 5), st.none()),
+        st.tuples(st.just("delay"), st.integers(0, 99), st.sampled_from([0.01, 0.06, 0.4])),
+        st.tuples(
+            st.just("probed"),
+            st.integers(0, 99),
+            st.sampled_from([model.COMPLETED, model.TIMEOUT, model.NO_CONN, model.FULL]),
+        ),
+        st.tuples(st.just("weight"), st.integers(0, 5), st.sampled_from([0.1, 1.0, 8.0])),
+        st.tuples(st.just("wait"), st.sampled_from([0.0, 0.01, 0.3, 1.1, 4.0]), st.none()),
+    ),
+    max_size=40,
+)
 
 
 def may_go(leg) -> bool:
     """Rules 1 to 3 for one leg, from the call's whole story."""
-    call, earlier = leg.call, leg.call.legs[:leg.call.legs.index(leg)]
+    call, earlier = leg.call, leg.call.legs[: leg.call.legs.index(leg)]
     risky = [old for old in earlier if old.result is None or old.result.kind in RAN]
     if call.done or any(old.result is None for old in earlier) or leg.server.state != model.READY:
         return False
@@ -38,16 +53,22 @@
         return not risky
     if call.type.effect == model.REFERENCED and risky:
         first = risky[0]
-        alike = {"all": True, "zone": first.server.zone == leg.server.zone,
-                 "cell": first.server.cell == leg.server.cell}
+        alike = {
+            "all": True,
+            "zone": first.server.zone == leg.server.zone,
+            "cell": first.server.cell == leg.server.cell,
+        }
         return leg.sent <= first.sent + call.type.key_ttl and alike[call.type.group]
     return True
 
 
 def may_reject(call) -> bool:
     risky = [leg for leg in call.legs if leg.result is None or leg.result.kind in RAN]
-    return not risky or call.type.effect == model.REPEATABLE or (
-        call.type.effect == model.REFERENCED and call.type.group == "all")
+    return (
+        not risky
+        or call.type.effect == model.REPEATABLE
+        or (call.type.effect == model.REFERENCED and call.type.group == "all")
+    )
 
 
 class Watched(Bench):
@@ -84,8 +105,9 @@
             fleet[which].weight = how
             bench.rack.listed([fleet[which]])
         elif what == "probed" and bench.probes:
-            bench.answer(bench.probes[which % len(bench.probes)], *[which / 50] * (how == model.COMPLETED),
-                         kind=how)
+            bench.answer(
+                bench.probes[which % len(bench.probes)], *[which / 50] * (how == model.COMPLETED), kind=how
+            )
         elif what == "left":
             for call in [call for call in calls if not call.done][-1:]:
                 call.done = True
@@ -155,7 +177,7 @@
         total += sum(server.stand.open for server in warm) / len(warm)
     # Of what servers bear in all, or eight before any was seen.
     even = choice.AHEAD * (total + 8.0) * 3.2 / rules.ramp_time
-    assert sent <= 3 * even + 4 * even ** 0.5 + 1  # a place filled, freed and filled again at twice the pace
+    assert sent <= 3 * even + 4 * even**0.5 + 1  # a place filled, freed and filled again at twice the pace
 
 
 def test_forty_balancers_together_fill_a_cold_server_by_half_its_warm_up():
@@ -174,4 +196,4 @@
                 placed += 1
         assert bench.now <= start + warm_share * rules.ramp_time + 0.01
     even = choice.FIRST_FILL * warm_share  # nothing was seen yet of what servers bear
-    assert 1.5 * even <= placed <= choice.AHEAD * even + even ** 0.5
+    assert 1.5 * even <= placed <= choice.AHEAD * even + even**0.5
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,4 +1,5 @@
 """Scale runs: counts that repeat to the digit, what holds of the budgets, limits, and a clean end."""
+
 import asyncio
 import json
 import os
@@ -24,14 +25,31 @@
 EXAMPLES = ROOT / "examples" / "scale"
 # A figure of this build, seed 1: another mechanism between balancers has others, and they are put here.
 AGGREGATOR_AT_50 = {
-    "in_datagrams": 573, "in_bytes": 38208, "out_datagrams": 12, "out_bytes": 135, "fan_datagrams": 588,
-    "fan_bytes": 6615, "records_in": 12545, "records_out": 41, "list_in": 18, "list_out": 0, "list_lines": 0,
-    "steps": 687}
+    "in_datagrams": 573,
+    "in_bytes": 38208,
+    "out_datagrams": 12,
+    "out_bytes": 135,
+    "fan_datagrams": 588,
+    "fan_bytes": 6615,
+    "records_in": 12545,
+    "records_out": 41,
+    "list_in": 18,
+    "list_out": 0,
+    "list_lines": 0,
+    "steps": 687,
+}
 
 
 def plan(**changes):
-    base = {"name": "tiny", "balancers": 12, "servers": 18, "zones": 3, "warm_up": 4.0, "duration": 6.0,
-            "memory_sizes": []}
+    base = {
+        "name": "tiny",
+        "balancers": 12,
+        "servers": 18,
+        "zones": 3,
+        "warm_up": 4.0,
+        "duration": 6.0,
+        "memory_sizes": [],
+    }
     return parse_plan(base | changes)
 
 
@@ -66,9 +84,25 @@
     told = []
     for hashes in ("0", "12345"):
         out = tmp_path / f"{hashes}.json"
-        subprocess.run([sys.executable, "-m", "bellrack", "lab", "scale", "run", file, "--seed=7", "--quiet",
-                        f"--json={out}"], check=True, cwd=ROOT, stdout=subprocess.DEVNULL, timeout=120,
-                       env=os.environ | {"PYTHONHASHSEED": hashes})
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "bellrack",
+                "lab",
+                "scale",
+                "run",
+                file,
+                "--seed=7",
+                "--quiet",
+                f"--json={out}",
+            ],
+            check=True,
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            timeout=120,
+            env=os.environ | {"PYTHONHASHSEED": hashes},
+        )
         told.append(json.loads(out.read_text())["counts"])
     assert told[0] == told[1]
     assert told[0]["tier"]["restarts"] and told[0]["tier"]["lost_datagrams"]
@@ -106,7 +140,8 @@
         behind = [node.server_list.version for node in world.nodes.values()]
         there = [node.number for node in world.nodes.values() if world.region(node.number % 3) == 1]
         assert max(behind[number] for number in there) < min(
-            version for number, version in enumerate(behind) if number not in there)
+            version for number, version in enumerate(behind) if number not in there
+        )
         assert world.lost
         world.run_to(26.0, lambda at: None)
     told = {node.server_list.version for node in world.nodes.values()}
@@ -122,28 +157,33 @@
 
 def test_lean_balancers_send_what_others_do():
     """Sharing the records of servers changes no datagram but for the chance that is drawn beside."""
-    lean, full = (counts(played(lean=lean, list_changes=0.0, restarts=0.0, duration=12.0))["plain"]
-                  for lean in (True, False))
+    lean, full = (
+        counts(played(lean=lean, list_changes=0.0, restarts=0.0, duration=12.0))["plain"]
+        for lean in (True, False)
+    )
     for name in ("in_bytes", "out_bytes", "in_datagrams", "out_datagrams"):
         assert lean["total"][name] == pytest.approx(full["total"][name], rel=0.02), name
 
 
-@pytest.mark.parametrize("changes, reason", [
-    ({"balancers": 2}, "balancers: Expected `int` >= 3"),
-    ({"balancers": 4801}, "balancers: Expected `int` <= 4800"),
-    ({"servers": 6001}, "servers: Expected `int` <= 6000"),
-    ({"real": 21, "time": "real"}, "real: Expected `int` <= 20"),
-    ({"real": 2, "time": "real"}, "real: 3 or more, or none"),
-    ({"real": 3}, "real: real balancers need time"),
-    ({"lean": True, "time": "real"}, "lean: needs time"),
-    ({"regions": 4}, "regions: 4, more than the 3 zones"),
-    ({"los": 0.1}, "unknown field `los`"),
-    ({"connections": {"each": 0.5}}, "connections.each: Expected `float` >= 1"),
-    ({"memory_sizes": [40, 8]}, "memory_sizes: not two sizes"),
-    ({"trouble": [{"kind": "region-cut", "at": 5.0, "region": 3}]}, "trouble[0].region: no region 3"),
-    ({"trouble": [{"kind": "rack-lost", "at": 10.0}]}, "trouble[0].at: after the end at 10"),
-    ({"trouble": [{"kind": "moon", "at": 1.0}]}, "Invalid value 'moon'"),
-])
+@pytest.mark.parametrize(
+    "changes, reason",
+    [
+        ({"balancers": 2}, "balancers: Expected `int` >= 3"),
+        ({"balancers": 4801}, "balancers: Expected `int` <= 4800"),
+        ({"servers": 6001}, "servers: Expected `int` <= 6000"),
+        ({"real": 21, "time": "real"}, "real: Expected `int` <= 20"),
+        ({"real": 2, "time": "real"}, "real: 3 or more, or none"),
+        ({"real": 3}, "real: real balancers need time"),
+        ({"lean": True, "time": "real"}, "lean: needs time"),
+        ({"regions": 4}, "regions: 4, more than the 3 zones"),
+        ({"los": 0.1}, "unknown field `los`"),
+        ({"connections": {"each": 0.5}}, "connections.each: Expected `float` >= 1"),
+        ({"memory_sizes": [40, 8]}, "memory_sizes: not two sizes"),
+        ({"trouble": [{"kind": "region-cut", "at": 5.0, "region": 3}]}, "trouble[0].region: no region 3"),
+        ({"trouble": [{"kind": "rack-lost", "at": 10.0}]}, "trouble[0].at: after the end at 10"),
+        ({"trouble": [{"kind": "moon", "at": 1.0}]}, "Invalid value 'moon'"),
+    ],
+)
 def test_a_plan_that_cannot_be_played_is_refused_with_key_and_reason(changes, reason):
     with pytest.raises(ScenarioError, match="^plan: ") as error:
         plan(**changes)
@@ -181,8 +221,12 @@
 memory_sizes = []
 connections = { servers = 4 }
 """)
-    assert cli.main(["scale", "sweep", str(file), "--sizes=6,12,24", "--quiet", f"--json={out}",
-                     f"--report={page}"]) == 0
+    assert (
+        cli.main(
+            ["scale", "sweep", str(file), "--sizes=6,12,24", "--quiet", f"--json={out}", f"--report={page}"]
+        )
+        == 0
+    )
     told = json.loads(out.read_text())
     assert [result["servers"] for result in told["results"]] == [9, 18, 36]
     grown = next(fit for fit in told["fits"] if (fit["role"], fit["key"]) == ("aggregator", "in"))
@@ -210,6 +254,7 @@
 
 def test_memory_of_a_balancer_is_the_difference_of_two_sizes():
     """Before the same servers, whatever else a process takes."""
+
     def child(kind, asked, seed, quiet, size):
         assert kind == "weigh" and (asked.servers, asked.lean, asked.tier) == (18, False, 12)
         return {"rss_mb": 100.0 + 0.25 * size}
@@ -227,9 +272,16 @@
     plain.list_in = 100
     told = {name: figures.role(some, 2.0) for name, some in figures.roles([plain, aggregator]).items()}
     assert {name: one["balancers"] for name, one in told.items()} == {
-        "plain": 1, "aggregator": 1, "busiest": 1}
-    assert told["plain"]["wire"] == {"in": (4 + 28 + 100) / 2, "out": (7 + 28) / 2, "fan": (7 + 28) / 2,
-                                     "most": (4 + 28 + 100 + 7 + 28) / 2}
+        "plain": 1,
+        "aggregator": 1,
+        "busiest": 1,
+    }
+    assert told["plain"]["wire"] == {
+        "in": (4 + 28 + 100) / 2,
+        "out": (7 + 28) / 2,
+        "fan": (7 + 28) / 2,
+        "most": (4 + 28 + 100 + 7 + 28) / 2,
+    }
     assert told["aggregator"]["wire"]["fan"] == 9 * (4 + 28) / 2 and told["aggregator"]["wire"]["out"] == 16.0
     assert told["busiest"] == told["aggregator"] and told["aggregator"]["forms"] == {"3": 1}
     assert (told["plain"]["total"]["records_out"], told["plain"]["total"]["records_in"]) == (2, 1)
@@ -267,7 +319,11 @@
     file.write_text('name = "long"\nbalancers = 12\nservers = 18\nduration = 3600.0\nmemory_sizes = []')
     process = subprocess.Popen(
         [sys.executable, "-m", "bellrack", "lab", "scale", "sweep", file, "--sizes=12,24", "--quiet"],
-        cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, start_new_session=True)
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        start_new_session=True,
+    )
     try:
         started = until(lambda: children(process.pid), 60.0)
         os.kill(process.pid, signal.SIGINT)
@@ -279,19 +335,36 @@
 
 
 def real_plan(**changes):
-    return plan(**({"time": "real", "balancers": 6, "real": 3, "servers": 9, "warm_up": 3.0, "duration": 2.0,
-                    "clients": {"standing": 2, "life": 1.0}} | changes))
+    return plan(
+        **(
+            {
+                "time": "real",
+                "balancers": 6,
+                "real": 3,
+                "servers": 9,
+                "warm_up": 3.0,
+                "duration": 2.0,
+                "clients": {"standing": 2, "life": 1.0},
+            }
+            | changes
+        )
+    )
 
 
 def test_hollow_and_real_balancers_hear_one_another_on_real_sockets():
     """A real one speaks for all: it hears the hollow ones and the other real ones, and each hears it."""
+
     class Enough(Exception): ...
 
     def look(at):
         broadcast = any(tier.figures[number].broadcasts for number in tier.real)
         told = all(sum(node.balancer.fill().values()) for node in tier.nodes.values())  # what all hold
-        if broadcast and told and tier.answers["up"] and all(
-                one.in_datagrams and one.out_datagrams for one in tier.figures):
+        if (
+            broadcast
+            and told
+            and tier.answers["up"]
+            and all(one.in_datagrams and one.out_datagrams for one in tier.figures)
+        ):
             raise Enough
 
     async def played():
@@ -335,9 +408,13 @@
 duration = 3600.0
 memory_sizes = []
 """)
-    process = subprocess.Popen([sys.executable, "-m", "bellrack", "lab", "scale", "run", file, "--quiet"],
-                               cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
-                               start_new_session=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "bellrack", "lab", "scale", "run", file, "--quiet"],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        start_new_session=True,
+    )
     try:
         started = until(lambda: len(children(process.pid)) == 3 and children(process.pid), 60.0)
         os.kill(process.pid, signal.SIGINT)
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -1,4 +1,5 @@
 """One build, two shapes of deployment: what the configuration is asked, what the program does in each."""
+
 import json
 
 import pytest
@@ -25,30 +26,44 @@
     return LIVE | {"report": {"how": "on_probe", "fields": list(names)}}
 
 
-@pytest.mark.parametrize("changes, key", [
-    ({"discovery": "often"}, "discovery"), ({"discovery": None}, "discovery"),
-    ({"weights": "heavy"}, "weights"), ({"weights": 3}, "weights"),
-    ({"report": {"how": "never"}}, "report.how"), ({"report": []}, "report is no object"),
-    ({"caps": CAPS | {"probes": "yes"}}, "caps.probes"),
-    (fields("x0", "x0"), "report.fields"), (fields("x0", 7), "report.fields"),
-    (fields("x0", "x1", "utilization", "outstanding", "backlog"), "report.fields"),
-    (LIVE | {"report": {"how": "on_probe", "fields": "x0"}}, "report.fields"),
-    (LIVE | {"report": {"how": ["on_probe"], "fields": ["x0"]}}, "report.how")])
-def test_an_unknown_value_is_one_line_that_names_the_key(
-        tmp_path, capsys, monkeypatch, changes, key):
+@pytest.mark.parametrize(
+    "changes, key",
+    [
+        ({"discovery": "often"}, "discovery"),
+        ({"discovery": None}, "discovery"),
+        ({"weights": "heavy"}, "weights"),
+        ({"weights": 3}, "weights"),
+        ({"report": {"how": "never"}}, "report.how"),
+        ({"report": []}, "report is no object"),
+        ({"caps": CAPS | {"probes": "yes"}}, "caps.probes"),
+        (fields("x0", "x0"), "report.fields"),
+        (fields("x0", 7), "report.fields"),
+        (fields("x0", "x1", "utilization", "outstanding", "backlog"), "report.fields"),
+        (LIVE | {"report": {"how": "on_probe", "fields": "x0"}}, "report.fields"),
+        (LIVE | {"report": {"how": ["on_probe"], "fields": ["x0"]}}, "report.how"),
+    ],
+)
+def test_an_unknown_value_is_one_line_that_names_the_key(tmp_path, capsys, monkeypatch, changes, key):
     assert key in refused(tmp_path, capsys, monkeypatch, configured(**changes))
     with pytest.raises(SettingsError):
         parse_config(json.loads(configured(**changes)))
 
 
 MIXES = [
-    LIVE | {"discovery": "ask"}, {"discovery": "push"}, LIVE | {"weights": "nominal"},
-    LIVE | {"report": {"how": "off", "fields": []}}, {"report": {"how": "on_probe", "fields": ["x0"]}},
-    LIVE | {"caps": CAPS | {"probes": False}}, LIVE | {"report": {"how": "on_probe"}},
-    fields(), fields("x0", "mood"), fields("outstanding", "backlog"),
+    LIVE | {"discovery": "ask"},
+    {"discovery": "push"},
+    LIVE | {"weights": "nominal"},
+    LIVE | {"report": {"how": "off", "fields": []}},
+    {"report": {"how": "on_probe", "fields": ["x0"]}},
+    LIVE | {"caps": CAPS | {"probes": False}},
+    LIVE | {"report": {"how": "on_probe"}},
+    fields(),
+    fields("x0", "mood"),
+    fields("outstanding", "backlog"),
     {"report": {"how": "inline", "fields": ["utilization", "recent_ms"]}},
     LIVE | {"caps": {key: value for key, value in CAPS.items() if key != "probes"}},
-    {"discovery": "push", "weights": "off", "accounts": [], "areas": ["rada 2"]}]
+    {"discovery": "push", "weights": "off", "accounts": [], "areas": ["rada 2"]},
+]
 
 
 @pytest.mark.parametrize("changes", MIXES)
@@ -102,7 +117,7 @@
 @played
 async def test_live_weights_are_followed_and_an_unusable_one_leaves_the_last():
     async with World(**LIVE) as world:
-        server, = world.node.servers.values()
+        (server,) = world.node.servers.values()
         listing, _ = await world.question()
         listing.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
         for number, (weight, seen) in enumerate([(0.4, 0.4), (None, 0.4), (2.5, 2.5)]):
@@ -135,8 +150,20 @@
         assert world.node.counters["probes"] == world.node.counters["probe_completed"] == 2
 
 
-@pytest.mark.parametrize("answer", [
-    "PONG", "PONG 0.5", "PONG 0.5 nan", "PONG 0.5 inf", "PONG -1 0.5", "PONG a b", "ERR", "NO", "PONG 1 2 3"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        "PONG",
+        "PONG 0.5",
+        "PONG 0.5 nan",
+        "PONG 0.5 inf",
+        "PONG -1 0.5",
+        "PONG a b",
+        "ERR",
+        "NO",
+        "PONG 1 2 3",
+    ],
+)
 @played
 async def test_a_report_that_is_none_changes_nothing_and_the_call_goes_on(answer):
     async with World(**LIVE) as world:
@@ -147,7 +174,7 @@
             assert await asked.line() == "fin"
             assert world.node.counters["bad_reports"] == 1
         assert (await world.leg())[2].startswith("OPEN") and client
-        server, = world.node.servers.values()
+        (server,) = world.node.servers.values()
         assert server.stand.full == 0.0 and server.stand.weight == 1.0 and not server.stand.fails
 
 
@@ -181,8 +208,9 @@
         assert bool(world.node.counters["probes"]) == bool(shape)
 
 
-@pytest.mark.parametrize("peers, may, may_publish", [
-    (1, True, False), (2, True, False), (3, True, True), (3, False, False)])
+@pytest.mark.parametrize(
+    "peers, may, may_publish", [(1, True, False), (2, True, False), (3, True, True), (3, False, False)]
+)
 def test_two_balancers_tell_one_another_nothing(peers, may, may_publish):
     raw = json.loads(configured(peersTotal=peers, slotNo=0, caps=CAPS | {"mayTell": may}))
     assert parse_config(raw).settings.may_publish == may_publish
--- a/tests/test_tier_live.py
+++ b/tests/test_tier_live.py
@@ -2,6 +2,7 @@
 
 Servers and discovery are processes of their own (`stand_ins.py`). Nothing here measures time.
 """
+
 import contextlib
 import signal
 import socket
@@ -47,8 +48,12 @@
 
 
 def ordinary(address, first, count, wait=20000):
-    return Clients([Client(f"{number:016x}", None, address, [(0.0, ordinary_line(number, wait))])
-                    for number in range(first, first + count)])
+    return Clients(
+        [
+            Client(f"{number:016x}", None, address, [(0.0, ordinary_line(number, wait))])
+            for number in range(first, first + count)
+        ]
+    )
 
 
 def has_lists(balancer, count):
@@ -81,8 +86,9 @@
             for balancer in balancers:
                 has_lists(balancer, 4)
             before = attempts(stand_ins)
-            for group in [ordinary(address, 1000 * (index + 1), 50)
-                          for index, address in enumerate(addresses)]:
+            for group in [
+                ordinary(address, 1000 * (index + 1), 50) for index, address in enumerate(addresses)
+            ]:
                 group.settle()
                 assert any(client.up for client in group.clients)  # a burst is paced: some may be told BUSY
                 group.close()
@@ -130,8 +136,10 @@
     stand_ins.command("mode", mode="silent", servers=stand_ins.names[:3])
     stand_ins.command("mode", mode="resets-first", servers=stand_ins.names[3:4])
     with tier(tmp_path, stand_ins, 4) as balancers:
-        groups = [ordinary(balancer.address(), 1000 * (index + 1), 100, wait=1500)
-                  for index, balancer in enumerate(balancers)]
+        groups = [
+            ordinary(balancer.address(), 1000 * (index + 1), 100, wait=1500)
+            for index, balancer in enumerate(balancers)
+        ]
         for group in groups:
             group.settle()
             for client in group.clients:
@@ -142,8 +150,9 @@
 
 def test_of_two_dozen_processes_none_serves_nobody(tmp_path, stand_ins):
     with tier(tmp_path, stand_ins, 24) as balancers:
-        groups = [ordinary(balancer.address(), 1000 * (index + 1), 10)
-                  for index, balancer in enumerate(balancers)]
+        groups = [
+            ordinary(balancer.address(), 1000 * (index + 1), 10) for index, balancer in enumerate(balancers)
+        ]
         for group in groups:
             group.settle()
             assert any(client.up for client in group.clients)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 """The frame codec and the worked examples of the wire's page."""
+
 import io
 import json
 import struct
@@ -30,7 +31,10 @@
     assert read(batch) == [
         ("On", (3,)),
         ("Inbound", (0xFC5385D3A91C4, 0x91F03B7C55D20A64, 240000, 0x2B8E6401D9F37C10, 12000, 0, 1, 0)),
-        ("TickDue", (77,)), ("On", (5,)), ("Dropped", (0x7BC9E0E6F2B19,))]
+        ("TickDue", (77,)),
+        ("On", (5,)),
+        ("Dropped", (0x7BC9E0E6F2B19,)),
+    ]
     reply = wire.Reply(12)
     reply.add(3, "Forward", 0xFC5385D3A91C4, 0x03124A07, 0x8194DA)
     reply.add(3, "SetAlarm", 0x87FD7A, 77)
@@ -42,33 +46,56 @@
 
 
 def test_list_entries():
-    tail = bytes.fromhex("0100000 03f800000 0000000000000000 00 03124a07".replace(" ", "")
-                         + "01 0000 01 3fc00000 00000000005d1420 00 2c9011f2".replace(" ", ""))
+    tail = bytes.fromhex(
+        "0100000 03f800000 0000000000000000 00 03124a07".replace(" ", "")
+        + "01 0000 01 3fc00000 00000000005d1420 00 2c9011f2".replace(" ", "")
+    )
     events = read(frame("0105 0003", "0109 00000000 00000000 00000002", tail=tail))
     assert wire.entries(events[1][1][1]) == [
-        (1, 0, 0, 1.0, 0, 0, 0x03124A07), (1, 0, 1, 1.5, 0x5D1420, 0, 0x2C9011F2)]
-
-
-@pytest.mark.parametrize("data, told", [
-    (frame("0999"), "unknown code 2457"),
-    (frame("0109 00000000 00000001 00000002", tail=b"\0" * 42), "Pool.membersList"),
-    (frame("0105 0003")[:40], "truncated"),
-    (frame("0105 0003")[:9], "batch header"),
-    (struct.pack(">IQII", 1, 1, 4, 3), "record count 3"),
-    (frame("0105 0003", "0102 0007bc9e0e6f2b19"), "Dropped for instance 3"),
-    (frame("0102 0007bc9e0e6f2b19"), "before any On"),
-    (frame("0105 0003", "0106 0000000000000001 00000000 00000002", tail=b"{}"), "Launch.setup: no usable"),
-])
+        (1, 0, 0, 1.0, 0, 0, 0x03124A07),
+        (1, 0, 1, 1.5, 0x5D1420, 0, 0x2C9011F2),
+    ]
+
+
+@pytest.mark.parametrize(
+    "data, told",
+    [
+        (frame("0999"), "unknown code 2457"),
+        (frame("0109 00000000 00000001 00000002", tail=b"\0" * 42), "Pool.membersList"),
+        (frame("0105 0003")[:40], "truncated"),
+        (frame("0105 0003")[:9], "batch header"),
+        (struct.pack(">IQII", 1, 1, 4, 3), "record count 3"),
+        (frame("0105 0003", "0102 0007bc9e0e6f2b19"), "Dropped for instance 3"),
+        (frame("0102 0007bc9e0e6f2b19"), "before any On"),
+        (
+            frame("0105 0003", "0106 0000000000000001 00000000 00000002", tail=b"{}"),
+            "Launch.setup: no usable",
+        ),
+    ],
+)
 def test_bad_input_is_named(data, told):
     with pytest.raises(wire.WireError, match=told):
         Adapter().answer(wire.read_batch(io.BytesIO(data)))
 
 
 def test_settings_skip_what_is_unknown():
-    raw = {"trafficTypes": [{"effect": "fragile", "setupTargetUs": 5, "new": 1}], "specifics": {}, "az": 2,
-           "peersTotal": 3, "discovery": "push", "prices": {}, "caps": {"maxLegs": 2}, "more": [],
-           "obligations": {"answerSlackUs": 1, "coldShare": 0.5, "rampTimeUs": 4e6, "overloadFactor": 2,
-                           "fallUs": 1e6}}
+    raw = {
+        "trafficTypes": [{"effect": "fragile", "setupTargetUs": 5, "new": 1}],
+        "specifics": {},
+        "az": 2,
+        "peersTotal": 3,
+        "discovery": "push",
+        "prices": {},
+        "caps": {"maxLegs": 2},
+        "more": [],
+        "obligations": {
+            "answerSlackUs": 1,
+            "coldShare": 0.5,
+            "rampTimeUs": 4e6,
+            "overloadFactor": 2,
+            "fallUs": 1e6,
+        },
+    }
     settings = parse_settings(raw)
     assert (settings.zone, settings.asks, settings.types[0].message_aim) == (2, False, 5e-6)
 
@@ -81,17 +108,32 @@
     """A frame in which instance 3 starts with these entries; `more` may point at the tail's end."""
     told, known = json.dumps(raw).encode(), bytes.fromhex("".join(listed).replace(" ", ""))
     end = f"{len(told) + len(known):08x}"
-    return frame("0105 0003", f"0106 0000000000000001 00000000 {len(told):08x}",
-                 f"0109 00000000 {len(told):08x} {len(listed):08x}", "0103 02 00000000 00000001",
-                 *(record.replace("end", end) for record in more),
-                 tail=told + known + bytes.fromhex(tail.replace(" ", "")), clock=10**8)
+    return frame(
+        "0105 0003",
+        f"0106 0000000000000001 00000000 {len(told):08x}",
+        f"0109 00000000 {len(told):08x} {len(listed):08x}",
+        "0103 02 00000000 00000001",
+        *(record.replace("end", end) for record in more),
+        tail=told + known + bytes.fromhex(tail.replace(" ", "")),
+        clock=10**8,
+    )
 
 
 def test_a_change_of_one_server_leaves_the_others_listed_whatever_its_machine():
     adapter = Adapter()
-    adapter.answer(wire.read_batch(io.BytesIO(launch(
-        raw_settings(discovery="push", weights="live"), entry(0, 1), entry(1, 2), tail=entry(1, 2),
-        more=("0109 00000001 end 00000001", "0103 00 00000001 00000002")))))
+    adapter.answer(
+        wire.read_batch(
+            io.BytesIO(
+                launch(
+                    raw_settings(discovery="push", weights="live"),
+                    entry(0, 1),
+                    entry(1, 2),
+                    tail=entry(1, 2),
+                    more=("0109 00000001 end 00000001", "0103 00 00000001 00000002"),
+                )
+            )
+        )
+    )
     servers = adapter.instances[3].servers.values()
     assert [(server.state, server.kind) for server in servers] == [(model.READY, 0), (model.READY, 1)]
 
@@ -99,11 +141,17 @@
 def test_a_tally_counts_what_a_recorded_run_decided(tmp_path, capsys, monkeypatch):
     raw = raw_settings(**LIVE | {"report": {"how": "on_probe", "fields": ["x0"]}})
     call = "010b 0000000000000001 0000000000000000 001e8480 0000000000000009 00000000 00000000 00 0000"
-    frames = [launch(raw, entry(0, 1)), frame("0105 0003", call, number=2, clock=10**8 + 10),
-              frame("0105 0003", "0107 00000001 0a 00000064 01 3f733333", number=3, clock=10**8 + 20)]
+    frames = [
+        launch(raw, entry(0, 1)),
+        frame("0105 0003", call, number=2, clock=10**8 + 10),
+        frame("0105 0003", "0107 00000001 0a 00000064 01 3f733333", number=3, clock=10**8 + 20),
+    ]
     tap = tmp_path / "tap"
-    tap.write_text("".join(f">> process 0, {len(one)} bytes\n{one.hex()}\n<< process 0, 12 bytes\n00\n"
-                           for one in frames))
+    tap.write_text(
+        "".join(
+            f">> process 0, {len(one)} bytes\n{one.hex()}\n<< process 0, 12 bytes\n00\n" for one in frames
+        )
+    )
     monkeypatch.setattr("sys.argv", ["tally", str(tap)])
     assert tally.main() == 0
     said = capsys.readouterr().out
