--- /dev/null
+++ b/bellrack/chain.py
@@ -0,0 +1,45 @@
+"""The chain of decisions that a request runs down, and its results run back up.
+
+Owns the order alone. Each stage of `choice.py` derives from `Stage` and overrides what it decides.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bellrack.model import Call, Leg, Result
+
+if TYPE_CHECKING:
+    from bellrack.choice import Balancer
+
+
+class Stage:
+    """One link of the chain: passes a request on, queues it or ends it; results come back through it."""
+
+    before: Stage
+    after: Stage
+
+    def __init__(self, rack: Balancer):
+        self.rack, self.settings, self.door = rack, rack.settings, rack.door
+
+    def take(self, call: Call) -> None:
+        self.after.take(call)
+
+    def pass_on(self, call: Call) -> None:
+        """To the next stage if a server is left for it, else to the queue."""
+        if call.places:
+            self.after.take(call)
+        else:
+            self.rack.keep(call)
+
+    def stands(self, leg: Leg) -> None:
+        self.before.stands(leg)
+
+    def back(self, leg: Leg, result: Result) -> None:
+        self.before.back(leg, result)
+
+
+def link(*stages: Stage) -> None:
+    """Make a chain of these, the first at its top."""
+    for one, other in zip(stages, stages[1:]):
+        one.after, other.before = other, one
--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -5,11 +5,13 @@
 it was given. A call runs down the chain Answer, Listed, Effect, Zone, Draw; what becomes of its leg runs back
 up. Cold is asked by Zone which servers may take one more.
 """
+
 from __future__ import annotations
 
 import math
 
 from bellrack import model
+from bellrack.chain import Stage, link
 from bellrack.chance import Chance, step
 from bellrack.discovery_retry import Retry
 from bellrack.model import Call, Door, Leg, Result, Server, Settings
@@ -43,31 +45,6 @@
 BACK, KEEP_SHARE = 1 / 3, 0.8  # of the longest wait that clients honour; of the setup target, kept
 
 
-class Stage:
-    """One link of the chain: passes a call on, keeps it or ends it; results come back through it."""
-
-    before: Stage
-    after: Stage
-
-    def __init__(self, rack: Balancer):
-        self.rack, self.settings, self.door = rack, rack.settings, rack.door
-
-    def take(self, call: Call) -> None:
-        self.after.take(call)
-
-    def pass_on(self, call: Call) -> None:
-        if call.places:
-            self.after.take(call)
-        else:
-            self.rack.keep(call)
-
-    def stands(self, leg: Leg) -> None:
-        self.before.stands(leg)
-
-    def back(self, leg: Leg, result: Result) -> None:
-        self.before.back(leg, result)
-
-
 class Answer(Stage):
     """Rule 1: each call gets one final answer by its guard time, and nothing after it."""
 
@@ -130,9 +107,8 @@
 
     def harmless(self, call: Call) -> bool:
         """May the client be told that trying again does no harm?"""
-        effect = call.type.effect
-        return (effect == model.REPEATABLE or not self.risky(call)
-                or effect == model.REFERENCED and call.type.group == "all")
+        dropped = call.type.effect == model.REFERENCED and call.type.group == "all"
+        return call.type.effect == model.REPEATABLE or dropped or not self.risky(call)
 
 
 class Listed(Stage):
@@ -227,8 +203,8 @@
     def tidy(self) -> None:
         """Guards against connections that cross zones for life: a few come again while our zone is calm."""
         home, now, draw = self.matched(), self.door.now, self.rack.draw
-        if home and all(draw.healthy(s) and s.stand.warm_at <= now and draw.room(s)
-                        and now - s.stand.told > CALM for s in home):
+        calm = [s for s in home if draw.healthy(s) and s.stand.warm_at <= now and now - s.stand.told > CALM]
+        if home and len(calm) == len(home) and all(map(draw.room, home)):
             away = [leg for s in self.rack.fleet if s.zone != self.settings.zone for leg in s.stand.legs]
             draw.move(away, TIDY_SHARE)
 
@@ -268,11 +244,10 @@
     def late(self, server: Server) -> bool:
         """Told of late messages lately; where we hold nothing and so are told nothing, as its zone fares."""
         stand = server.stand
-        if self.reported(server):
+        if self.told_late(server) or self.reported(server):
             return self.told_late(server) or stand.full >= 1.0
-        return self.told_late(server) or (
-            not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone)
-            and not self.rack.overload.hears(self.door.now))
+        unseen = not stand.legs and stand.warm_at <= self.door.now and stand.part > self.calm(server.zone)
+        return unseen and not self.rack.overload.hears(self.door.now)
 
     def told_late(self, server: Server) -> bool:
         return server.stand.delay >= SWAMPED and self.door.now - server.stand.told <= server.stand.holds
@@ -311,7 +286,7 @@
 
     def move(self, legs: list[Leg], share: float) -> None:
         """The first of them, rounded by chance: guards against many balancers that each take a whole one."""
-        for leg in legs[:int(share * len(legs) + self.rack.chance.draw())]:
+        for leg in legs[: int(share * len(legs) + self.rack.chance.draw())]:
             self.door.move(leg.call)
             del leg.server.stand.legs[leg]
 
@@ -343,11 +318,11 @@
         mean = ABOVE_MEAN * sum([held[s] for s in places]) / sum(sizes)
         low = [s for s, size in zip(places, sizes) if held[s] < 1 + mean * size] or places
         # Guards against a server put back that waits long for its lot, by the weight of a cold one.
-        missed = [s for s in low if (s.stand.missed or s.unproved and not call.group)
-                  and now >= s.stand.next_leg and self.rack.cold.bears(s) and self.room(s, FULL)]
-        held = missed or call.group and not self.beyond(call) and [
-            s for s in low if s.stand.groups.get(call.group, 0) >= HOLDS
-            or self.rack.overload.holder(s, call.group, now)]
+        missed = [s for s in low if s.stand.missed or s.unproved and not call.group]
+        missed = [
+            s for s in missed if now >= s.stand.next_leg and self.rack.cold.bears(s) and self.room(s, FULL)
+        ]
+        held = missed or self.holders(call, low)
         for server in held or low:  # kept with the call while it is kept: lots are dear
             if server not in call.lots:
                 call.lots[server] = self.lot(call, server)
@@ -364,6 +339,13 @@
                 return server
         return None
 
+    def holders(self, call: Call, places: list[Server]) -> list[Server]:
+        """Of the request's group, while only such servers are asked for it."""
+        if not call.group or self.beyond(call):
+            return []
+        group, now, holder = call.group, self.door.now, self.rack.overload.holder
+        return [s for s in places if s.stand.groups.get(group, 0) >= HOLDS or holder(s, group, now)]
+
     def beyond(self, call: Call) -> bool:
         """Guards against calls that are rejected for a full holder of their group while others have room."""
         return self.door.now >= call.arrived + HOLDERS_FOR * call.type.setup_target
@@ -471,17 +453,13 @@
         self.answer, self.listing, self.effect = Answer(self), Listed(self), Effect(self)
         self.cold, self.zone, self.draw = Cold(self), Zone(self), Draw(self)
         self.overload, self.filled = OverloadDetector(settings, door.tell, self.draw.delayed), (-math.inf, {})
-        self.chain(self.answer, self.listing, self.effect, self.zone, self.draw)
+        link(self.answer, self.listing, self.effect, self.zone, self.draw)
         door.wake(door.now + TIDY_EVERY * (1 + self.chance.draw()), "tidy")
         if settings.may_publish:
             door.wake(door.now + TELL_EVERY * (1 + self.chance.draw()), "tell")
         if settings.asks:
             door.wake(door.now + self.retry.first(), "watch")
 
-    def chain(self, *stages: Stage) -> None:
-        for one, other in zip(stages, stages[1:]):
-            one.after, other.before = other, one
-
     def arrived(self, call: Call) -> None:
         self.answer.arrived(call)
 
@@ -525,9 +503,7 @@
             waiting, self.kept, self.looks = self.kept, [], False
             for call in waiting:
                 # Guards against a long queue, and looking everywhere while none it waits for has room.
-                if len(self.kept) < KEPT_LOOKS and (not call.waits or self.draw.beyond(call) or any(
-                        self.door.now >= s.stand.next_leg and self.draw.room(s) and self.cold.bears(s)
-                        for s in call.waits)):
+                if len(self.kept) < KEPT_LOOKS and self.may_be_placed(call):
                     self.again(call)
                 else:
                     self.keep(call)
@@ -542,6 +518,14 @@
         elif what == "watch":
             self.door.watch()
 
+    def may_be_placed(self, call: Call) -> bool:
+        now, draw, cold = self.door.now, self.draw, self.cold
+        return (
+            not call.waits
+            or draw.beyond(call)
+            or any(now >= s.stand.next_leg and draw.room(s) and cold.bears(s) for s in call.waits)
+        )
+
     def again(self, call: Call) -> None:
         call.waits = []
         self.answer.take(call)
--- a/bellrack/drill/adapter.py
+++ b/bellrack/drill/adapter.py
@@ -119,7 +119,6 @@
     def _on_notice(self, xid, server, x, number, sort):
         leg = self._leg("Notice", xid, number)
         if sort == 1:
-            self.balancer.loaded(leg, x)
             leg.load = x
         elif sort == 2:
             self.balancer.delayed(leg, x / 1e3)
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -9,7 +9,6 @@
     arrived(call)        a call to decide; it is owed one final answer
     resumed(leg)         a connection that stood before the instance started
     stands(leg)          the leg's connection is up
-    loaded(leg, load)    the connection's load is now this (microseconds of work a second)
     delayed(leg, delay)  a message at the leg's server takes this long now (seconds)
     back(leg, result)    the leg ended
     left(call)           the client is gone; nothing is owed any more
@@ -204,7 +203,6 @@
     """What a balancer may be told and need not heed."""
 
     def left(self, call: Call) -> None: ...
-    def loaded(self, leg: Leg, load: float) -> None: ...
     def heard(self, peer: int, data: bytes) -> None: ...
 
 
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -216,7 +216,6 @@
             self.balancer.delayed(leg, value / 1000)
         else:
             leg.load = value
-            self.balancer.loaded(leg, value)
 
     # Its beginning and its end.
 
