--- a/bellrack/drill/tally.py
+++ b/bellrack/drill/tally.py
@@ -18,7 +18,7 @@
 
 from docopt import docopt
 
-from bellrack import choice
+from bellrack import chain, choice
 from bellrack.drill import wire
 from bellrack.drill.adapter import Adapter
 from bellrack.model import Call, Leg, Server
@@ -91,7 +91,7 @@
         def __init__(self, settings: choice.Settings, seed: int, door: choice.Door):
             super().__init__(settings, seed, door)
             self.draw = type("Draw", (WatchedDraw,), {"seen": seen})(self)
-            self.chain(self.answer, self.listing, self.effect, self.zone, self.draw)
+            chain.link(self.answer, self.listing, self.effect, self.zone, self.draw)
 
     return Watched
 
--- a/bellrack/lab/baselines.py
+++ b/bellrack/lab/baselines.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from bellrack import chance, choice
+from bellrack import chain, chance, choice
 from bellrack.lab.scenario import ScenarioError
 from bellrack.model import Call, Leg, Server
 
@@ -129,7 +129,7 @@
     def __init__(self, settings: Any, seed: int, door: Any):
         super().__init__(settings, seed, door)
         self.draw = self.pick(self)
-        self.chain(self.answer, self.listing, self.effect, self.draw)
+        chain.link(self.answer, self.listing, self.effect, self.draw)
 
     def delayed(self, leg: Leg, delay: float) -> None: ...
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -539,6 +539,7 @@
     assert {name for name in modules if name.startswith("bellrack.")} == net | {
         "bellrack.__main__",
         "bellrack.books",
+        "bellrack.chain",
         "bellrack.chance",
         "bellrack.choice",
         "bellrack.discovery_retry",
