Rename: a client's first line is its request line, a client of the lab has a demand

wish and Wish are RequestLine, request_line and parse_request_line in the program; the lab's wishes are demands.

--- a/bellrack/lab/clients.py
+++ b/bellrack/lab/clients.py
@@ -1,7 +1,7 @@
-"""Clients in virtual time: wishes for a connection that come in open loop, and the tries at each.
+"""Clients in virtual time: demands for a connection that come in open loop, and the tries at each.
 
 Owns when a client comes, tries again, gives up and leaves for good. It sees what a client sees: answers and
-ends. A wish lasts from when it was due, whether anybody serves it or not.
+ends. A demand lasts from when it was due, whether anybody serves it or not.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class Want:
-    """A client's wish for a connection."""
+    """A client's demand for a connection."""
 
     __slots__ = (
         "request",
@@ -52,7 +52,7 @@
 
 
 class Attempt:
-    """One try at a wish: one call at one balancer."""
+    """One try at a demand: one call at one balancer."""
 
     __slots__ = ("id", "want", "node", "sent", "guard", "delay", "repeat", "call", "out", "said", "due")
 
@@ -102,7 +102,7 @@
         self.tries(self.want())
 
     def want(self) -> Want:
-        """A new wish, due now."""
+        """A new demand, due now."""
         world, scenario = self.world, self.world.scenario
         self.requests += 1
         want = Want(self.requests, world.now)
@@ -203,7 +203,7 @@
             world.agenda.after(max(wait, self.waits.between(self.form.again)), ARRIVAL, self.anew, want)
 
     def anew(self, want: Want) -> None:
-        """A new request for the same wish."""
+        """A new request for the same demand."""
         if not want.over and not want.attempt:
             self.requests += 1
             want.request, want.due = self.requests, self.world.now
@@ -234,7 +234,7 @@
         self.world.agenda.after(attempt.delay, ARRIVAL, node.turn, node.hung_up, attempt, kind)
 
     def leaves(self, want: Want) -> None:
-        """The wish is over, served to its end or not."""
+        """The demand is over, served to its end or not."""
         want.over = True
         del self.wants[want]
         self.world.ledger.wants(want, -1)
--- a/bellrack/lab/ledger.py
+++ b/bellrack/lab/ledger.py
@@ -1,4 +1,4 @@
-"""What a run earned: wishes and service by traffic type, tenant and time, and the figures made of them.
+"""What a run earned: demands and service by traffic type, tenant and time, and the figures made of them.
 
 Owns the counts and the summary with its field names (docs/lab.md). It judges no rule, and all that it sums is
 whole numbers until the last step, so that no machine's order of adding shows in a result.
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -158,7 +158,7 @@
 
 @dataclass(eq=False)
 class Call:
-    """A client's wish for a connection."""
+    """A client's request for a connection."""
 
     type: TrafficType
     guard: float  # when the client gives up
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -25,7 +25,7 @@
     def __init__(self, node: Any):
         super().__init__(node)
         self.call: Call | None = None
-        self.wish: lines.Wish
+        self.request_line: lines.RequestLine
         self.leg: ServerEnd | None = None  # the leg that is out or stands
         self.pings = 0
 
@@ -39,8 +39,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         super().connection_lost(error)
         self.node.clients.pop(self, None)
-        if self.call and self.node.limits.ids.get(self.wish.id) is self:
-            self.node.limits.ended(self.wish.id)
+        if self.call and self.node.limits.ids.get(self.request_line.id) is self:
+            self.node.limits.ended(self.request_line.id)
 
     def stale(self) -> None:
         """Guards against connections that say nothing, or never end their line, and stay; and, by an answer,
@@ -89,7 +89,7 @@
 
     def counted_as(self, outcome: str) -> None:
         """Its one outcome, by traffic type as the line names it."""
-        self.node.counters[f"{outcome}.{self.wish.values['c']}"] += 1
+        self.node.counters[f"{outcome}.{self.request_line.values['c']}"] += 1
 
     def first(self, line: bytes) -> None:
         if line.strip() == b"PING":
@@ -103,9 +103,9 @@
             self.write(b"PONG\r\n")
             return
         try:
-            self.wish = lines.wish(line)
-            if "at" not in self.wish.values and not self.node.limits.room(self.node.now):
-                if self.wish.values.get("c") in self.node.names.types:
+            self.request_line = lines.parse_request_line(line)
+            if "at" not in self.request_line.values and not self.node.limits.room(self.node.now):
+                if self.request_line.values.get("c") in self.node.names.types:
                     self.counted_as("rejected")
                 self.busy()
             else:
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -38,7 +38,7 @@
 
 
 @dataclass
-class Wish:
+class RequestLine:
     """An OPEN line: its own bytes, and what it says."""
 
     line: bytes
@@ -62,7 +62,7 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-def wish(line: bytes) -> Wish:
+def parse_request_line(line: bytes) -> RequestLine:
     """Strict, since the line goes on to a server as it is."""
     form = OPEN.fullmatch(line)
     if not form or len(line) > LINE:
@@ -74,7 +74,7 @@
     values = dict(pair.split("=", 1) for pair in pairs.split(","))
     if len(values) != pairs.count(",") + 1:
         raise LineError("named-twice")
-    return Wish(line, name, int(key, 16), values)
+    return RequestLine(line, name, int(key, 16), values)
 
 
 def names_server(data: bytes) -> bool:
@@ -84,7 +84,7 @@
     )
 
 
-def with_wait(asked: Wish, seconds: float) -> bytes:
+def with_wait(asked: RequestLine, seconds: float) -> bytes:
     """The line as it goes on: unchanged, but for how long we will wait."""
     if "d" not in asked.values:
         return asked.line
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -138,8 +138,8 @@
 
     def arrive(self, client: Client) -> None:
         """A first line that is well formed."""
-        wish = client.wish
-        values, wait = wish.values, wish.number("d")
+        request_line = client.request_line
+        values, wait = request_line.values, request_line.number("d")
         kind = self.names.types.get(values.get("c", ""))
         if kind is None:
             raise lines.LineError("unknown-type")
@@ -147,7 +147,7 @@
         resumes = "at" in values
         if not resumes and wait > limits.LONGEST_WAIT:  # resumed ones say that they wait for an hour
             raise lines.LineError("bad-d")
-        if self.limits.known(wish.id):
+        if self.limits.known(request_line.id):
             raise lines.LineError("id-known")
         if resumes and not self.resumed.window.admits(self.now):
             raise lines.LineError("late-at")
@@ -157,15 +157,15 @@
         call = self.book(
             kind,
             wait,
-            key=wish.key,
-            group=wish.number("g", 16) or 0,
+            key=request_line.key,
+            group=request_line.number("g", 16) or 0,
             tenant=tenant,
             repeat=values.get("r") == "1",
             returned=values.get("again") == "1",
         )
         self.counters["calls"] += 1
         call.host, client.call = client, call
-        self.limits.ids[wish.id] = client
+        self.limits.ids[request_line.id] = client
         self.limits.no_longer(client)
         client.lasts(None)
         if resumes:
--- a/bellrack/net/pairing.py
+++ b/bellrack/net/pairing.py
@@ -5,13 +5,13 @@
 from typing import Protocol
 
 from bellrack.model import Leg
-from bellrack.net.lines import Wish
+from bellrack.net.lines import RequestLine
 
 
 class ClientEnd(Protocol):
     """A client's connection, as the connection to its server knows it."""
 
-    wish: Wish  # its first line
+    request_line: RequestLine  # its first line
     leg: ServerEnd | None  # the attempt that is out, or stands
     over: bool
     ended: str  # how the client ended it; empty while it has not
--- a/bellrack/net/passing.py
+++ b/bellrack/net/passing.py
@@ -83,7 +83,7 @@
         if client.other:
             words |= self.standing(client.leg) | {"back": written(client.leg)}
         elif client.call:  # a resumed connection that is not up yet: the other process resumes it anew
-            words["resumes"] = client.wish.line.decode()
+            words["resumes"] = client.request_line.line.decode()
         fds = [link.transport.get_extra_info("socket").fileno() for link in links]
         try:
             socket.send_fds(self.sock, [json.dumps(words).encode()], fds)
@@ -99,7 +99,7 @@
 
     def standing(self, link: ServerLink) -> dict[str, Any]:
         return {
-            "line": link.client.wish.line.decode(),
+            "line": link.client.request_line.line.decode(),
             "server": link.place.name,
             "place": lines.written(link.place.address),
             "sent": link.leg.sent,
@@ -169,25 +169,25 @@
 
     def resumed(self, client: Client, line: bytes) -> None:
         """Its first line is read again here, with what came after it: to this process it is a new one."""
-        self.node.limits.forget(lines.wish(line).id)
+        self.node.limits.forget(lines.parse_request_line(line).id)
         client.ring.space()[: len(line)] = line
         client.ring.added(len(line))
 
     def standing(self, client: Client, words: dict[str, Any]) -> ServerLink:
         """The call and its one leg, as they stood in the other process."""
-        node, wish = self.node, lines.wish(words["line"].encode())
+        node, request_line = self.node, lines.parse_request_line(words["line"].encode())
         name, place = str(words["server"]), lines.address(words["place"])
         server = node.server(lines.mark(name))
         server.host = server.host or Place(name, place)
         call = node.book(
-            node.names.types.get(wish.values.get("c", ""), 0),
+            node.names.types.get(request_line.values.get("c", ""), 0),
             0.0,
-            key=wish.key,
-            group=wish.number("g", 16) or 0,
+            key=request_line.key,
+            group=request_line.number("g", 16) or 0,
         )
         leg = Leg(call, server, float(words["sent"]))
         call.legs.append(leg)
-        call.host, client.call, client.wish = client, call, wish
+        call.host, client.call, client.request_line = client, call, request_line
         link = ServerLink(node, leg, client, node.now, stood=True)
         link.asked.extend(map(float, words["asked"]))
         link.said = str(words["said"])
@@ -196,7 +196,7 @@
         client.blocked = link.blocked = True
         link.other, client.other = client, link
         # In the books before anything can end it: guards against a leg that is taken off before it is put on.
-        node.limits.ids[wish.id] = client
+        node.limits.ids[request_line.id] = client
         link.place.legs[link] = None
         node.resume(leg)
         return link
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -39,7 +39,7 @@
     def admit(self, client: Any, client_waits: float | None) -> None:
         """A first line with `at=` has come. `client_waits`: for how many seconds, as it says."""
         self.window.on_resumed(self.node.now)
-        resumption = Resumption(self.node.now, lines.mark(client.wish.id), client_waits)
+        resumption = Resumption(self.node.now, lines.mark(client.request_line.id), client_waits)
         self.pending[client] = resumption
         self.node.counters["resumed"] += 1
         self.proceed(client, resumption)
@@ -50,7 +50,7 @@
         if client.remote_closed():
             client.forgotten(model.CANCELLED)  # the node reads its end with the next poll of the sockets
             return
-        server = self.node.servers.get(lines.mark(client.wish.values["at"]))
+        server = self.node.servers.get(lines.mark(client.request_line.values["at"]))
         known = server is not None and server.host is not None
         match resumption.next_action(self.node.now, known, self.descriptors_free()):
             case Attempt(give_up_at):
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -141,7 +141,7 @@
         else:
             self.written = True
             self.node.counters["upstream_requests"] += 1
-            self.write(lines.with_wait(self.client.wish, self.until - self.node.now))
+            self.write(lines.with_wait(self.client.request_line, self.until - self.node.now))
 
     def answered_already(self) -> bool:
         """Is the client's answer out, or decided on in this batch and about to go out?"""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -279,7 +279,7 @@
 
     def noted(clients):
         want = made(clients)
-        wishes.append((want.due, want.zone, want.key, want.ends))
+        demands.append((want.due, want.zone, want.key, want.ends))
         return want
 
     monkeypatch.setattr(Clients, "want", noted)
@@ -294,9 +294,9 @@
             {"kind": "killed", "at": 5.0, "balancers": ["b-b1"]},
         ],
     ):
-        wishes = []
+        demands = []
         played(*troubles)
-        seen.append(wishes)
+        seen.append(demands)
     assert seen[0] == seen[1] and len(seen[0]) > 50
 
 
