Rename: leaving is shutdown

leaving.py is shutdown.py, Leaving is Shutdown, node.leaving node.shutdown; nodes of the lab are shutting_down. Words of the log (event=leaving, reason=leaving) stay, operators read them. Tests and docs with it, behaviour unchanged.

--- a/bellrack/lab/live.py
+++ b/bellrack/lab/live.py
@@ -190,8 +190,8 @@
             self.config = -1
 
     def leave(self, grace: float) -> None:
-        if self.alive and not self.leaving:
-            self.leaving = True
+        if self.alive and not self.shutting_down:
+            self.shutting_down = True
             self.signal(signal.SIGTERM)
 
     # Discovery.
@@ -630,7 +630,10 @@
             crashed = [
                 node.name
                 for node in self.nodes
-                if node.alive and node.process and node.process.returncode is not None and not node.leaving
+                if node.alive
+                and node.process
+                and node.process.returncode is not None
+                and not node.shutting_down
             ]
             if crashed:
                 raise ScenarioError(f"{crashed[0]} ended by itself; --logs=DIR keeps what it said")
--- a/bellrack/lab/node.py
+++ b/bellrack/lab/node.py
@@ -13,7 +13,7 @@
 from bellrack.books import Books
 from bellrack.lab.agenda import ARRIVAL, NEWS, RESULT, TIMER
 from bellrack.model import Call, Leg, Result, Server, Settings
-from bellrack.net import leaving
+from bellrack.net import shutdown
 
 if TYPE_CHECKING:
     from bellrack.lab.clients import Attempt
@@ -58,7 +58,7 @@
 
     def __init__(self, world: World, name: str, number: int, zone: int, incarnation: int):
         self.world, self.name, self.number, self.zone = world, name, number, zone
-        self.incarnation, self.alive, self.leaving = incarnation, True, False
+        self.incarnation, self.alive, self.shutting_down = incarnation, True, False
         self.told: dict[Machine, tuple[str, float]] = {}
         self.in_vain = False  # its last question to discovery failed
         self.line_at = 0.0  # when the last line of the list arrives
@@ -199,7 +199,7 @@
         call.host, attempt.call = attempt, call
         self.attempts[attempt] = None
         self.note_call(attempt)
-        if self.leaving:
+        if self.shutting_down:
             self.reject(call)
         else:
             self.balancer.arrived(call)
@@ -215,7 +215,7 @@
         self.world.agenda.after(out.attempt.delay, ARRIVAL, out.attempt.answered, "completed", 0.0)
         out.stood = True
         self.stand(out.leg)
-        if self.leaving:
+        if self.shutting_down:
             self.move(out.leg.call)
 
     def leg_over(self, out: Out, kind: str) -> None:
@@ -313,15 +313,15 @@
             self.world.agenda.after(attempt.delay, ARRIVAL, attempt.broken, "balancer killed")
 
     def leave(self, grace: float) -> None:
-        """Asked to end, as on SIGTERM: net/leaving.py says when who is moved."""
-        if not self.alive or self.leaving:
+        """Asked to end, as on SIGTERM: net/shutdown.py says when who is moved."""
+        if not self.alive or self.shutting_down:
             return
-        self.leaving = True
+        self.shutting_down = True
         standing = [attempt for attempt in self.attempts if attempt.out and attempt.out.leg.standing]
         for index, attempt in enumerate(standing):
-            share = leaving.DEALT + (leaving.SPREAD - leaving.DEALT) * index / len(standing)
+            share = shutdown.DEALT + (shutdown.SPREAD - shutdown.DEALT) * index / len(standing)
             self.world.agenda.after(share * grace, TIMER, self.turn, self.moved, attempt, model.CANCELLED)
-        self.world.agenda.after(leaving.REST * grace, TIMER, self.turn, self.move_rest)
+        self.world.agenda.after(shutdown.REST * grace, TIMER, self.turn, self.move_rest)
 
     def move_rest(self) -> None:
         for attempt in list(self.attempts):
--- a/bellrack/lab/world.py
+++ b/bellrack/lab/world.py
@@ -403,7 +403,7 @@
 
     def roll(self, number: int, trouble: forms.Rolled) -> None:
         node = self.nodes[number]
-        if node.alive and not node.leaving:
+        if node.alive and not node.shutting_down:
             node.leave(trouble.grace)
             self.front.notices(node)  # a planned restart is told to the front
             self.later(trouble.grace, self.rolled_out, node, trouble.down)
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -99,7 +99,7 @@
         sibling.close()
         followed, self.sibling, self.giver = self.followed, None, None
         self.node.limits.beside = 0
-        if followed and not self.node.leaving and not self.node.over.is_set():
+        if followed and not self.node.shutdown and not self.node.over.is_set():
             self.reopening = self.node.loop.create_task(self.node.doors.reopen())
 
     def close(self) -> None:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -23,12 +23,12 @@
 from bellrack.net.discovery import Discovery
 from bellrack.net.doors import Doors
 from bellrack.net.hot_restart import HotRestart
-from bellrack.net.leaving import Leaving
 from bellrack.net.peer_socket import LONGEST_DATAGRAM, PeerSocket
 from bellrack.net.readiness import Readiness
 from bellrack.net.resumed import ResumedConnections
 from bellrack.net.server_watch import ServerWatch
 from bellrack.net.servers import Place, Probe, ServerLink
+from bellrack.net.shutdown import Shutdown
 from bellrack.net.turns import TurnLoop
 
 LISTED = 2.0  # seconds after the start for which we wait for a word of discovery if we know a list
@@ -48,7 +48,7 @@
         self.takes_requests = True  # but where it listens before it is ready
         # Where lists are pushed, what the discovery has counts as told from our first moment on.
         self.readiness, self.changed = Readiness(self.begun, LISTED, config.settings.asks), asyncio.Event()
-        self.leaving: Leaving | None = None
+        self.shutdown: Shutdown | None = None
         self.over = asyncio.Event()
         self.discovery = Discovery(self, config.discovery)
         self.server_list = server_list.ServerList(self)
@@ -172,7 +172,7 @@
             self.resumed.admit(client, wait if "d" in values else None)
             return
         self.resumed.window.on_request()
-        if not self.takes_requests or self.leaving and not self.hot_restart.followed:
+        if not self.takes_requests or self.shutdown and not self.hot_restart.followed:
             # Nothing was sent, so trying again is harmless; the front deals it to another balancer.
             self.reject(call)
         else:
@@ -188,7 +188,7 @@
             leg.call.host.counted_as("completed")
             leg.server.proved = max(leg.server.proved, leg.sent)
             self.stand(leg)
-        if self.leaving and not self.hot_restart.giver:
+        if self.shutdown and not self.hot_restart.giver:
             self.move(leg.call)
 
     def leg_over(self, link: ServerLink, kind: str) -> None:
@@ -231,7 +231,7 @@
         await self.doors.open_desk()
         predecessor = await self.hot_restart.find_predecessor()
         await startup.wait_until_ready(self, alone=predecessor is None)
-        if not self.leaving:  # guards against a door that is opened only to be closed on who comes
+        if not self.shutdown:  # guards against a door that is opened only to be closed on who comes
             await self.take_requests(predecessor.door if predecessor else None)
         await self.over.wait()
         self.doors.close()
@@ -264,7 +264,7 @@
     def can_serve(self) -> bool:
         """It takes calls and has a list, by discovery or, if that is late, from before."""
         listening = self.takes_requests and self.doors.listener is not None
-        return listening and self.readiness.listed(self.clock()) and not self.leaving
+        return listening and self.readiness.listed(self.clock()) and not self.shutdown
 
     def show(self) -> None:
         """What operators are told at their door, as one line."""
@@ -272,7 +272,7 @@
 
     def leave(self) -> None:
         """Asked to end: move what stands, spread over the time there is, and go once empty."""
-        self.leaving = self.leaving or Leaving(self)
+        self.shutdown = self.shutdown or Shutdown(self)
         self.changed.set()
 
 
--- a/bellrack/net/leaving.py
+++ b/bellrack/net/shutdown.py
@@ -21,7 +21,7 @@
 LOOK = 0.05  # seconds between looks for that
 
 
-class Leaving:
+class Shutdown:
     def __init__(self, node: Any):
         self.node, self.begun = node, node.now
         self.allowed = min(LONGEST, max(node.names.guards)) + GRACE
--- a/bellrack/net/startup.py
+++ b/bellrack/net/startup.py
@@ -17,7 +17,7 @@
     if not node.readiness.known:
         log.tell("no-list", waits=lines.written(node.discovery.address))
     listen_at = node.begun + resumption.LISTEN_AFTER if alone else math.inf
-    while not node.leaving and not node.readiness.may_open(now := node.clock()):
+    while not node.shutdown and not node.readiness.may_open(now := node.clock()):
         if now >= listen_at:
             await listen_unready(node)
             listen_at = math.inf
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -13,7 +13,7 @@
 from helpers import Batch, Bench, Peer, World, played, settings
 
 from bellrack import model
-from bellrack.net import discovery, leaving, lines, server_watch, servers
+from bellrack.net import discovery, lines, server_watch, servers, shutdown
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -175,18 +175,20 @@
         assert world.node.counters["upstream_requests"] == 1
 
 
-# Leaving.
+# Shutdown.
 
 
 @played
 async def test_asked_to_end_it_waits_for_a_line_that_is_half_there(monkeypatch):
-    monkeypatch.setattr(leaving, "STAY", 0.1)
+    monkeypatch.setattr(shutdown, "STAY", 0.1)
     async with World() as world:
         slow, silent = await world.dial(), await world.dial()
         slow.writer.write(b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=ch")
         await world.until(lambda: [one.ring.held for one in world.node.clients if one.ring.held] == [43])
         world.node.queue(world.node.leave)
-        await world.until(lambda: world.node.leaving and world.node.clock() - world.node.leaving.begun > 0.3)
+        await world.until(
+            lambda: world.node.shutdown and world.node.clock() - world.node.shutdown.begun > 0.3
+        )
         assert not world.serving.done()
         slow.say("at,t=acme,d=2000")
         silent.say("OPEN 00000000000000a2 7f3a9c21e0b4d655 c=chat,t=acme,d=2000")
@@ -198,7 +200,7 @@
 
 @played
 async def test_asked_to_end_it_answers_who_waits_in_the_door(monkeypatch):
-    monkeypatch.setattr(leaving, "STAY", 0.0)
+    monkeypatch.setattr(shutdown, "STAY", 0.0)
     async with World() as world:
         waiting = []
 
@@ -222,7 +224,7 @@
 @pytest.mark.parametrize("error", [errno.EMFILE, errno.ECONNABORTED])
 @played
 async def test_asked_to_end_it_ends_also_if_its_door_fails(monkeypatch, error):
-    monkeypatch.setattr(leaving, "STAY", 0.0)
+    monkeypatch.setattr(shutdown, "STAY", 0.0)
     async with World() as world:
         door = mock.Mock(wraps=world.node.doors.socket)
         door.accept.side_effect = OSError(error, "no")
@@ -237,7 +239,7 @@
 )
 @played
 async def test_asked_to_end_it_answers_who_waits_for_a_server_that_hangs(monkeypatch, effect, told):
-    monkeypatch.setattr(leaving, "LONGEST", 0.3)
+    monkeypatch.setattr(shutdown, "LONGEST", 0.3)
     async with World(effect=effect) as world:
         client = await world.call("c=chat,t=acme,d=30000")  # longer than there is time
         await world.leg()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -130,7 +130,7 @@
         world.node, serving = await world.start()
         await world.until(lambda: old.hot_restart.followed)
         old.leave()
-        await world.until(lambda: old.leaving)
+        await world.until(lambda: old.shutdown)
         assert not old.hot_restart.giver.give(link) and sent
         server.say("last")
         got = [told async for told in until_last(client)]
