--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -41,7 +41,7 @@
     return user == os.geteuid()
 
 
-class Former:
+class Predecessor:
     """The process that serves, as the one that starts finds it: its door, what it told, and bytes of what it
     has begun to say after that."""
 
@@ -56,7 +56,7 @@
         self.sock, self.door, self.way, self.told, self.rest = sock, door, way, told, rest
 
 
-def meet(path: str) -> Former | None:
+def meet(path: str) -> Predecessor | None:
     """Ask the process that serves for its door; None if there is none, or it does not answer in time."""
     sock = socket.socket(socket.AF_UNIX)
     fds: list[int] = []
@@ -77,7 +77,7 @@
         if not fds or not isinstance(told, dict):
             raise OSError("no door came")
         door, *ways = (socket.socket(fileno=fd) for fd in fds)
-        return Former(sock, door, ways[0] if ways else None, told, rest)
+        return Predecessor(sock, door, ways[0] if ways else None, told, rest)
     except (OSError, ValueError) as error:
         if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
             log.tell("handover", taken="nothing", error=repr(error))
@@ -87,7 +87,7 @@
         return None
 
 
-class Other(asyncio.Protocol):
+class Sibling(asyncio.Protocol):
     """The other process of this balancer, while there is one: a message is a line, one JSON object."""
 
     def __init__(self, node: Any, giver: passing.Giver | None = None, early: bytes = b""):
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -16,7 +16,7 @@
 class HotRestart:
     def __init__(self, node: Any):
         self.node = node
-        self.sibling: handover.Other | None = None  # our other process, before or after us
+        self.sibling: handover.Sibling | None = None  # our other process, before or after us
         self.giver: passing.Giver | None = None  # hands connections to it, once it listens in our place
         self.taker: passing.Taker | None = None  # takes them from it
         self.connecting: asyncio.Task | None = None
@@ -27,7 +27,7 @@
         """A process came after us and listens in our place."""
         return self.giver is not None
 
-    async def find_predecessor(self) -> handover.Former | None:
+    async def find_predecessor(self) -> handover.Predecessor | None:
         """Where a process of this balancer serves, its listening socket and what it has learned are ours."""
         path = self.node.doors.path
         predecessor = await asyncio.to_thread(handover.meet, path) if path else None
@@ -35,7 +35,7 @@
             await self.take_over(predecessor)
         return predecessor
 
-    async def take_over(self, predecessor: handover.Former) -> None:
+    async def take_over(self, predecessor: handover.Predecessor) -> None:
         """Start beside the process that serves; we listen in its place once we know the servers."""
         node, told = self.node, predecessor.told
         try:
@@ -55,7 +55,7 @@
 
     def connect(self, sock: socket.socket, giver: passing.Giver | None = None, early: bytes = b"") -> None:
         """The Unix socket to the sibling is up; `early`: bytes of it that are already read."""
-        self.sibling = handover.Other(self.node, giver, early)
+        self.sibling = handover.Sibling(self.node, giver, early)
         self.connecting = self.node.loop.create_task(
             self.node.loop.create_unix_connection(lambda: self.sibling, sock=sock)
         )
@@ -92,7 +92,7 @@
             node.doors.shut()
             log.tell("followed")
 
-    def on_sibling_lost(self, sibling: handover.Other) -> None:
+    def on_sibling_lost(self, sibling: handover.Sibling) -> None:
         """The other process is gone."""
         if sibling is not self.sibling:
             return
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -400,13 +400,13 @@
 
         with ThreadPoolExecutor(1) as pool:
             giving = pool.submit(gives)
-            former = handover.meet(path)
+            predecessor = handover.meet(path)
             giving.result().close()
-    assert former and former.told == {"version": 1}
+    assert predecessor and predecessor.told == {"version": 1}
     host = mock.Mock(**{"limits.descriptors": 0})
-    other = handover.Other(host, early=former.rest)
-    other.connection_made(mock.Mock(is_closing=lambda: False))
-    other.data_received(b'sed": 3}\n')
+    sibling = handover.Sibling(host, early=predecessor.rest)
+    sibling.connection_made(mock.Mock(is_closing=lambda: False))
+    sibling.data_received(b'sed": 3}\n')
     assert [call.args[1] for call in host.queue.call_args_list] == [{"held": 7}, {"passed": 3}]
-    for sock in (former.sock, former.door, former.way):
+    for sock in (predecessor.sock, predecessor.door, predecessor.way):
         sock.close()
