--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -147,7 +147,9 @@
         resumes = "at" in values
         if not resumes and wait > limits.LONGEST_WAIT:  # resumed ones say that they wait for an hour
             raise lines.LineError("bad-d")
-        if self.limits.known(request_line.id):
+        # A resumed connection whose first try failed comes again as what it was at its server.
+        taken = request_line.id in self.limits.ids if resumes else self.limits.known(request_line.id)
+        if taken:
             raise lines.LineError("id-known")
         if resumes and not self.resumed.window.admits(self.now):
             raise lines.LineError("late-at")
--- a/bellrack/net/startup.py
+++ b/bellrack/net/startup.py
@@ -32,4 +32,4 @@
     """Resumed connections are admitted from now on; whoever else comes is turned away."""
     node.takes_requests = False
     await node.doors.open(None)
-    log.tell("listening", ready=False)
+    log.tell("listening", address=lines.written(node.doors.socket.getsockname()), ready=False)
--- a/tests/test_resumed.py
+++ b/tests/test_resumed.py
@@ -403,6 +403,20 @@
         await world.until(lambda: world.node.balancer.held == 0)
 
 
+@played
+async def test_a_client_that_comes_again_with_its_id_is_resumed():
+    # Its server knows it by that id. While the first is open here, the second is another's.
+    async with World(servers=1) as world:
+        first = await world.call(AT, number=7)
+        _, server, _ = await world.leg()
+        thief = await world.call(AT, number=7)
+        assert [await thief.line(), await thief.line()] == ["SYNTAX", "fin"]
+        first.end("rst")
+        assert await server.line() in ("fin", "rst")
+        await world.until(lambda: not world.node.limits.ids)
+        await resumes(world, AT, number=7)
+
+
 @pytest.mark.parametrize("how", ["fin", "rst"])
 @pytest.mark.parametrize("at", ["s-0", "s-9"])
 @played
