--- a/tests/play_resumed_start.py
+++ b/tests/play_resumed_start.py
@@ -61,7 +61,7 @@
         for group in groups:
             group.settle()
         answers = Counter(
-            "up" if client.up else " ".join(client.answers) or "nothing"
+            "up" if client.up else " ".join(line.split()[0] for line in client.answers) or "nothing"
             for group in groups
             for client in group.clients
         )
