Tests: processes.py has what the tests of several processes share

No assertion changed; test_descriptors, test_tier_live, test_resumed and test_resumed_live green (70).

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -116,6 +116,17 @@
         return {name: int(value) for name, _, value in pairs}
 
 
+@contextlib.contextmanager
+def running(processes: list[BalancerProcess]) -> Iterator[list[BalancerProcess]]:
+    """All of them, started at once and ended with the context."""
+    try:
+        yield [process.start() for process in processes]
+    finally:
+        for process in processes:
+            if process.process:
+                process.end()
+
+
 class StandInProcess:
     """Discovery and servers in a process of their own (`stand_ins.py`)."""
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -7,12 +7,12 @@
 import os
 import resource
 import signal
-import socket
 import sys
 from pathlib import Path
 
 import pytest
 from helpers import Peer, World, played, raw_settings
+from processes import bound_socket, written
 
 from bellrack.net import doors, limits
 
@@ -29,19 +29,6 @@
     raise AssertionError(f"never: {what}")
 
 
-def bound():
-    """A socket that holds a port; nobody listens there by that."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    sock.bind(("127.0.0.1", 0))
-    return sock
-
-
-def place(sock):
-    return "{}:{}".format(*sock.getsockname())
-
-
 class Discovery:
     """It counts the tries; down, it resets each."""
 
@@ -71,8 +58,8 @@
     """`bellrack serve`, and the most descriptors that it was seen to hold."""
 
     def __init__(self, path, raw):
-        self.path, self.raw, self.most, self.admin = path, raw, 0, bound()
-        path.write_text(json.dumps(raw | {"control": place(self.admin)}))
+        self.path, self.raw, self.most, self.admin = path, raw, 0, bound_socket()
+        path.write_text(json.dumps(raw | {"control": written(self.admin)}))
 
     async def start(self, hard):
         def limited():
@@ -155,7 +142,7 @@
 
 
 async def story(folder, limit, hard, how):
-    discovery, clients, up = Discovery(), bound(), asyncio.Queue()
+    discovery, clients, up = Discovery(), bound_socket(), asyncio.Queue()
     lister = await asyncio.start_server(discovery.come, "127.0.0.1")
 
     async def serve(reader, writer):
@@ -165,7 +152,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1")
     entry = {
-        "hostPort": place(server.sockets[0]),
+        "hostPort": written(server.sockets[0]),
         "zone": "a",
         "cell": 0,
         "machineType": "m",
@@ -177,10 +164,10 @@
     rules = {"obligations": {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7, "askWithinUs": 5e5}}
     raw = {
         "name": "n0",
-        "listen": place(clients),
+        "listen": written(clients),
         "seed": "8c1f30d27a5be964",
         "limits": {"sockets": limit},
-        "discovery": place(lister.sockets[0]),
+        "discovery": written(lister.sockets[0]),
         "settings": raw_settings(**rules),
         "known": {"generation": 41, "reset": True, "instances": discovery.entries[:1]},
     }
--- a/tests/test_resumed.py
+++ b/tests/test_resumed.py
@@ -9,6 +9,7 @@
 
 import pytest
 from helpers import Peer, World, played
+from processes import bound_socket, written
 
 from bellrack.net import clients, limits, lines, node, reload, resumption, servers
 from bellrack.net.shutdown import Shutdown
@@ -486,23 +487,14 @@
         await comes_up(world, client)
 
 
-def bound():
-    """A socket that holds an address for two processes; nobody listens there by that."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    sock.bind(("127.0.0.1", 0))
-    return sock
-
-
 @pytest.mark.parametrize("sent", [False, True])
 @played
 async def test_a_hot_restart_takes_over_those_that_are_not_up(tmp_path, monkeypatch, sent):
     # Before, they stayed with the process that goes and were told BUSY; the id counted as another client's.
     monkeypatch.setenv("TMPDIR", str(tmp_path))
     monkeypatch.setattr(node, "LISTED", 0.05)
-    with contextlib.closing(bound()) as address:
-        async with World(servers=1, control=True, listen="{}:{}".format(*address.getsockname())) as world:
+    with contextlib.closing(bound_socket()) as address:
+        async with World(servers=1, control=True, listen=written(address)) as world:
             old = world.node
             old.resumed.window.started -= 31.0
             client = await world.call(f"{AT[:-3]}{'s-0' if sent else 's-late'}")
--- a/tests/test_resumed_live.py
+++ b/tests/test_resumed_live.py
@@ -4,7 +4,6 @@
 time: the one bound is that of the pages, 40 s from the first connection.
 """
 
-import contextlib
 import os
 import signal
 import time
@@ -21,6 +20,7 @@
     burners,
     ordinary_line,
     resumed_line,
+    running,
     written,
 )
 
@@ -35,16 +35,10 @@
     process.end()
 
 
-@contextlib.contextmanager
 def tier(folder, stand_ins, count, standing, **changes):
     """So many balancers, started at once."""
     raw = balancer_settings(stand_ins, standing, **changes)
-    processes = [BalancerProcess(folder, f"n{number}", raw) for number in range(count)]
-    try:
-        yield [process.start() for process in processes]
-    finally:
-        for process in processes:
-            process.end()
+    return running([BalancerProcess(folder, f"n{number}", raw) for number in range(count)])
 
 
 def resumed(stand_ins, address, numbers, written_as=None):
@@ -58,6 +52,18 @@
     return clients
 
 
+def come_back(stand_ins, addresses, standing=100, written_as=None):
+    """So many clients come back to each of these balancers."""
+    return [
+        Clients(resumed(stand_ins, address, range(first, first + standing), written_as))
+        for first, address in zip(range(1000, 10_000, 1000), addresses)
+    ]
+
+
+def addresses_of(balancers):
+    return [balancer.address() for balancer in balancers]
+
+
 def ordinary(address, number):
     return Client(f"{number:016x}", None, address, [(0.0, ordinary_line(number))])
 
@@ -124,21 +130,15 @@
     if mode == "drains":
         stand_ins.command("list", state="terminating", servers=stand_ins.names[:3])
     with tier(tmp_path, stand_ins, 3, 100) as balancers:
-        groups = [
-            Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
-            for first, balancer in zip((1000, 2000, 3000), balancers)
-        ]
+        groups = come_back(stand_ins, addresses_of(balancers))
         all_up(stand_ins, groups)
 
 
 def test_all_come_up_where_all_servers_and_discovery_stand_still_for_a_while(tmp_path, stand_ins):
     with tier(tmp_path, stand_ins, 3, 100) as balancers:
-        addresses = [balancer.address() for balancer in balancers]
+        addresses = addresses_of(balancers)
         stand_ins.pause()
-        groups = [
-            Clients(resumed(stand_ins, address, range(first, first + 100)))
-            for first, address in zip((1000, 2000, 3000), addresses)
-        ]
+        groups = come_back(stand_ins, addresses)
         for balancer in balancers:
             wait_for_count(balancer, "calls", 100)
             balancer.log.wait_for("side=server reason=timeout", 100)  # each was given up once
@@ -156,10 +156,7 @@
     later = StandInProcess(SERVERS, number=1)  # its servers are listed by the first one's discovery
     try:
         with tier(tmp_path, stand_ins, 3, 100) as balancers:
-            groups = [
-                Clients(resumed(later, balancer.address(), range(first, first + 100)))
-                for first, balancer in zip((1000, 2000, 3000), balancers)
-            ]
+            groups = come_back(later, addresses_of(balancers))
             for balancer in balancers:
                 wait_for_count(balancer, "calls", 100)
             stand_ins.command("others", entries=later.entries)
@@ -174,10 +171,7 @@
     others = [entry | {"instanceId": f"other-{number}"} for number in range(5000)]
     stand_ins.command("others", entries=others)
     with tier(tmp_path, stand_ins, 3, 200) as balancers:
-        groups = [
-            Clients(resumed(stand_ins, balancer.address(), range(first, first + 200)))
-            for first, balancer in zip((1000, 2000, 3000), balancers)
-        ]
+        groups = come_back(stand_ins, addresses_of(balancers), 200)
         stand_ins.command("others", entries=others[1:])
         all_up(stand_ins, groups)
 
@@ -188,14 +182,11 @@
 def test_all_come_up_where_idle_connections_hold_all_descriptors(tmp_path, stand_ins):
     limit, standing = 256, 40
     with tier(tmp_path, stand_ins, 2, standing, limits={"sockets": limit}) as balancers:
-        addresses = [balancer.address() for balancer in balancers]
+        addresses = addresses_of(balancers)
         idle = [Clients([Client("", None, address, []) for _ in range(limit)]) for address in addresses]
         for balancer in balancers:
             balancer.log.wait_for("event=serving")
-        groups = [
-            Clients(resumed(stand_ins, address, range(first, first + standing), in_many_ways))
-            for first, address in zip((1000, 2000), addresses)
-        ]
+        groups = come_back(stand_ins, addresses, standing, in_many_ways)
         all_up(stand_ins, groups)
         for group in idle:
             group.close()
@@ -207,10 +198,7 @@
 def test_all_come_up_with_a_new_configuration_on_the_way(tmp_path, stand_ins):
     stand_ins.command("mode", mode="late")
     with tier(tmp_path, stand_ins, 3, 100) as balancers:
-        groups = [
-            Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
-            for first, balancer in zip((1000, 2000, 3000), balancers)
-        ]
+        groups = come_back(stand_ins, addresses_of(balancers))
         for balancer in balancers:
             wait_for_count(balancer, "calls", 100)
             balancer.raw["limits"] = {"sockets": 2000}
@@ -224,7 +212,7 @@
 
 def test_all_come_up_with_a_hot_restart_on_the_way(tmp_path, stand_ins):
     stand_ins.command("mode", mode="late")
-    processes, groups, sockets = [], [], []
+    processes, sockets = [], []
     try:
         for number in range(3):
             listen, *controls = [bound_socket() for _ in range(3)]
@@ -235,8 +223,7 @@
                 for which, control in zip(("old", "new"), controls)
             )
             processes.append((old.start(), new))
-        for first, (old, _) in zip((1000, 2000, 3000), processes):
-            groups.append(Clients(resumed(stand_ins, old.address(), range(first, first + 100))))
+        groups = come_back(stand_ins, addresses_of(old for old, _ in processes))
         for old, new in processes:
             wait_for_count(old, "calls", 100)
             new.start().address()
@@ -260,10 +247,7 @@
 def test_asked_to_end_each_that_is_not_up_has_one_answer(tmp_path, stand_ins):
     stand_ins.command("mode", mode="late")
     with tier(tmp_path, stand_ins, 2, 100) as balancers:
-        groups = [
-            Clients(resumed(stand_ins, balancer.address(), range(first, first + 100)))
-            for first, balancer in zip((1000, 2000), balancers)
-        ]
+        groups = come_back(stand_ins, addresses_of(balancers))
         for balancer in balancers:
             wait_for_count(balancer, "calls", 100)
             balancer.send_signal(signal.SIGTERM)
--- a/tests/test_tier_live.py
+++ b/tests/test_tier_live.py
@@ -19,6 +19,7 @@
     balancer_settings,
     bound_socket,
     ordinary_line,
+    running,
     written,
 )
 
@@ -32,7 +33,6 @@
     process.end()
 
 
-@contextlib.contextmanager
 def tier(folder, stand_ins, count, **changes):
     """So many balancers that know of each other, started at once."""
     processes = []
@@ -40,11 +40,7 @@
         settings = raw_settings(peersTotal=count, slotNo=number)
         raw = balancer_settings(stand_ins, 0, settings=settings, seed=f"{number * 7919 + 1:016x}", **changes)
         processes.append(BalancerProcess(folder, f"n{number}", raw))
-    try:
-        yield [process.start() for process in processes]
-    finally:
-        for process in processes:
-            process.end()
+    return running(processes)
 
 
 def ordinary(address, first, count, wait=20000):
