A line of a client that is up shows that the run has begun: moves are held back no longer

So a balancer with few requests held moves back for long. Change: StartupWindow.holds_back_moves, which a client's line ends as well as a request.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -124,6 +124,7 @@
 
     def passing(self, line: bytes) -> None:
         self.other.asked.append(self.node.now)
+        self.node.resumed.window.on_client_line()
 
     def refuse(self, code: str) -> None:
         """Malformed: one failing answer and the end."""
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -34,7 +34,8 @@
     def holds_back_move(self, leg: Leg) -> bool:
         """May the run not have begun? It begins when all resumed connections are up at once, and one that is
         moved before would hold it up. What operators ordered by hand is carried out."""
-        return not leg.server.out and self.may_precede_run()
+        held_back = self.window.holds_back_moves(self.node.now, len(self.pending))
+        return held_back and not leg.server.out
 
     def admit(self, client: Any, client_waits: float | None) -> None:
         """A first line with `at=` has come. `client_waits`: for how many seconds, as it says."""
--- a/bellrack/net/resumption.py
+++ b/bellrack/net/resumption.py
@@ -36,7 +36,8 @@
         """`started`: when this process, or the one that it replaced in a hot restart, started. `evidence`:
         for how many seconds a resumed connection shows that others may still be on their way."""
         self.started, self.evidence = started, evidence
-        self.requested = False  # an ordinary request has come since the last resumed connection
+        # Since the last resumed connection: an ordinary request has come, a client has sent a further line.
+        self.requested = self.spoken = False
         self.last_resumed = -math.inf  # when a resumed connection last came
 
     @property
@@ -51,11 +52,15 @@
 
     def on_resumed(self, now: float) -> None:
         """One has come: an ordinary request before it did not show that the run had begun."""
-        self.last_resumed, self.requested = now, False
+        self.last_resumed, self.requested, self.spoken = now, False, False
 
     def on_request(self) -> None:
         self.requested = True
 
+    def on_client_line(self) -> None:
+        """A client that is up has sent a line, as clients do in the run."""
+        self.spoken = True
+
     def expects_more(self, now: float, pending: int) -> bool:
         """Do resumed connections that are pending, or came lately, show that others are on their way?"""
         return self.admits(now) and (pending > 0 or now - self.last_resumed < self.evidence)
@@ -65,6 +70,14 @@
         ordinary request has come after them, only resumed connections of the last seconds show that."""
         return self.admits(now) and (not self.requested or self.expects_more(now, pending))
 
+    def holds_back_moves(self, now: float, pending: int) -> bool:
+        """May the run not have begun, as far as moving connections goes?
+
+        A balancer with few requests would hold moves back for long if only a request showed that it has: a line
+        of a client that is up does as well."""
+        began = self.requested or self.spoken
+        return self.admits(now) and (not began or self.expects_more(now, pending))
+
 
 class State(enum.Enum):
     WAITING = "waiting"  # for the server's list entry, a descriptor, or the time of the next attempt
--- a/tests/test_resumption.py
+++ b/tests/test_resumption.py
@@ -76,6 +76,26 @@
     assert not window.may_precede_run(139.0, pending=0)
 
 
+def test_moves_are_held_back_until_a_request_or_a_line_of_a_client_comes():
+    for begins in (StartupWindow.on_request, StartupWindow.on_client_line):
+        window = StartupWindow(100.0, EVIDENCE)
+        begins(window)
+        window.on_resumed(110.0)
+        assert window.holds_back_moves(139.0, pending=0)
+        begins(window)
+        assert window.holds_back_moves(110.0 + EVIDENCE - 0.01, pending=0)
+        assert window.holds_back_moves(139.0, pending=1)
+        assert not window.holds_back_moves(139.0, pending=0)
+    assert not StartupWindow(100.0, EVIDENCE).holds_back_moves(171.0, pending=0)
+
+
+def test_a_line_of_a_client_does_not_show_that_nobody_writes_late():
+    window = StartupWindow(100.0, EVIDENCE)
+    window.on_resumed(110.0)
+    window.on_client_line()
+    assert window.may_precede_run(139.0, pending=0)
+
+
 def test_resumed_connections_show_that_others_are_on_their_way():
     window = StartupWindow(100.0, EVIDENCE)
     window.on_resumed(110.0)
