--- a/bellrack/net/resumption.py
+++ b/bellrack/net/resumption.py
@@ -73,8 +73,8 @@
     def holds_back_moves(self, now: float, pending: int) -> bool:
         """May the run not have begun, as far as moving connections goes?
 
-        A balancer with few requests would hold moves back for long if only a request showed that it has: a line
-        of a client that is up does as well."""
+        A balancer with few requests would hold moves back for long if only a request showed that it has: a
+        line of a client that is up does as well."""
         began = self.requested or self.spoken
         return self.admits(now) and (not began or self.expects_more(now, pending))
 
