One place forgets a client whose end only the kernel knows yet

Node.connect, ServerLink.ready and ResumedConnections.proceed each asked the kernel and forgot the client: Client.forget_if_closed serves all three.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -151,6 +151,11 @@
         self.finish("front" if self.pings and not self.call else f"client-{self.ended}", self.ended)
         self.forgotten(model.COMPLETED if self.other and self.ended == "fin" else model.CANCELLED)
 
+    def forget_if_closed(self) -> None:
+        """Guards against something sent for a client whose end only the kernel knows yet."""
+        if self.remote_closed():
+            self.forgotten(model.CANCELLED)
+
     def forgotten(self, kind: str) -> None:
         """Nothing is owed any more; what is out for it ends."""
         if self.call and not self.call.done and not self.other:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -113,8 +113,8 @@
 
     def connect(self, leg: Leg, until: float) -> None:
         client: Client = leg.call.host
-        if not leg.call.done and client.remote_closed():
-            client.forgotten(model.CANCELLED)  # its end comes with the next poll of the sockets
+        if not leg.call.done:
+            client.forget_if_closed()
         if leg.call.done:
             self.ended(leg, Result(model.MOOT), True)
         elif self.limits.full(limits.CONNECTING):  # never sent: that proves it has not run
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -46,8 +46,8 @@
     def proceed(self, client: Any, resumption: Resumption) -> None:
         if not resumption.pending:
             return
-        if client.remote_closed():
-            client.forgotten(model.CANCELLED)  # the node reads its end with the next poll of the sockets
+        client.forget_if_closed()
+        if client.call.done:
             return
         server = self.node.servers.get(lines.mark(client.request_line.values["at"]))
         known = server is not None and server.host is not None
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -113,9 +113,8 @@
         if self.client.ended and not self.leg.standing:
             # Guards against a line sent, or an answer counted, for a client whose end came in the same batch.
             self.client.turn()
-        if not self.over and not self.written and self.client.remote_closed():
-            # Guards against a line sent for a client whose end we have not read yet.
-            self.client.forgotten(model.CANCELLED)
+        if not self.over and not self.written:
+            self.client.forget_if_closed()
         if not self.over and not self.written and not self.ended:
             self.speak()
         while not self.over and not self.leg.standing and (line := self.ring.line()):
