--- /dev/null
+++ b/tests/play_mutants.py
@@ -0,0 +1,279 @@
+"""Mutants of resumed connections, played by hand: `python tests/play_mutants.py`. Takes some minutes.
+
+Each takes one part of the code out, or turns it round, in a copy of the program, and plays the tests there.
+Prints the tests that convict it. Exits with 1 if a mutant is convicted by none, or no longer applies.
+"""
+
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+TESTS = ("tests/test_resumption.py", "tests/test_resumed.py")
+AT_ONCE = 4  # copies that are played beside one another
+
+
+@dataclass(frozen=True)
+class Mutant:
+    name: str
+    file: str  # below bellrack/
+    old: str  # stands there once
+    new: str
+
+
+MUTANTS = [
+    Mutant(
+        "window closes at one request",
+        "net/resumption.py",
+        "        return now <= self.closes\n",
+        "        return now <= self.closes and not self.requested\n",
+    ),
+    Mutant(
+        "window of 40 s",
+        "net/resumption.py",
+        "return self.started + ALL_READY_WITHIN + UP_WITHIN",
+        "return self.started + UP_WITHIN",
+    ),
+    Mutant(
+        "window never closes",
+        "net/resumption.py",
+        "        return now <= self.closes\n",
+        "        return True\n",
+    ),
+    Mutant(
+        "time of the traffic type",
+        "net/node.py",
+        'self.resumed.admit(client, wait if "d" in values else None)',
+        "self.resumed.admit(client, wait)",
+    ),
+    Mutant(
+        "silence ends before the run",
+        "net/clients.py",
+        "if self.call is None and self.node.resumed.may_precede_run():",
+        "if False:",
+    ),
+    Mutant(
+        "silence lasts in service",
+        "net/clients.py",
+        "if self.call is None and self.node.resumed.may_precede_run():",
+        "if self.call is None:",
+    ),
+    Mutant(
+        "no evidence of others",
+        "net/resumption.py",
+        "return self.admits(now) and (pending > 0 or now - self.last_resumed < self.evidence)",
+        "return False",
+    ),
+    Mutant(
+        "request before counts",
+        "net/resumption.py",
+        "self.last_resumed, self.requested, self.spoken = now, False, False",
+        "self.last_resumed = now",
+    ),
+    Mutant(
+        "BUSY at the line",
+        "net/clients.py",
+        'if "at" not in self.request_line.values and not self.node.limits.room(self.node.now):',
+        "if not self.node.limits.room(self.node.now):",
+    ),
+    Mutant(
+        "BUSY before the line",
+        "net/clients.py",
+        "        if not expected and not self.node.resumed.expects_more():\n",
+        "        if True:\n",
+    ),
+    Mutant(
+        "BUSY before the line, first of all",
+        "net/clients.py",
+        "        if not expected and not self.node.resumed.expects_more():\n",
+        "        if not self.node.resumed.expects_more():\n",
+    ),
+    Mutant(
+        "silent ones go at once",
+        "net/limits.py",
+        "spared_for = SLOW_FIRST_LINE if self.expects_resumed() else YOUNG",
+        "spared_for = YOUNG",
+    ),
+    Mutant(
+        "ignores descriptors",
+        "net/resumed.py",
+        "        return not self.node.limits.full(limits.CONNECTING)\n",
+        "        return True\n",
+    ),
+    Mutant(
+        "makes no room",
+        "net/resumed.py",
+        "        self.node.limits.room(self.node.now)\n",
+        "",
+    ),
+    Mutant(
+        "EMFILE kills the task",
+        "net/servers.py",
+        "        sock = None\n        try:\n            sock = socket.socket(socket.AF_INET)",
+        "        sock = socket.socket(socket.AF_INET)\n        try:\n            pass",
+    ),
+    Mutant(
+        "one attempt takes all",
+        "net/resumption.py",
+        "return Attempt(min(now + longest, self.answer_by))",
+        "return Attempt(self.answer_by)",
+    ),
+    Mutant(
+        "attempts do not grow",
+        "net/resumption.py",
+        "self.timeouts += timed_out",
+        "pass",
+    ),
+    Mutant(
+        "no second attempt",
+        "net/resumption.py",
+        "        self.state = State.WAITING\n        self.may",
+        "        self.state = State.CLOSED\n        self.may",
+    ),
+    Mutant(
+        "time-out of requests",
+        "net/servers.py",
+        "wait = math.inf if resumes else node.names.connect_timeout",
+        "wait = node.names.connect_timeout",
+    ),
+    Mutant(
+        "BYE is no answer",
+        "net/resumed.py",
+        "if kind == model.COMPLETED:",
+        "if False:",
+    ),
+    Mutant(
+        "usable servers only",
+        "net/servers.py",
+        "elif not self.resumes and not server.usable:",
+        "elif not server.usable:",
+    ),
+    Mutant(
+        "not answered at the end",
+        "net/shutdown.py",
+        "        self.node.resumed.answer_all()\n",
+        "",
+    ),
+    Mutant(
+        "always BUSY at the end",
+        "net/resumed.py",
+        "if resumption.may_have_run or client.leg and client.leg.written:",
+        "if False:",
+    ),
+    Mutant(
+        "stays with the old process",
+        "net/passing.py",
+        "if client.call is None or client.other or resumes:",
+        "if client.call is None or client.other:",
+    ),
+    Mutant(
+        "hot restart opens the window",
+        "net/hot_restart.py",
+        'node.resumed.window.started = min(node.begun, float(told.get("started", node.begun)))',
+        "pass",
+    ),
+    Mutant(
+        "does not listen unready",
+        "net/startup.py",
+        "listen_at = node.begun + resumption.LISTEN_AFTER if alone else math.inf",
+        "listen_at = math.inf",
+    ),
+    Mutant(
+        "takes requests unready",
+        "net/startup.py",
+        "    node.takes_requests = False\n",
+        "",
+    ),
+    Mutant(
+        "moves before the run",
+        "net/resumed.py",
+        "return held_back and not leg.server.out",
+        "return False",
+    ),
+    Mutant(
+        "by hand held back too",
+        "net/resumed.py",
+        "return held_back and not leg.server.out",
+        "return held_back",
+    ),
+    Mutant(
+        "held back for ever",
+        "books.py",
+        "            leg.server.stand.legs[leg] = None\n",
+        "            pass\n",
+    ),
+    Mutant(
+        "all come back at once",
+        "net/resumption.py",
+        "self._spread = 1 + SPREAD * (id_hash % 1024 / 1024 - 0.5)",
+        "self._spread = 1",
+    ),
+    Mutant(
+        "left ones are not forgotten",
+        "net/clients.py",
+        "        self.node.resumed.discard(self)\n",
+        "",
+    ),
+    Mutant(
+        "the process's own move waits",
+        "net/node.py",
+        'self.act(leg.call.host.move, "moved")\n\n',
+        "self.move(leg.call)\n\n",
+    ),
+    Mutant(
+        "an ended id is refused",
+        "net/node.py",
+        "request_line.id in self.limits.ids if resumes else self.limits.known(request_line.id)",
+        "self.limits.known(request_line.id)",
+    ),
+    Mutant(
+        "a line does not end the holding",
+        "net/resumption.py",
+        "self._may_precede(self.requested or self.spoken, now, pending)",
+        "self._may_precede(self.requested, now, pending)",
+    ),
+    Mutant(
+        "a line ends the waiting for lines",
+        "net/resumption.py",
+        "return self._may_precede(self.requested, now, pending)",
+        "return self._may_precede(self.requested or self.spoken, now, pending)",
+    ),
+]
+
+
+def play(mutant):
+    """The tests that fail with it; None if it does not apply."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for part in ("bellrack", "tests", "examples", "deploy"):
+            shutil.copytree(ROOT / part, copy / part)
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        file = copy / "bellrack" / mutant.file
+        text = file.read_text()
+        if text.count(mutant.old) != 1:
+            return None
+        file.write_text(text.replace(mutant.old, mutant.new))
+        command = [sys.executable, "-m", "pytest", "-q", "--tb=line", "-p", "no:cacheprovider", *TESTS]
+        shown = subprocess.run(command, cwd=copy, capture_output=True, text=True)
+        failed = re.findall(r"^FAILED tests/(\S+)", shown.stdout, re.MULTILINE)
+        return failed or (["the run itself"] if shown.returncode else [])
+
+
+def main():
+    green = 0
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for mutant, failed in zip(MUTANTS, pool.map(play, MUTANTS)):
+            green += not failed
+            said = "does not apply" if failed is None else f"{len(failed)} red: {' '.join(failed[:2])}"
+            print(f"{mutant.name}: {said}", flush=True)
+    print(f"{len(MUTANTS)} mutants, {green} of them convicted by none")
+    return green > 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
