--- a/tests/play_mutants.py
+++ b/tests/play_mutants.py
@@ -143,9 +143,9 @@
     ),
     Mutant(
         "BYE is no answer",
-        "net/resumed.py",
-        "if kind == model.COMPLETED:",
-        "if False:",
+        "net/node.py",
+        '            link.client.finish("completed")\n',
+        '            link.resumes or link.client.finish("completed")\n',
     ),
     Mutant(
         "usable servers only",
