--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,112 @@
+"""A machine's wall clock may be stepped by seconds or an hour, either way: ours, a server's, discovery's.
+What is measured in time stays measured by the monotonic clock."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+from helpers import World, played, raw_settings
+from test_handover import folder, free  # noqa: F401 (a fixture)
+
+from bellrack.net import lines, node, turns
+from bellrack.net.config import parse_config
+
+STEPS = [-3600.0, -5.0, 0.0, 5.0, 3600.0]
+RAMP = 20.0  # seconds, as raw_settings has it
+
+
+def entry(name, started, state="in_service"):
+    return {
+        "instanceId": name,
+        "hostPort": "127.0.0.1:1",
+        "zone": "a",
+        "cell": 0,
+        "machineType": "m",
+        "lifecycle": state,
+        "weight": 1.0,
+        "startedAtMs": started * 1000,
+    }
+
+
+def tell(host, generation, *entries, reset=False):
+    news = {"generation": generation, "reset": reset, "instances": list(entries)}
+    host.server_list.on_list(lines.listing(news))
+    host.discovery.confirmed(host.now)
+
+
+def host_at(monkeypatch, offset=0.0):
+    """A node that plays no sockets, on a machine whose wall clock is so many seconds off at its start."""
+    real = time.time
+    monkeypatch.setattr(turns.time, "time", lambda: real() + offset)
+    raw = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": raw_settings()}
+    made = node.Node(parse_config(raw), asyncio.get_running_loop())
+    monkeypatch.setattr(turns.time, "time", real)
+    return made
+
+
+@pytest.mark.parametrize("step", STEPS)
+@played
+async def test_a_start_that_is_told_is_cold_whatever_clock_stamped_it(monkeypatch, step):
+    host, true = host_at(monkeypatch), time.time()
+    tell(host, 1, entry("s-0", 0), entry("s-1", 0), reset=True)
+    host.now += 5.0
+    host.discovery.confirmed(host.now)
+    host.now += 1.0
+    tell(host, 2, entry("s-0", true + 6.0 + step))
+    stand = host.servers[lines.mark("s-0")].stand
+    assert RAMP - 1.1 <= stand.warm_at - host.now <= RAMP
+
+
+@pytest.mark.parametrize("step", STEPS)
+@played
+async def test_a_start_that_is_told_again_is_the_same_start(monkeypatch, step):
+    host, stamp = host_at(monkeypatch), time.time() + step
+    tell(host, 1, entry("s-0", 0), entry("s-1", 0), reset=True)
+    tell(host, 2, entry("s-0", stamp))
+    stand = host.servers[lines.mark("s-0")].stand
+    warm_at, stand.taken = stand.warm_at, 41
+    for generation in (3, 4):
+        host.now += 3.0
+        tell(host, generation, entry("s-0", stamp), entry("s-1", 0), reset=generation == 4)
+    assert stand.warm_at == warm_at and stand.taken == 41
+
+
+@pytest.mark.parametrize("step", STEPS)
+@played
+async def test_who_starts_with_a_clock_that_is_off_takes_no_cold_server_for_warm(monkeypatch, step):
+    host, true = host_at(monkeypatch, offset=step), time.time()
+    tell(host, 7, entry("s-0", true - 1.0), entry("s-1", true - 4.0), entry("s-2", 0), reset=True)
+    cold = [host.servers[lines.mark(name)].stand.warm_at - host.now for name in ("s-0", "s-1")]
+    assert cold[0] >= RAMP - 1.1 and cold[1] >= RAMP - 4.1
+    assert max(cold) <= RAMP
+    assert host.servers[lines.mark("s-2")].stand.warm_at <= host.now
+
+
+@pytest.mark.parametrize("step", [-3600.0, 3600.0])
+@played
+async def test_times_that_go_over_in_a_hot_restart_keep_their_distance(folder, monkeypatch, step):  # noqa: F811
+    async with World(servers=2, control=True, listen=free()) as world:
+        old = world.node
+        _, server = await world.standing()
+        link = next(iter(next(s for s in old.servers.values() if s.host.legs).host.legs))
+        link.asked.append(old.clock())  # a line of the client that is still unanswered
+        first, second = old.servers.values()
+        first.stand.bad_until, second.stand.warm_at = old.clock() + 60, old.clock() + 8
+        old.resumed.window.started = old.begun - 11.0
+        real = time.time
+        monkeypatch.setattr(turns.time, "time", lambda: real() + step)
+        async with world.beside() as new:
+            known = [new.servers[one.mark].stand for one in (first, second)]
+            assert 50 < known[0].bad_until - new.clock() <= 60
+            assert 5 < known[1].warm_at - new.clock() <= 8
+            assert 10.5 < new.begun - new.resumed.window.started < 12
+            old.leave()
+            await world.until(lambda: new.counters["taken_over"])
+            taken = next(iter(next(s for s in new.servers.values() if s.host.legs).host.legs))
+            assert 0 <= new.clock() - taken.asked[0] < 5 and 0 <= new.clock() - taken.leg.sent < 5
+            with contextlib.suppress(ConnectionError):
+                server.end("fin")
+            await world.first_ends(world.serving)
+            world.serving = asyncio.ensure_future(new.over.wait())
+            world.node = new
--- /dev/null
+++ b/tests/test_two_restarts.py
@@ -0,0 +1,221 @@
+"""Hot restarts that cross each other, a kill, or a shutdown: no request and no connection is lost, what was
+detached stays so, and a cold server gets the budget of one balancer."""
+
+import asyncio
+import socket
+
+import pytest
+from helpers import Peer, World, played, raw_settings
+from test_handover import folder, free  # noqa: F401 (a fixture)
+
+from bellrack import choice
+from bellrack.lab.scenario import most_requests
+from bellrack.net import handover, limits, lines, node, shutdown
+from bellrack.net.config import parse_config
+
+LINE = b"OPEN %016x 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
+
+
+@played
+async def test_a_third_process_waits_for_the_first_to_end(folder):  # noqa: F811
+    async with World(servers=2, control=True, listen=free()) as world:
+        first = world.node
+        assert (await world.ask("/_servers/detach", "s-1"))[0] == 200
+        second, serving_second = await world.start()
+        await world.until(lambda: first.hot_restart.followed)
+        third = node.Node(parse_config(world.raw), first.loop)
+        serving = asyncio.create_task(third.serve())
+        await world.until(lambda: second.counters["successors_refused"] or hasattr(third, "address"))
+        first.leave()
+        await asyncio.wait_for(world.serving, 5)
+        await world.until(lambda: second.hot_restart.followed)
+        assert third.servers[lines.mark("s-1")].out and third.can_serve()
+        second.leave()
+        await asyncio.wait_for(serving_second, 5)
+        world.node, world.serving = third, serving
+
+
+@played
+async def test_who_waits_in_the_listener_is_answered_when_both_processes_end(folder, monkeypatch):  # noqa: F811
+    monkeypatch.setattr(shutdown, "STAY", 0.2)
+    async with World(control=True, listen=free()) as world:
+        first = world.node
+        _, server = await world.standing()
+        second, serving = await world.start()
+        await world.until(lambda: first.hot_restart.followed)
+        first.hot_restart.giver.give_some = lambda: False  # its connections end here
+        first.leave()
+        second.leave()
+        await asyncio.wait_for(serving, 5)  # the successor is gone, the predecessor not yet
+        assert not world.serving.done()
+        sock = socket.create_connection(second.address)
+        sock.sendall(LINE % 77)
+        client = Peer(*await asyncio.open_connection(sock=sock))
+        assert [await client.line(), await client.line()] == ["BUSY", "fin"]
+        client.end("fin")
+        server.end("fin")
+        await asyncio.wait_for(world.serving, 5)
+
+
+@played
+async def test_what_goes_over_to_a_process_that_ends_is_moved(folder, monkeypatch):  # noqa: F811
+    async with World(control=True, listen=free()) as world:
+        first, (client, _) = world.node, await world.standing()
+        second, serving = await world.start()
+        await world.until(lambda: first.hot_restart.followed)
+        monkeypatch.setattr(shutdown.Shutdown, "move_rest", lambda self: None)  # that look is already over
+        second.leave()
+        first.leave()
+        assert await client.line() == "MOVE"
+        client.end("fin")
+        await world.first_ends(serving)
+
+
+@played
+async def test_who_waits_is_answered_at_once_when_the_predecessor_is_killed(folder, monkeypatch):  # noqa: F811
+    monkeypatch.setattr(node, "LISTED", 60.0)
+    async with World(control=True, listen=free()) as world:
+        first = world.node
+        second = node.Node(parse_config(world.raw), first.loop)
+        serving = asyncio.create_task(second.serve())
+        await world.until(lambda: first.hot_restart.sibling and first.hot_restart.sibling.transport)
+        await world.until(lambda: second.hot_restart.sibling and second.hot_restart.sibling.transport)
+        address = first.address
+        first.doors.listener.close()
+        first.hot_restart.sibling.transport.abort()  # as the kernel does for a process that is killed
+        sock = socket.create_connection(address)
+        sock.sendall(LINE % 77)
+        client = Peer(*await asyncio.open_connection(sock=sock))
+        _, server, _ = await world.leg()
+        server.say("UP 1")
+        assert await client.line() == "UP 1"
+        first.over.set()
+        await world.first_ends(serving)
+        world.node = second
+
+
+@pytest.mark.parametrize("words", [b"", b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=ch"])
+@played
+async def test_a_hot_restart_gives_a_half_request_no_more_time(folder, monkeypatch, words):  # noqa: F811
+    """STANDING.md: they get their error or close within the 3 s, whichever process ends them."""
+    monkeypatch.setattr(limits, "FIRST_LINE", 1.0)
+    async with World(control=True, listen=free()) as world:
+        first, _ = world.node, await world.standing()
+        client = await world.dial()
+        client.writer.write(words)
+        await world.until(lambda: any(one.call is None for one in first.clients))
+        begun = first.loop.time()
+        await world.until(lambda: first.loop.time() > begun + 0.7)
+        second, serving = await world.start()
+        await world.until(lambda: first.hot_restart.followed)
+        first.leave()
+        assert (await client.line()).startswith("BUSY") and first.loop.time() < begun + 1.4
+        assert second.counters["taken_over"]
+        await world.first_ends(serving)
+        world.node = second
+
+
+RAMP, WINDOW, FACTOR = 60.0, 30.0, 0.8
+COLD = raw_settings()["obligations"] | {
+    "rampTimeUs": RAMP * 1e6,
+    "overloadFactor": FACTOR,
+    "fallUs": WINDOW * 1e6,
+}
+
+
+class ColdSends:
+    """Counts what each server is sent, and ends it at once."""
+
+    def __init__(self, world):
+        self.world, self.count = world, 0
+        self.task = asyncio.create_task(self.run())
+
+    async def run(self):
+        while True:
+            _, server, _ = await self.world.leg()
+            self.count += 1
+            server.end("fin")
+
+    async def ask(self, calls):
+        clients = [await self.world.call("c=chat,t=acme,d=400") for _ in range(calls)]
+        for client in clients:
+            await client.line()
+
+
+AGE = 20.0  # seconds
+
+
+def start_cold(host):
+    """Its server has started a while ago, and the list said so at once."""
+    host.now = host.clock()
+    host.server_list.on_list(
+        lines.listing(
+            {
+                "generation": 60,
+                "reset": False,
+                "instances": [
+                    {
+                        "instanceId": "s-0",
+                        "hostPort": lines.written(next(iter(host.servers.values())).host.address),
+                        "zone": "a",
+                        "cell": 0,
+                        "machineType": "m",
+                        "lifecycle": "in_service",
+                        "weight": 1.0,
+                        "startedAtMs": 1000 * host.clock(),
+                    }
+                ],
+            }
+        )
+    )
+    host.anchor += AGE
+
+
+def allowed():
+    """What one balancer alone may send in the window: the server is as cold as it gets."""
+    warm = 0.2 + 0.8 * (AGE + 5.0) / RAMP
+    return most_requests(FACTOR * choice.FIRST_FILL * warm * WINDOW / RAMP)
+
+
+@pytest.mark.parametrize("how", ["hot restart", "kill", "two hot restarts"])
+@played
+async def test_a_cold_server_gets_the_budget_of_one_balancer(folder, how):  # noqa: F811
+    """The window is longer than the test, so whatever is sent lies in one."""
+    async with World(control=True, listen=free(), obligations=COLD) as world:
+        start_cold(world.node)
+        listed = world.node.server_list.written()
+        sends = ColdSends(world)
+        await sends.ask(10)
+        alone = sends.count
+        assert 0 < alone <= allowed()
+        ended = []
+        for _ in range(2 if how.startswith("two") else 1):
+            if how == "kill":
+                world.node.over.set()
+                await world.serving
+                world.raw["known"] = listed
+            former = world.serving
+            world.node, world.serving = await world.start()
+            if how != "kill":
+                ended.append(former)
+            await sends.ask(10)
+        sends.task.cancel()
+        assert sends.count <= allowed(), f"{alone} by the first alone, {sends.count} in all"
+        for one in ended:
+            one.cancel()
+
+
+@played
+async def test_the_predecessor_sends_nothing_more_to_a_cold_server(folder):  # noqa: F811
+    async with World(control=True, listen=free(), obligations=COLD) as world:
+        first = world.node
+        start_cold(first)
+        async with world.beside():
+            await world.until(lambda: first.hot_restart.followed)
+            (server,) = first.servers.values()
+            first.now = first.clock() + 20
+            assert first.balancer.cold.tokens(server) == 0
+        await world.until(lambda: not first.hot_restart.followed and first.doors.listener)
+        first.now = first.clock() + 40  # its successor is gone: the budget is its own again, from now on
+        assert first.balancer.cold.tokens(server) > 0
+        assert handover.VERSION == 1
