--- /dev/null
+++ b/bellrack/lab/soak/discovery.py
@@ -0,0 +1,148 @@
+"""A discovery process: `python -m bellrack.lab.soak.discovery EVENTS ADDRESSES`.
+
+ADDRESSES is a JSON list with an object for each balancer: the address of each server as that balancer has it.
+Each balancer has two discovery addresses, so that a new configuration can move it. What is written on a watch
+is recorded as told to that balancer. Commands: `change` of a server's entry, and `mode`: `up`, `down` (resets
+calls and refuses new ones), `hang` (watches fall silent, calls wait) and `slow` (calls wait for a while).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from typing import Any
+
+from bellrack.lab.soak.process import EventLog, listen, serve_commands
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+KEEP_ALIVE = 2.0  # seconds between empty lines on a watch (PROTOCOL.md, "Discovery")
+SLOW = 1.5  # seconds that a call waits in mode `slow`
+PLACES = 2  # discovery addresses of each balancer
+
+
+class Discovery:
+    def __init__(self, addresses: list[dict[str, str]], events: EventLog):
+        self.addresses, self.events = addresses, events
+        self.entries = {
+            name: {"state": "in_service", "since": 0.0, "zone": "ab"[index % 2], "generation": 1}
+            for index, name in enumerate(addresses[0])
+        }
+        self.generation, self.mode = 1, "up"
+        self.changed = asyncio.Event()
+        self.calls: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> list[list[str]]:
+        return [
+            [(await listen(self.handler(number)))[1] for _ in range(PLACES)]
+            for number in range(len(self.addresses))
+        ]
+
+    def handler(self, balancer: int) -> Any:
+        async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.calls.add(writer)
+            try:
+                if self.mode != "down":
+                    await self.call(balancer, reader, writer)
+            except (ConnectionError, ValueError):
+                pass
+            finally:
+                self.calls.discard(writer)
+                writer.transport.abort()
+
+        return connected
+
+    async def call(self, balancer: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        target = (await reader.readline()).decode().split()[1]
+        while (await reader.readline()).strip():
+            pass
+        if self.mode == "slow":
+            await asyncio.sleep(SLOW)
+        await self.while_hanging()
+        after = int(target.partition("after=")[2] or 0)
+        writer.write(HEAD)
+        news = self.since(after if after <= self.generation else 0)
+        if news:
+            self.tell(balancer, writer, news, reset=not after or after > self.generation)
+        else:
+            writer.write(b"1\r\n\n\r\n")
+        seen = self.generation
+        while True:
+            changed = await self.wait_for_change()
+            await self.while_hanging()
+            if changed and self.generation > seen:
+                self.tell(balancer, writer, self.since(seen), reset=False)
+                seen = self.generation
+            else:
+                writer.write(b"1\r\n\n\r\n")
+            await writer.drain()
+
+    async def while_hanging(self) -> None:
+        while self.mode == "hang":
+            await self.wait_for_change()
+
+    async def wait_for_change(self) -> bool:
+        try:
+            await asyncio.wait_for(self.changed.wait(), KEEP_ALIVE)
+        except TimeoutError:
+            return False
+        return True
+
+    def since(self, generation: int) -> list[str]:
+        return [name for name, entry in self.entries.items() if entry["generation"] > generation]
+
+    def tell(self, balancer: int, writer: asyncio.StreamWriter, names: list[str], reset: bool) -> None:
+        if writer.transport.is_closing():
+            raise ConnectionResetError  # it went down meanwhile, and nobody is told
+        instances = [self.instance(balancer, name) for name in names]
+        if reset:
+            instances = [entry for entry in instances if entry["lifecycle"] != "terminated"]
+        text = json.dumps({"generation": self.generation, "reset": reset, "instances": instances}) + "\n"
+        writer.write(b"%x\r\n%b\r\n" % (len(text), text.encode()))
+        self.events.write("told", b=balancer, generation=self.generation, reset=reset)
+
+    def instance(self, balancer: int, name: str) -> dict[str, Any]:
+        entry = self.entries[name]
+        return {
+            "instanceId": name,
+            "hostPort": self.addresses[balancer][name],
+            "zone": entry["zone"],
+            "cell": 0,
+            "machineType": "m",
+            "lifecycle": entry["state"],
+            "weight": 1.0,
+            "startedAtMs": entry["since"] * 1000,
+        }
+
+    async def command(self, words: dict[str, Any]) -> Any:
+        if words["do"] == "mode":
+            self.mode = words["mode"]
+            self.events.write("discovery", mode=self.mode)
+            if self.mode == "down":
+                for writer in list(self.calls):
+                    writer.transport.abort()
+        else:
+            self.generation += 1
+            self.entries[words["s"]] |= {"state": words["state"], "generation": self.generation}
+            if "clock" in words:  # it starts now, by a clock that is so many seconds off
+                self.entries[words["s"]]["since"] = time.time() + words["clock"]
+            self.events.write(
+                "change",
+                s=words["s"],
+                state=words["state"],
+                start="clock" in words,
+                generation=self.generation,
+            )
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return [self.instance(0, name) for name in self.entries]
+
+
+async def main(path: str, addresses: list[dict[str, str]]) -> None:
+    discovery = Discovery(addresses, EventLog(path))
+    await serve_commands(await discovery.start(), discovery.command)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1], json.loads(sys.argv[2])))
--- /dev/null
+++ b/bellrack/lab/soak/plan.py
@@ -0,0 +1,126 @@
+"""What a soak plays, drawn from its seed: troubles that overlap in time, faults inside balancers, requests.
+
+Times are seconds from the start of the play.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+WARM_UP = 1.0  # seconds without trouble at the beginning
+COOL_DOWN = 4.5  # seconds without new trouble at the end: the longest shutdown and deadline
+EVERY = 0.25  # seconds between the beginnings of two troubles, in the mean
+LASTS = (0.3, 3.0)  # seconds
+SHORT_PAUSE = 0.15  # seconds: STANDING.md, "a balancer that is held up for up to 0.15 s"
+CLOCK_STEPS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds
+
+PROCESS_TROUBLES = (
+    "restart",
+    "kill",
+    "hot_restart",
+    "hot_restart",
+    "hot_restart_twice",
+    "hot_restart_both_end",
+    "hot_restart_first_killed",
+    "hot_restart_second_killed",
+    "pause",
+    "reload",
+    "reload_twice",
+    "reload_at_start",
+    "detach",
+)
+SERVER_TROUBLES = ("drain", "replace", "replace", "mode", "idle_reset")
+DISCOVERY_TROUBLES = ("down", "hang", "slow")
+FAULTS = ("accept", "socket", "connect", "connect_late", "short", "broken", "disk", "clock", "clock")
+SHARES = {"accept": 0.3, "socket": 0.4, "connect": 0.5, "connect_late": 0.5, "broken": 0.03, "disk": 0.7}
+PROXY_MODES = ("hang", "reset", "reset", "late", "half", "spoilt", "pieces", "error")
+BEHAVIOURS = {
+    "plain": 60,
+    "pieces": 6,
+    "leaves": 14,
+    "half": 3,
+    "late_line": 3,
+    "pinged": 3,
+    "pipelines": 2,
+    "floods": 1,
+}
+
+
+@dataclass(frozen=True)
+class Trouble:
+    at: float
+    kind: str
+    target: Any = None  # the number of a balancer, or the name of a server
+    until: float = 0.0
+    detail: Any = None
+
+
+@dataclass(frozen=True)
+class Demand:
+    """One request and how its client behaves."""
+
+    at: float
+    balancer: int
+    kind: str
+    group: int
+    wait: float  # seconds that the client says it waits
+    behaviour: str
+    stays: float  # seconds that a client that is up stays
+    leaves_after: float  # seconds, for a client that leaves
+
+
+@dataclass
+class Plan:
+    seed: int
+    seconds: float
+    balancers: int
+    servers: list[str]
+    troubles: list[Trouble] = field(default_factory=list)
+    faults: list[list[dict[str, Any]]] = field(default_factory=list)  # by balancer
+    demands: list[Demand] = field(default_factory=list)
+
+
+def draw(seed: int, seconds: float, balancers: int, servers: int, rate: float, kinds: list[str]) -> Plan:
+    """`rate`: requests a second over all balancers. `kinds`: the traffic types."""
+    rng = random.Random(seed)
+    plan = Plan(seed, seconds, balancers, [f"s-{number}" for number in range(servers)])
+    plan.faults = [[] for _ in range(balancers)]
+    now, end = WARM_UP, seconds - COOL_DOWN
+    while (now := now + rng.expovariate(1 / EVERY)) < end:
+        until = min(end, now + rng.uniform(*LASTS))
+        add_trouble(plan, rng, now, until)
+    now = 0.2
+    while (now := now + rng.expovariate(rate)) < seconds - 1.0:
+        plan.demands.append(
+            Demand(
+                now,
+                rng.randrange(balancers),
+                rng.choice(kinds),
+                rng.getrandbits(64) if rng.random() < 0.7 else 77,
+                rng.choice((0.15, 0.4, 0.8, 1.5, 2.5)),
+                rng.choices(list(BEHAVIOURS), list(BEHAVIOURS.values()))[0],
+                rng.uniform(0.1, 3.0),
+                rng.uniform(0.0, 0.4),
+            )
+        )
+    return plan
+
+
+def add_trouble(plan: Plan, rng: random.Random, now: float, until: float) -> None:
+    group = rng.choice(("process", "process", "server", "server", "discovery", "fault", "fault"))
+    balancer, server = rng.randrange(plan.balancers), rng.choice(plan.servers)
+    if group == "process":
+        plan.troubles.append(Trouble(now, rng.choice(PROCESS_TROUBLES), balancer, until, server))
+    elif group == "server":
+        kind = rng.choice(SERVER_TROUBLES)
+        detail = rng.choice(PROXY_MODES) if kind == "mode" else rng.choice((0.0, *CLOCK_STEPS))
+        plan.troubles.append(Trouble(now, kind, server, until, detail))
+    elif group == "discovery":
+        plan.troubles.append(Trouble(now, "discovery", None, until, rng.choice(DISCOVERY_TROUBLES)))
+    else:
+        kind = rng.choice(FAULTS)
+        fault = {"kind": kind, "at": now, "until": until, "share": SHARES.get(kind, 1.0)}
+        fault["by"] = rng.choice(CLOCK_STEPS) if kind == "clock" else 0.8
+        plan.faults[balancer].append(fault)
--- /dev/null
+++ b/bellrack/lab/soak/servers.py
@@ -0,0 +1,73 @@
+"""A process of stand-in servers: `python -m bellrack.lab.soak.servers EVENTS NAME...`.
+
+A server answers a first line with `UP`, or `BUSY` while it drains, and echoes each line after it. Commands:
+`drain`, `stop` (resets what stands and forgets it) and `start` of a server by name.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Any
+
+from bellrack.lab.soak.process import EventLog, listen, serve_commands
+
+
+class Server:
+    def __init__(self, name: str, events: EventLog):
+        self.name, self.events = name, events
+        self.draining = self.stopped = False
+        self.open: set[asyncio.StreamWriter] = set()
+        self.receipts = 0
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.stopped:
+            writer.transport.abort()
+            return
+        self.open.add(writer)
+        try:
+            words = (await reader.readline()).decode().split()
+            if words[:1] == ["OPEN"]:
+                await self.serve(words[1], reader, writer)
+        except ConnectionError:
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def serve(self, request: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.draining:
+            self.events.write("busy", s=self.name, id=request)
+            writer.write(b"BUSY\r\n")
+            return
+        self.receipts += 1
+        self.events.write("ran", s=self.name, id=request)
+        writer.write(f"UP {self.name}/{request}/{self.receipts}\r\n".encode())
+        while line := await reader.readline():
+            writer.write(line)
+
+    def reset_all(self) -> None:
+        for writer in list(self.open):
+            writer.transport.abort()
+
+
+async def main(path: str, names: list[str]) -> None:
+    events = EventLog(path)
+    servers = {name: Server(name, events) for name in names}
+    addresses = {}
+    for name, server in servers.items():
+        _, addresses[name] = await listen(server.connected)
+
+    async def command(words: dict[str, Any]) -> Any:
+        server = servers[words["s"]]
+        server.draining = words["do"] == "drain"
+        server.stopped = words["do"] == "stop"
+        if server.stopped:
+            server.reset_all()
+        return None
+
+    await serve_commands(addresses, command)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1], sys.argv[2:]))
