--- a/bellrack/__main__.py
+++ b/bellrack/__main__.py
@@ -21,17 +21,25 @@
 
 import os
 import sys
+import time
 from typing import Any
 
-from bellrack import __version__
-from bellrack.net.config import read_config
-from bellrack.settings import SettingsError
+from bellrack import __version__, start_signals
 
 
 def main() -> int:
+    if sys.argv[1:2] == ["serve"]:
+        start_signals.install()  # before what takes long to import
     if sys.argv[1:2] == ["lab"]:
         return lab(sys.argv[2:])
-    args = arguments(sys.argv[1:])
+    return served(arguments(sys.argv[1:]))
+
+
+def served(args: dict[str, Any]) -> int:
+    """The commands that read a configuration, and `version`."""
+    from bellrack.net.config import read_config
+    from bellrack.settings import SettingsError
+
     if args["version"]:
         print(f"bellrack {__version__}")
         return 0
@@ -39,7 +47,7 @@
     try:
         if not path:
             raise SettingsError("no configuration: give --config or set BALANCER_CONFIG")
-        config = read_config(path)
+        config = read_config(path) if args["check"] else read_when_possible(path)
         if args["check"]:
             spoilt = f"; the list there is left: {config.spoilt}" if config.spoilt else ""
             print(f"{path}: usable; {len(config.known.entries) if config.known else 0} servers known{spoilt}")
@@ -53,6 +61,21 @@
     return 0
 
 
+def read_when_possible(path: str) -> Any:
+    """The configuration, however late the file can be read: guards against a start refused for a moment."""
+    from bellrack.net import transient
+    from bellrack.net.config import UnreadableError, read_config
+
+    end = time.monotonic() + transient.START_FOR
+    while True:
+        try:
+            return read_config(path)
+        except UnreadableError:
+            if time.monotonic() >= end:
+                raise
+        time.sleep(transient.AGAIN)
+
+
 def arguments(given: list[str]) -> dict[str, Any]:
     """What docopt makes of them; the daemon's usual two forms are read without it. Guards against starts that
     pay for reading of what is always the same: hundreds at once share few cores."""
--- a/bellrack/net/config.py
+++ b/bellrack/net/config.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from bellrack.model import Settings
+from bellrack.net import transient
 from bellrack.net.lines import LineError, Listing, address, listing
 from bellrack.settings import Names, SettingsError, check_shape, missing, parse_names, parse_settings
 
@@ -35,7 +36,12 @@
     spoilt: str = ""  # why `known` could not be read
 
 
+class UnreadableError(SettingsError):
+    """The file cannot be read at present; it may be in a moment."""
+
+
 def read_config(path: str) -> Config:
+    """Raises SettingsError with a plain text, UnreadableError where that may pass."""
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
@@ -43,7 +49,8 @@
             raw.setdefault("control", place)
         config = parse_config(raw)
     except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
+        kind = UnreadableError if transient.passes(error) else SettingsError
+        raise kind(f"{path}: {error.strerror}") from error
     except ValueError as error:
         raise SettingsError(f"{path}: {error}") from error
     config.path = path
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -8,12 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import socket
 from typing import Any
 
-from bellrack import model
+from bellrack import model, start_signals
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
 from bellrack.net import figures, limits, lines, log, reload, server_list, startup
@@ -245,6 +244,10 @@
             self.loop.add_signal_handler(number, self.queue, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.queue, reload.reload, self)
         self.loop.add_signal_handler(signal.SIGUSR1, self.queue, self.show)
+        if start_signals.take(signal.SIGHUP):
+            self.queue(reload.reload, self)
+        if start_signals.take(signal.SIGUSR1):
+            self.queue(self.show)
 
     async def take_requests(self, listening: socket.socket | None) -> None:
         """Be ready; `listening`: the socket of the process that served before."""
@@ -280,8 +283,7 @@
 
 def run(config: Config) -> None:
     log.start()
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # till there is a configuration to replace
-    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))  # nobody has come in yet: nothing is owed
+    start_signals.install()
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
--- a/bellrack/net/reload.py
+++ b/bellrack/net/reload.py
@@ -5,20 +5,26 @@
 from typing import Any
 
 from bellrack.net import lines, log
-from bellrack.net.config import Config, reread
+from bellrack.net.config import Config, UnreadableError, reread
 from bellrack.settings import SettingsError
 
+TRIES, AGAIN = 50, 0.1  # of a file that cannot be read at present; seconds between two
 NEEDS_RESTART = ("listen", "control", "peer_listen", "peers", "peers_all")
 
 
-def reload(node: Any) -> None:
-    """Read the configuration again: all of it is parsed before anything changes."""
+def reload(node: Any, tries: int = TRIES) -> None:
+    """Read the configuration again: all of it is parsed before anything changes. A file that cannot be read
+    for a moment is tried again: the signal comes once."""
     try:
         config = reread(node.config)
+    except UnreadableError as error:
+        if tries > 1:
+            node.after(AGAIN, reload, node, tries - 1)
+        else:
+            refused(node, error)
+        return
     except SettingsError as error:
-        # Guards against a file that is bad or half written: what was told before holds.
-        log.tell("reload", taken="nothing", error=error)
-        node.counters["config_reload_errors"] += 1
+        refused(node, error)
         return
     node.counters["config_reloads"] += 1
     waits = [name for name in NEEDS_RESTART if getattr(config, name) != getattr(node.config, name)]
@@ -33,6 +39,12 @@
     apply(node, config)
 
 
+def refused(node: Any, error: SettingsError) -> None:
+    """Guards against a file that is bad or half written: what was told before holds."""
+    log.tell("reload", taken="nothing", error=error)
+    node.counters["config_reload_errors"] += 1
+
+
 def apply(node: Any, config: Config) -> None:
     config.names.keep(config.settings, node.names, node.settings.types, node.now)
     config.names.zones = node.names.zones  # with those that only the list has named
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -550,6 +550,7 @@
         "bellrack.peers.overload",
         "bellrack.peers.sums",
         "bellrack.settings",
+        "bellrack.start_signals",
     }
 
 
