One guard before a write, starts by the monotonic clock, two processes are one balancer

Now ServerLink.refusal is the one guard, Effect.write_by the time, with 0.15 s for being held up. - server_list.row compared a start's stamp with our wall clock (min(since, now)): a stamp ahead was another start at each list, one behind was warm at once. Now a stamp names a start, and when that was is bounded by the monotonic clock (start_times). - a hot restart handed over times anchored to the wall clock of its start. Now the anchor goes along. - predecessor and successor, and a process killed and started, had a budget each for a cold server. Now it waits, the rest follows, it tries again. - Doors.last closed the listener at the first error, over whoever waited behind it; a predecessor in its shutdown did not listen again when its successor was gone; the successor opened 2 s after a predecessor that was killed. - what passes over gets its first-line time anew, and was not moved by a successor that ends itself. - local errors were the server's, and three in a row the end of a request. - a pinged connection ended without an answer to what crossed that. Also the invariants with their counters violation_*, request ids on both ends' lines, reasons of refusals, changes of servers.

--- a/bellrack/books.py
+++ b/bellrack/books.py
@@ -10,6 +10,7 @@
 from bellrack.model import Call, Leg, Result, Server, Settings
 
 # Of a server, by the names of the decisions; not what is open there: that comes with the connections.
+TIMES = ("bad_until", "issued_at", "warm_at", "told", "cut", "out_since")  # of these, seconds of its clock
 LEARNED = (
     "weight",
     "fails",
@@ -85,8 +86,9 @@
             },
         }
 
-    def taught(self, learned: dict[str, Any]) -> None:
-        """Begin with what another instance had learned. Values of another form are left."""
+    def taught(self, learned: dict[str, Any], later: float = 0.0) -> None:
+        """Begin with what another instance had learned. Values of another form are left. `later`: seconds by
+        which our clock is ahead of the one that it was told by."""
         bears = learned.get("bears")
         if isinstance(bears, float | int):
             self.balancer.cold.borne = max(self.balancer.cold.borne, bears)
@@ -94,7 +96,8 @@
             server = self.servers.get(int(mark))
             for name in LEARNED if server else ():
                 if type(values.get(name)) in (int, float):
-                    setattr(server.stand, name, values[name])
+                    shift = later if name in TIMES else 0
+                    setattr(server.stand, name, values[name] + shift)
 
     def may_move_later(self, leg: Leg) -> None:
         """The host did not carry out a move: the decisions may choose this connection again."""
--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -55,8 +55,10 @@
     def take(self, call: Call) -> None:
         if call.done:
             return
-        if len(call.legs) >= self.settings.max_legs or self.door.now >= self.last_moment(call):
-            self.give_up(call)
+        if len(call.legs) >= self.settings.max_legs:
+            self.give_up(call, "max-attempts")
+        elif self.door.now >= self.last_moment(call):
+            self.give_up(call, "deadline")
         else:
             self.after.take(call)
 
@@ -66,9 +68,11 @@
     def due(self, call: Call) -> None:
         """The guard time is near: answer whatever is still owed."""
         if not call.done and not any(leg.standing for leg in call.legs):
-            self.give_up(call)
+            self.give_up(call, "deadline")
 
-    def give_up(self, call: Call) -> None:
+    def give_up(self, call: Call, why: str) -> None:
+        """Its one answer; `why` goes to the log."""
+        call.refusal = why
         if self.rack.effect.harmless(call):
             self.door.reject(call, BACK * self.settings.max_open_wait)
         else:
@@ -88,22 +92,30 @@
         if any(leg.result is None for leg in call.legs):
             return
         risky, kind = self.risky(call), call.type
-        forgotten = risky and self.door.now >= risky[0].sent + kind.key_ttl - self.settings.tick
-        if risky and kind.effect == model.ONCE_ONLY or forgotten and kind.effect == model.REFERENCED:
-            self.rack.answer.give_up(call)
+        call.write_by = self.write_by(call)
+        if self.door.now >= call.write_by:
+            self.rack.answer.give_up(call, "may-have-run")
             return
         if risky and kind.effect == model.REFERENCED:
             call.places = [s for s in call.places if self.same_group(call, s, risky[0].server)]
         self.pass_on(call)
 
+    def write_by(self, call: Call) -> float:
+        """Until when the next attempt's line may be written: never where an earlier one may have run and is
+        not dropped; only as long as it surely is, also if we are held up before the write."""
+        risky = self.risky(call)
+        if not risky or call.type.effect == model.REPEATABLE:
+            return math.inf
+        if call.type.effect == model.ONCE_ONLY:
+            return -math.inf
+        return risky[0].sent + call.type.key_ttl - model.HELD_UP - self.settings.tick
+
     def risky(self, call: Call) -> list[Leg]:
         """Legs that are not known never to have run."""
         return [leg for leg in call.legs if leg.result is None or leg.result.kind not in model.NEVER_RAN]
 
     def same_group(self, call: Call, one: Server, other: Server) -> bool:
-        if call.type.group == "all":
-            return True
-        return one.zone == other.zone if call.type.group == "zone" else one.cell == other.cell
+        return call.type.same_group(one, other)
 
     def harmless(self, call: Call) -> bool:
         """May the client be told that trying again does no harm?"""
@@ -125,6 +137,7 @@
     """Rule 4: this instance's part of what a cold server may bear."""
 
     borne, looked = 0.0, -math.inf
+    withheld = False  # another process of this balancer has its part
 
     def __init__(self, rack: Balancer):
         self.rack, self.settings, self.door = rack, rack.settings, rack.door
@@ -155,6 +168,8 @@
     def tokens(self, server: Server) -> int:
         """Set-ups that may go there now: of all balancers at most the budget in any window. They come evenly
         from when we were told; those not used in time are lost, lest a rush find all of them kept."""
+        if self.withheld:
+            return 0
         stand, rules, now, bears = server.stand, self.settings, self.door.now, self.usual() * server.size
         budget, anew = rules.cold_budget(self.borne, server.size * self.warm(server))
         rate = min(AHEAD * bears / rules.ramp_time, anew / rules.fall_time)
@@ -163,6 +178,23 @@
         stand.taken = max(stand.taken, math.floor(stand.issued - kept))
         return math.floor(stand.issued) - stand.taken
 
+    def allowed(self, server: Server) -> float:
+        """What all balancers may send a cold server in `fall_time`: N of the rule."""
+        return self.settings.peers * self.settings.cold_allowed(self.borne, server.size * self.warm(server))
+
+    def withhold(self, on: bool) -> None:
+        """Whether another process of this balancer sends to cold servers in our place. When that ends, what
+        was issued meanwhile counts as used: two processes are one balancer."""
+        self.withheld = False
+        for server in self.rack.fleet:
+            self.spend(server)
+        self.withheld = on
+
+    def spend(self, server: Server) -> None:
+        """What was issued so far may have been used by a process before us."""
+        if server.stand.warm_at > self.door.now:
+            server.stand.taken += max(0, self.tokens(server))
+
     def sent(self, server: Server) -> None:
         """Slower the more servers are late: guards against a fleet that sheds and is filled at once again."""
         sure, calm = self.usual() * server.size, self.rack.draw.calm(server.zone)
@@ -535,7 +567,7 @@
         if call.done:
             return
         if self.door.now >= call.arrived + KEEP_SHARE * call.type.setup_target:
-            self.answer.give_up(call)
+            self.answer.give_up(call, "no-room")
             return
         if not self.looks:
             self.looks = True
@@ -554,6 +586,8 @@
                 # Guards against a restart that takes servers half warm for cold: others knew them before us.
                 self.starts(server, server.since if first else self.door.now, server.since)
                 server.stand.since = server.since
+                if first:
+                    self.cold.spend(server)
         self.refresh()
         self.overload.listed(self.fleet)
 
--- a/bellrack/lab/mutants.py
+++ b/bellrack/lab/mutants.py
@@ -30,31 +30,31 @@
                 setattr(stage, method, body.__get__(stage))
 
 
-def _answers_twice(stage: choice.Answer, call: Call) -> None:
-    type(stage).give_up(stage, call)
+def _answers_twice(stage: choice.Answer, call: Call, why: str = "") -> None:
+    type(stage).give_up(stage, call, why)
     stage.door.release(call)
 
 
-def _answers_late(stage: choice.Answer, call: Call) -> None:
+def _answers_late(stage: choice.Answer, call: Call, why: str = "") -> None:
     if stage.door.now > call.guard:
-        type(stage).give_up(stage, call)
+        type(stage).give_up(stage, call, why)
     else:
         stage.door.wake(call.guard + LATE, call)
 
 
-def _never_answers(stage: choice.Answer, call: Call) -> None: ...
+def _never_answers(stage: choice.Answer, call: Call, why: str = "") -> None: ...
 
 
-def _holds_back(stage: choice.Answer, call: Call) -> None:
+def _holds_back(stage: choice.Answer, call: Call, why: str = "") -> None:
     """Keeps a call that it has given up until its time is nearly over, to spare a retry."""
     if stage.door.now >= stage.last_moment(call) - 2 * EARLY:
-        type(stage).give_up(stage, call)
+        type(stage).give_up(stage, call, why)
     else:
         stage.door.wake(stage.last_moment(call) - EARLY, call)
 
 
-def _sends_after_answer(stage: choice.Answer, call: Call) -> None:
-    type(stage).give_up(stage, call)
+def _sends_after_answer(stage: choice.Answer, call: Call, why: str = "") -> None:
+    type(stage).give_up(stage, call, why)
     for server in stage.rack.fleet[:1]:
         stage.rack.draw.send(call, server)
 
--- a/bellrack/lab/soak/driver.py
+++ b/bellrack/lab/soak/driver.py
@@ -395,11 +395,15 @@
     async def hot_restart_first_killed(self, balancer: Balancer, trouble: Trouble) -> None:
         """The predecessor is killed while its successor starts."""
         former = list(balancer.processes)
+        spawned = time.monotonic()
         process = await balancer.spawn(self.environment(balancer))
+        log = balancer.logs[-1]
         await asyncio.sleep(0.15 + 0.2 * (trouble.until - trouble.at))
         await self.kill_one(balancer, former)
         if not await balancer.ready(process):
             balancer.problems.append("refused start: its predecessor was killed")
+        if " after=False" in log.read_text(errors="replace"):
+            self.starts[balancer.number].append(spawned)  # nothing was handed over before the kill
 
     async def hot_restart_second_killed(self, balancer: Balancer, trouble: Trouble) -> None:
         """The successor is killed when it serves; the first goes on, or ends just then."""
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -12,9 +12,11 @@
 from bellrack import model
 from bellrack.model import Call
 from bellrack.net import limits, lines
+from bellrack.net.invariants import Invariant
 from bellrack.net.pairing import ServerEnd
 from bellrack.net.ring import Link
 
+MOST_ASKED = 64  # lines whose answers are waited for, by their times
 RECHECK = 1.0  # seconds between looks whether the run has begun, for connections that have said nothing
 
 
@@ -28,12 +30,20 @@
         self.request_line: lines.RequestLine
         self.leg: ServerEnd | None = None  # the leg that is out or stands
         self.pings = 0
+        self.answered = False  # its final answer is written
+        self.opened: float | None = None  # when the machine accepted it, on the node's clock
+
+    @property
+    def request_id(self) -> str:
+        return self.request_line.id if self.call else ""
 
     def made(self) -> None:
         self.node.clients[self] = None
+        now = self.node.clock()
+        self.opened = now if self.opened is None else self.opened
         if self.call is None:
-            self.node.limits.spare[self] = self.node.clock()
-            self.lasts(limits.FIRST_LINE, self.stale)
+            self.node.limits.spare[self] = now
+            self.lasts(max(0.0, self.opened + limits.FIRST_LINE - now), self.stale)
         self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -48,13 +58,16 @@
         if self.call is None and self.node.resumed.may_precede_run():
             # Guards against BUSY to a resumed connection whose client is slow to write.
             self.lasts(RECHECK, self.stale)
-        elif self.call is None and self.pings:
-            self.finish("no-first-line")
         elif self.call is None:
+            # After PING too: a request may be on its way, and its end without an answer would lose it.
             self.turned_away("no-first-line")
 
     def finish(self, reason: str, how: str = "fin", **figures: Any) -> None:
-        self.node.resumed.discard(self)
+        if not self.over:
+            self.node.resumed.discard(self)
+            self.node.invariants.check_close(self)
+        if self.call and self.call.refusal:
+            figures["why"] = self.call.refusal
         super().finish(reason, how, **figures)
 
     def spared(self) -> None:
@@ -94,6 +107,8 @@
     def first(self, line: bytes) -> None:
         if line.strip() == b"PING":
             if not self.node.takes_requests:
+                if self.ring.held:
+                    return  # a request behind it has its answer
                 self.finish("not-ready")  # as if nobody listened yet
                 return
             self.pings += 1
@@ -119,11 +134,12 @@
 
     def turned_away(self, reason: str = "no-descriptors", how: str = "fin") -> None:
         """Nothing has been sent for it, so trying again is harmless."""
-        self.write(lines.busy(self.node.settings.max_open_wait))
+        self.write_final(lines.busy(self.node.settings.max_open_wait))
         self.finish(reason, how)
 
     def passing(self, line: bytes) -> None:
-        self.other.asked.append(self.node.now)
+        if len(self.other.asked) < MOST_ASKED:  # the oldest tells for how long the server has been silent
+            self.other.asked.append(self.node.now)
         self.node.resumed.window.on_client_line()
 
     def refuse(self, code: str) -> None:
@@ -131,19 +147,33 @@
         self.node.counters["malformed"] += 1
         if self.call and not self.call.done and not self.other:
             self.counted_as("failed")
-        self.answer(b"SYNTAX\r\n", code)
+        if self.other:
+            self.write(b"SYNTAX\r\n")  # it has had its answer, and spoilt its connection since
+            self.finish(code)
+        else:
+            self.answer(b"SYNTAX\r\n", code)
         self.forgotten(model.CANCELLED)
 
     def answer(self, line: bytes, reason: str) -> None:
-        self.write(line)
+        self.write_final(line)
         self.finish(reason)
 
+    def write_final(self, line: bytes) -> None:
+        """The one answer to its first line."""
+        if self.over:
+            return  # its end is out already, with an answer before it
+        if self.answered:
+            self.node.invariants.violated(Invariant.ANSWERED_TWICE, self.request_id, line=line.strip())
+        self.answered = True
+        self.write(line)
+
     def move(self, reason: str, kind: str = model.CANCELLED) -> None:
         """Send it away between two lines; it comes again through the front."""
         if self.over or not self.other:
             return
         self.node.counters["moved"] += 1
-        self.answer(b"MOVE\r\n", reason)
+        self.write(b"MOVE\r\n")
+        self.finish(reason)
         self.leg.end(kind, reason)
 
     def gone(self) -> None:
--- a/bellrack/net/doors.py
+++ b/bellrack/net/doors.py
@@ -8,12 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any
 
-from bellrack.net import handover, limits, log
+from bellrack.net import handover, limits, log, transient
 from bellrack.net.clients import Client
 from bellrack.net.control import Caller
 
@@ -92,6 +91,8 @@
         self.listener: Listener | None = None
         self.desk: Listener | None = None
         self.meeting: handover.Meeting | None = None
+        self.meeting_failed = False
+        self.failed_looks = 0  # at who still waits in the clients' door when it closes for good
         self.last_in: set[asyncio.Task] = set()  # who waited in the clients' door when it closed for good
         # Only where operators call may another process of ours be started beside us.
         self.shared = node.config.control is not None
@@ -113,12 +114,18 @@
         self.meet()
 
     def meet(self) -> None:
-        """Be found by the process that comes after us. A folder where that fails costs a log line."""
-        if self.path and not self.meeting:
-            try:
-                self.meeting = handover.Meeting(self.node, self.path)
-            except OSError as error:
+        """Be found by the process that comes after us. A folder where that fails costs a log line, and is
+        tried again where it may take files later."""
+        if not self.path or self.meeting or not self.listener:
+            return
+        try:
+            self.meeting = handover.Meeting(self.node, self.path)
+        except OSError as error:
+            if not self.meeting_failed:
                 log.tell("handover", offered="nothing", error=error)
+            self.meeting_failed = True
+            if transient.passes(error):
+                self.node.after(transient.FOLDER_AGAIN, self.meet)
 
     def accept(self) -> None:
         self.socket.listen(limits.BACKLOG)
@@ -142,15 +149,26 @@
         """Close the clients' door for good, and take in whoever the machine has accepted there: how many are
         still on their way in. Guards against the instant between our last look at the door and its end."""
         if self.listener:
-            with contextlib.suppress(OSError):  # nobody waits any more, or none can be taken in
-                while not self.node.limits.crowded(2):
-                    self.listener.take()
-                return len(self.listener.tasks)  # more wait than there are descriptors for
+            if not self.take_waiting():
+                return 1 + len(self.listener.tasks)
             self.last_in = self.listener.tasks
             self.shut(for_good=True)
             self.socket.close()
         return len(self.last_in)
 
+    def take_waiting(self) -> bool:
+        """Accept whoever waits. Is nobody left, as far as can be known?"""
+        try:
+            while not self.node.limits.crowded(2):
+                self.listener.take()
+            return False  # more wait than there are descriptors for
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            # One that has gone again, or nothing to be had for a moment: others may wait behind it.
+            self.failed_looks += 1
+            return self.failed_looks >= limits.FAILED_LOOKS
+
     async def reopen(self) -> None:
         """The other process is gone before its time: guards against a door that nobody answers."""
         if self.socket and not self.listener:
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import errno
 import hashlib
 import json
 import os
@@ -16,10 +17,11 @@
 import struct
 from typing import Any
 
-from bellrack.net import log, passing
+from bellrack.net import log, passing, transient
 
 PATIENCE = 1.0  # seconds that the one that starts waits for the one that serves
 TELL_EVERY = 0.25  # seconds between figures told to the other
+BUSY = b'{"busy": true}\n'  # to a process that comes while there is a sibling already
 LONGEST = 1 << 20  # bytes of one message
 VERSION = 1  # of what is told with the door; what is unknown in it is left
 PART = 65536  # bytes read at one go
@@ -41,6 +43,10 @@
     return user == os.geteuid()
 
 
+class BusyError(Exception):
+    """The process that serves has a sibling already."""
+
+
 class Predecessor:
     """The process that serves, as the one that starts finds it: its door, what it told, and bytes of what it
     has begun to say after that."""
@@ -57,7 +63,9 @@
 
 
 def meet(path: str) -> Predecessor | None:
-    """Ask the process that serves for its door; None if there is none, or it does not answer in time."""
+    """Ask the process that serves for its door; None if there is none, or it does not answer in time. Raises
+    BusyError if it says so, or has closed its meeting place just now: another process may be found there.
+    Raises OSError for what passes on our own machine."""
     sock = socket.socket(socket.AF_UNIX)
     fds: list[int] = []
     try:
@@ -74,11 +82,19 @@
                 raise OSError("cut off")
         text, _, rest = text.partition(b"\n")
         told = json.loads(text)
+        if isinstance(told, dict) and told.get("busy"):
+            raise BusyError
         if not fds or not isinstance(told, dict):
             raise OSError("no door came")
         door, *ways = (socket.socket(fileno=fd) for fd in fds)
         return Predecessor(sock, door, ways[0] if ways else None, told, rest)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, BusyError) as error:
+        if isinstance(error, BusyError | ConnectionResetError) and not fds:
+            sock.close()
+            raise BusyError from error
+        if isinstance(error, OSError) and transient.passes(error) and not fds:
+            sock.close()
+            raise
         if not isinstance(error, FileNotFoundError | ConnectionRefusedError):
             log.tell("handover", taken="nothing", error=repr(error))
         sock.close()
@@ -90,10 +106,12 @@
 class Sibling(asyncio.Protocol):
     """The other process of this balancer, while there is one: a message is a line, one JSON object."""
 
-    def __init__(self, node: Any, giver: passing.Giver | None = None, early: bytes = b""):
+    def __init__(
+        self, node: Any, giver: passing.Giver | None = None, early: bytes = b"", unsent: bytes = b""
+    ):
         self.node, self.giver, self.rest = node, giver, b""  # the way over, where it came after us
         self.early = early  # bytes of it that were read with the door
-        self.unsaid = b""  # until the connection is up
+        self.unsaid = unsent  # until the connection is up
         self.transport: Any = None
 
     def connection_made(self, transport: Any) -> None:
@@ -150,11 +168,17 @@
             os.unlink(aside)
         self.sock = socket.socket(socket.AF_UNIX)
         self.sock.setblocking(False)
-        self.sock.bind(aside)
-        os.chmod(aside, 0o600)
-        self.sock.listen(1)
-        os.rename(aside, path)
-        self.inode = os.stat(path).st_ino
+        try:
+            self.sock.bind(aside)
+            os.chmod(aside, 0o600)
+            self.sock.listen(1)
+            os.rename(aside, path)
+            self.inode = os.stat(path).st_ino
+        except OSError:
+            self.sock.close()
+            with contextlib.suppress(OSError):
+                os.unlink(aside)
+            raise
         node.limits.counted(1)
         node.loop.add_reader(self.sock.fileno(), self.met)
 
@@ -164,22 +188,26 @@
         except OSError:
             return
         try:
-            if self.node.hot_restart.sibling or not same_user(sock):
-                raise OSError("another is met already, or is of another user")
+            if not same_user(sock):
+                raise OSError("of another user")
+            if self.node.hot_restart.sibling:
+                self.node.counters["successors_refused"] += 1  # it asks again
+                raise OSError(errno.EAGAIN, "another is met already")
             sock.setblocking(False)  # guards against one that connects and reads nothing
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LONGEST)
             text = json.dumps(self.node.hot_restart.snapshot()).encode() + b"\n"
             ours, theirs = passing.pair()
             with theirs:
                 fds = [self.node.doors.socket.fileno(), theirs.fileno()]
-                if socket.send_fds(sock, [text], fds) != len(text):
-                    ours.close()
-                    raise OSError("not taken whole")
+                sent = socket.send_fds(sock, [text], fds)  # what it does not take at once follows
         except OSError as error:
             log.tell("handover", given="nothing", error=error)
+            if error.errno == errno.EAGAIN or transient.passes(error):
+                with contextlib.suppress(OSError):
+                    sock.send(BUSY)
             sock.close()
             return
-        self.node.hot_restart.connect(sock, passing.Giver(self.node, ours))
+        self.node.hot_restart.connect(sock, passing.Giver(self.node, ours), unsent=text[sent:])
 
     def leave(self) -> None:
         """Nothing is left behind, but for the place of a process that came after us."""
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -12,6 +12,10 @@
 
 from bellrack.net import handover, lines, log, passing
 
+SAME_CLOCK = 1e-3  # seconds by which two anchors may differ that were read with the clock untouched
+WAIT_FOR_TURN = 8.0  # seconds that a third process waits for the first of two to end: 3.7 s, and its start
+TURN_LOOK = 0.1  # seconds between looks for that
+
 
 class HotRestart:
     def __init__(self, node: Any):
@@ -21,6 +25,7 @@
         self.taker: passing.Taker | None = None  # takes them from it
         self.connecting: asyncio.Task | None = None
         self.reopening: asyncio.Task | None = None
+        self.clock_ahead = 0.0  # seconds by which our clock is ahead of the predecessor's
 
     @property
     def followed(self) -> bool:
@@ -30,21 +35,40 @@
     async def find_predecessor(self) -> handover.Predecessor | None:
         """Where a process of this balancer serves, its listening socket and what it has learned are ours."""
         path = self.node.doors.path
-        predecessor = await asyncio.to_thread(handover.meet, path) if path else None
+        predecessor = await self.meet(path) if path else None
         if predecessor:
             await self.take_over(predecessor)
         return predecessor
 
+    async def meet(self, path: str) -> handover.Predecessor | None:
+        """Wait while the process that serves has a sibling already: guards against a third process that would
+        start with nothing handed over, not even which servers are detached."""
+        end = self.node.clock() + WAIT_FOR_TURN
+        while not self.node.shutdown:
+            try:
+                return await asyncio.to_thread(handover.meet, path)
+            except (handover.BusyError, OSError) as error:
+                if self.node.clock() >= end:
+                    log.tell("handover", taken="nothing", error=repr(error))
+                    break
+            await asyncio.sleep(TURN_LOOK)
+        return None
+
     async def take_over(self, predecessor: handover.Predecessor) -> None:
         """Start beside the process that serves; we listen in its place once we know the servers."""
         node, told = self.node, predecessor.told
         try:
+            # The wall clock may have been stepped between the two starts, to which each clock is anchored.
+            ahead = node.anchor - float(told.get("anchor", node.anchor))
+            self.clock_ahead = ahead if abs(ahead) > SAME_CLOCK else 0.0
             node.server_list.cordoned = {lines.mark(name): name for name in told.get("out", ())}
             node.limits.seen = dict.fromkeys(told.get("seen", ()))
             node.server_list.load(lines.listing(told.get("list")))
-            node.taught(told.get("learned", {}))
+            node.taught(told.get("learned", {}), later=self.clock_ahead)
             # A hot restart does not extend the time in which resumed connections are admitted.
-            node.resumed.window.started = min(node.begun, float(told.get("started", node.begun)))
+            node.resumed.window.requested = told.get("requested") is True  # the run has begun
+            if "started" in told:
+                node.resumed.window.started = min(node.begun, float(told["started"]) + self.clock_ahead)
         except (ValueError, TypeError, AttributeError) as error:
             # Guards against what another version tells in a form of its own.
             log.tell("handover", taken="in part", error=repr(error))
@@ -53,9 +77,16 @@
         self.taker = predecessor.way and passing.Taker(node, predecessor.way)
         await self.connecting
 
-    def connect(self, sock: socket.socket, giver: passing.Giver | None = None, early: bytes = b"") -> None:
-        """The Unix socket to the sibling is up; `early`: bytes of it that are already read."""
-        self.sibling = handover.Sibling(self.node, giver, early)
+    def connect(
+        self,
+        sock: socket.socket,
+        giver: passing.Giver | None = None,
+        early: bytes = b"",
+        unsent: bytes = b"",
+    ) -> None:
+        """The Unix socket to the sibling is up; `early`: bytes of it that are already read; `unsent`: bytes
+        that are to go out first."""
+        self.sibling = handover.Sibling(self.node, giver, early, unsent)
         self.connecting = self.node.loop.create_task(
             self.node.loop.create_unix_connection(lambda: self.sibling, sock=sock)
         )
@@ -70,6 +101,8 @@
             "out": list(node.server_list.cordoned.values()),
             "seen": [*node.limits.seen, *node.limits.ids],
             "started": node.resumed.window.started,
+            "anchor": node.anchor,
+            "requested": node.resumed.window.requested,
         }
 
     def publish(self, **words: Any) -> None:
@@ -90,6 +123,7 @@
         if "took" in said and self.sibling and self.sibling.giver:
             self.giver = self.sibling.giver
             node.doors.shut()
+            node.balancer.cold.withhold(True)  # two processes are one balancer: it has the budget now
             log.tell("followed")
 
     def on_sibling_lost(self, sibling: handover.Sibling) -> None:
@@ -97,10 +131,20 @@
         if sibling is not self.sibling:
             return
         sibling.close()
-        followed, self.sibling, self.giver = self.followed, None, None
-        self.node.limits.beside = 0
-        if followed and not self.node.shutdown and not self.node.over.is_set():
-            self.reopening = self.node.loop.create_task(self.node.doors.reopen())
+        node, followed, self.sibling, self.giver = self.node, self.followed, None, None
+        node.limits.beside = 0
+        if node.over.is_set():
+            return
+        if followed:
+            # Also while we end ourselves: who waits in the listener has nobody else.
+            node.balancer.cold.withhold(False)
+            self.reopening = node.loop.create_task(node.doors.reopen())
+            if node.shutdown:
+                node.shutdown.on_successor_lost()
+        elif node.doors.listener is None:
+            # Who came in after it ended waits in the listener for us: as haste as at a start without it.
+            node.readiness.at_once = node.settings.asks
+            node.changed.set()
 
     def close(self) -> None:
         for way in (self.sibling, self.taker):
--- /dev/null
+++ b/bellrack/net/invariants.py
@@ -0,0 +1,115 @@
+"""The rules of the operators' pages as invariants that a process checks while it runs.
+
+Each violation is counted as `violation_NAME`, among the counters at `/_vars` and at exit, and leaves one log
+line with the request's id. The checks are independent of the decisions: they judge by the accounting of the
+request and by what was written, at the moment of the write. One that fails before a write prevents it.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import deque
+from collections.abc import Iterator
+from typing import Any
+
+from bellrack import model
+from bellrack.model import Leg, Server, Settings
+from bellrack.net import log
+
+FEW_CALLS = 30  # under so many calls the bound of a cold server has a factor of three
+
+
+class Invariant(enum.Enum):
+    """What must never happen; the numbers are the rules in the order of PROTOCOL.md."""
+
+    ANSWERED_TWICE = "answered_twice"  # 1: a second final answer
+    CLOSED_UNANSWERED = "closed_unanswered"  # 1: a request was read, and its connection ended with no answer
+    EXIT_UNANSWERED = "exit_unanswered"  # 1: the same at the end of the process
+    EXIT_STANDING = "exit_standing"  # 1: the process ended with a connection that is up and was not moved
+    SENT_FOR_NOBODY = "sent_for_nobody"  # 1: an attempt for a client that has gone or has its answer
+    SECOND_COPY = "second_copy"  # 2: an attempt while an earlier one is out
+    REPEATED_ONCE_ONLY = "repeated_once_only"  # 2: an earlier attempt may have run
+    REPEATED_LATE = "repeated_late"  # 2: repeats are no longer dropped
+    REPEATED_ELSEWHERE = "repeated_elsewhere"  # 2: another group drops repeats
+    SENT_TO_UNUSABLE = "sent_to_unusable"  # 3: the server drains, has gone or is detached
+    COLD_BUDGET = "cold_budget"  # 4: more than a cold server bears, from this process alone
+    SERVED_UNREADY = "served_unready"  # a request placed before there was a list that may be used
+
+
+class Invariants:
+    def __init__(self, counters: log.Counters, settings: Settings):
+        self.counters, self.settings = counters, settings
+        self.cold_sends: dict[int, deque[float]] = {}  # by server: when it was sent to while cold, in seconds
+
+    def violated(self, invariant: Invariant, request_id: str, **detail: object) -> None:
+        self.counters[f"violation_{invariant.value}"] += 1
+        log.tell("violation", rule=invariant.value, id=request_id, **detail)
+
+    def may_write(self, leg: Leg, request_id: str, now: float, answered: bool, allowed: float) -> bool:
+        """Checks an attempt at the moment at which its first line would go out; `now` in seconds. `allowed`:
+        requests that the settings allow its server in `fall_time`, if that is cold."""
+        broken = list(broken_by(leg, now, answered))
+        for invariant in broken:
+            self.violated(invariant, request_id, server=f"{leg.server.mark:016x}")
+        if not broken and leg.server.stand.warm_at > now:
+            self.check_cold(leg.server, request_id, now, allowed)
+        return not broken
+
+    def check_cold(self, server: Server, request_id: str, now: float, allowed: float) -> None:
+        """The bound for the whole tier: what this process alone may send lies far under it."""
+        sends = self.cold_sends.setdefault(server.mark, deque())
+        while sends and sends[0] <= now - self.settings.fall_time:
+            sends.popleft()
+        sends.append(now)
+        if len(sends) > slow_start_bound(allowed):
+            self.violated(Invariant.COLD_BUDGET, request_id, server=f"{server.mark:016x}", sent=len(sends))
+
+    def check_close(self, client: Any) -> None:
+        """A client's connection ends by our will."""
+        if client.call and not client.answered and not client.ended:
+            self.violated(Invariant.CLOSED_UNANSWERED, client.request_id)
+
+    def check_exit(self, clients: Any) -> None:
+        """The process ends now: nobody that it has taken in may be left without an answer, or up."""
+        for client in list(clients):
+            if client.over or client.call is None or client.remote_closed():
+                continue
+            if client.other:
+                self.violated(Invariant.EXIT_STANDING, client.request_id)
+            elif not client.answered:
+                self.violated(Invariant.EXIT_UNANSWERED, client.request_id)
+
+    def forget(self, server: Server) -> None:
+        self.cold_sends.pop(server.mark, None)
+
+
+def broken_by(leg: Leg, now: float, answered: bool) -> Iterator[Invariant]:
+    """The invariants that writing this attempt's first line now would break."""
+    call = leg.call
+    if answered or call.done:
+        yield Invariant.SENT_FOR_NOBODY
+    if not leg.server.ready:
+        yield Invariant.SENT_TO_UNUSABLE
+    earlier = [other for other in call.legs if other is not leg]
+    if any(other.result is None for other in earlier):
+        yield Invariant.SECOND_COPY
+    risky = [other for other in earlier if other.result and other.result.kind not in model.NEVER_RAN]
+    if not risky:
+        return
+    if call.type.effect == model.ONCE_ONLY:
+        yield Invariant.REPEATED_ONCE_ONLY
+    if call.type.effect == model.REFERENCED:
+        first = min(risky, key=lambda other: other.sent)
+        if now > first.sent + call.type.key_ttl:
+            yield Invariant.REPEATED_LATE
+        if not call.type.same_group(first.server, leg.server):
+            yield Invariant.REPEATED_ELSEWHERE
+
+
+def slow_start_bound(calls: float) -> float:
+    """Requests that a cold server bears in a window in which the settings allow so many calls.
+
+    STANDING.md: "N + 2 x root of N + 2 (N under 30: N + 3 x root of N + 3)"."""
+    root = math.sqrt(calls)
+    return calls + 3 * root + 3 if calls < FEW_CALLS else calls + 2 * root + 2
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -13,6 +13,7 @@
 
 BACKLOG = 1024  # connections that the kernel takes in ahead of us: a rush must not wait for its retries
 ACCEPTS = 16  # of them accepted at one go
+FAILED_LOOKS = 10  # at who waits in the door as it closes for good; each 0.05 s
 PAUSE = 0.02  # seconds until accepting is tried again, when there was no descriptor to spare
 RESERVE = 48  # descriptors kept free, or 3/8 of few: half for clients that are told so, half for control
 FIRST_LINE = 2.75  # seconds from connecting for a whole first line: some write for 2; an end is owed within 3
@@ -25,16 +26,25 @@
 PROBES = 32  # that are out at once: more are not sent, and what they were for goes on without
 PROBES_PART = 12  # of the reserve, one in so many is for probes when there is nothing but the reserve
 CONTROL = 6  # descriptors beside: two watches and a fetch of the list, three of a hand-off
+AT_START = 8  # descriptors of a process that starts: the standard ones and those of the loop
 CALLERS = 32  # operators' calls that are under way at once
 CALL = 6.0  # seconds from connecting in which an operator's call must be whole
 
 
+def open_descriptors() -> int:
+    """Of this process; as many as it has at a start where the machine has none to read them by."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # but the one that it is read by
+    except OSError:
+        return AT_START
+
+
 class Limits:
     def __init__(self, sockets: int):
         self.allow(sockets)
         self.probes = 0  # that are out
         self.beside = 0  # descriptors of our other process: the two are counted as one
-        self.descriptors = len(os.listdir("/proc/self/fd")) - 1  # but the one that it is read by
+        self.descriptors = open_descriptors()
         self.spare: dict[Any, float] = {}  # links without a call or answered, by when they became so
         self.writing: dict[Any, float] = {}  # links with a part of a first line, by when they last wrote
         self.ids: dict[str, Any] = {}  # of calls whose connections are open
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -15,13 +15,14 @@
 from bellrack import model, start_signals
 from bellrack.books import Books
 from bellrack.model import Call, Leg, Result, Server
-from bellrack.net import figures, limits, lines, log, reload, server_list, startup
+from bellrack.net import figures, limits, lines, log, reload, server_list, startup, transient
 from bellrack.net.clients import Client
 from bellrack.net.config import Config
 from bellrack.net.control import Caller
 from bellrack.net.discovery import Discovery
 from bellrack.net.doors import Doors
 from bellrack.net.hot_restart import HotRestart
+from bellrack.net.invariants import Invariant, Invariants
 from bellrack.net.peer_socket import LONGEST_DATAGRAM, PeerSocket
 from bellrack.net.readiness import Readiness
 from bellrack.net.resumed import ResumedConnections
@@ -55,10 +56,12 @@
         self.doors = Doors(self)
         self.hot_restart = HotRestart(self)
         Books.__init__(self, config.settings, config.seed, self.clock())
+        self.invariants = Invariants(self.counters, config.settings)
 
     def log_end(self, link: Any, reason: str, figures: dict) -> None:
         self.counters[f"ended_{link.side}"] += 1
-        log.tell("ended", side=link.side, reason=reason, **figures)
+        request = getattr(link, "request_id", "")
+        log.tell("ended", side=link.side, reason=reason, **({"id": request} if request else {}), **figures)
 
     # What the balancer may do: each is carried out when the module has had the whole batch.
 
@@ -173,10 +176,13 @@
             self.resumed.admit(client, wait if "d" in values else None)
             return
         self.resumed.window.on_request()
-        if not self.takes_requests or self.shutdown and not self.hot_restart.followed:
+        if not self.takes_requests or self.shutdown and not self.shutdown.still_places:
             # Nothing was sent, so trying again is harmless; the front deals it to another balancer.
+            call.refusal = "not-ready" if not self.takes_requests else "shutdown"
             self.reject(call)
         else:
+            if not self.readiness.may_open(self.now):
+                self.invariants.violated(Invariant.SERVED_UNREADY, request_line.id)
             self.balancer.arrived(call)
 
     def stands(self, leg: Leg, resumes: bool) -> None:
@@ -227,14 +233,15 @@
         self.queue(self.server_watch.look)
         self.queue(self.discovery.look)
         if self.config.peer_listen:
-            self.peers = await PeerSocket.open(self)
+            self.peers = await transient.retried(lambda: PeerSocket.open(self))
         self.handle_signals()
-        await self.doors.open_desk()
+        await transient.retried(self.doors.open_desk)
         predecessor = await self.hot_restart.find_predecessor()
         await startup.wait_until_ready(self, alone=predecessor is None)
         if not self.shutdown:  # guards against a door that is opened only to be closed on who comes
             await self.take_requests(predecessor.door if predecessor else None)
         await self.over.wait()
+        self.invariants.check_exit(self.clients)
         self.doors.close()
         self.hot_restart.close()
         self.show()
@@ -252,8 +259,10 @@
     async def take_requests(self, listening: socket.socket | None) -> None:
         """Be ready; `listening`: the socket of the process that served before."""
         if not self.doors.listener:
-            await self.doors.open(listening)
+            await transient.retried(lambda: self.doors.open(listening))
         self.takes_requests = True
+        if listening:
+            self.balancer.cold.withhold(False)  # what was issued until now is the predecessor's
         self.hot_restart.publish(took=True)
         self.address = self.doors.socket.getsockname()
         log.tell(
--- a/bellrack/net/passing.py
+++ b/bellrack/net/passing.py
@@ -89,7 +89,7 @@
         for link in links:
             link.transport.pause_reading()
         unread = {link: taken(link) for link in links}
-        words = {"in": written(unread[client])}
+        words = {"in": written(unread[client]), "opened": client.opened}
         if client.other:
             words |= self.standing(client.leg) | {"back": written(unread[client.leg])}
         elif client.call:  # a resumed connection that is not up yet: it goes over as if unread
@@ -162,6 +162,8 @@
             if len(fds) != 1 + ("line" in words):
                 raise ValueError(f"{len(fds)} descriptors")
             client = Client(self.node)
+            if "opened" in words:
+                client.opened = float(words["opened"]) + self.node.hot_restart.clock_ahead
             put_back(client, read(words["in"]))
             links = [client, self.standing(client, words)] if "line" in words else [client]
         except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -187,11 +189,13 @@
             key=request_line.key,
             group=request_line.number("g", 16) or 0,
         )
-        leg = Leg(call, server, float(words["sent"]))
+        ahead = node.hot_restart.clock_ahead
+        leg = Leg(call, server, float(words["sent"]) + ahead)
         call.legs.append(leg)
         call.host, client.call, client.request_line = client, call, request_line
         link = ServerLink(node, leg, client, node.now, stood=True)
-        link.asked.extend(map(float, words["asked"]))
+        link.asked.extend(float(when) + ahead for when in words["asked"])
+        client.answered = True
         link.said = str(words["said"])
         put_back(link, read(words["back"]))
         # Neither takes a line until both are up: guards against one that goes nowhere.
@@ -220,3 +224,5 @@
         for link in links:
             link.blocked = False
             link.wake()
+        if self.node.shutdown:  # it may have moved what stands already
+            client.move("leaving")
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -10,7 +10,7 @@
 
 from bellrack import model
 from bellrack.model import Server
-from bellrack.net import lines, log
+from bellrack.net import lines, log, start_times
 from bellrack.net.servers import Place
 
 
@@ -21,6 +21,7 @@
         self.node = node
         self.version = 0  # of the list in hand, by the versions of discovery's present address
         self.machine_types: dict[str, int] = {}  # by name, numbered as the list brings them
+        self.confirmed_at: float | None = None  # when it last was what discovery has; None: not yet
         self.cordoned: dict[int, str] = {}  # names by mark of servers that operators took out by hand
 
     def on_list(self, news: lines.Listing, fetched: bool = False, counts: bool = True) -> None:
@@ -54,15 +55,17 @@
 
     def merge(self, news: lines.Listing) -> None:
         self.node.counters["list_lines"] += 1
-        rows = [row for entry in news.entries if (row := self.row(entry))]
+        newest = start_times.newest(entry.row[3] for entry in news.entries)
+        rows = [row for entry in news.entries if (row := self.row(entry, newest))]
         self.node.entries(rows, news.whole)
         for server in map(self.node.servers.get, self.cordoned):
             if server and not server.out:  # forgotten meanwhile, or told by our other process: it stays out
                 self.node.balancer.withheld(server, True)
 
-    def row(self, entry: lines.Entry) -> tuple[int, str, int, int, float, float, int] | None:
-        """An entry as the decisions read it; None of a server that is gone and was never known."""
-        state, cell, weight, since = entry.row
+    def row(self, entry: lines.Entry, newest: float) -> tuple[int, str, int, int, float, float, int] | None:
+        """An entry as the decisions read it; None of a server that is gone and was never known. `newest`: the
+        newest stamp of a start among the entries that came with it."""
+        state, cell, weight, stamp = entry.row
         self.node.counters["bad_weights"] += weight is None
         mark = lines.mark(entry.name)
         if entry.address is None and mark not in self.node.servers:
@@ -70,11 +73,20 @@
         server = self.node.servers.setdefault(mark, Server(mark))
         server.host = server.host or Place(entry.name, entry.address)
         server.host.address = entry.address or server.host.address
+        started = self.started(server.host, stamp, newest)
+        if server.stand and (state != server.state or started != server.since):
+            log.tell("server", name=entry.name, state=state, was=server.state, started=started)
         zones, zone = self.node.names.zones, server.zone
         if entry.zone:
             zone = zones.setdefault(entry.zone, len(zones))
         machine = self.machine_types.setdefault(entry.machine, len(self.machine_types))
-        return mark, state, cell, zone, weight or server.weight, min(since, self.node.now), machine
+        return mark, state, cell, zone, weight or server.weight, started, machine
+
+    def started(self, place: Place, stamp: float, newest: float) -> float:
+        """When the server last started, on our clock: another stamp is another start."""
+        if place.start is None or place.start.stamp != stamp:
+            place.start = start_times.bounded_start(stamp, self.node.now, self.confirmed_at, newest)
+        return place.start.time
 
     def written(self) -> dict[str, Any]:
         """The list in hand, in the form that discovery sends a whole one."""
@@ -88,7 +100,7 @@
                 server.state,
                 server.cell,
                 server.weight,
-                server.since,
+                server.host.start.stamp if server.host.start else server.since,
                 machines.get(server.kind, ""),
             )
             for server in self.node.servers.values()
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -16,9 +16,10 @@
 
 from bellrack import model
 from bellrack.model import Leg, Result, Server
-from bellrack.net import lines
+from bellrack.net import lines, transient
 from bellrack.net.pairing import ClientEnd
 from bellrack.net.ring import Link
+from bellrack.net.start_times import Start
 
 PROBE_WAIT = 0.25  # seconds that a probe may take
 SILENT = 2.5  # an unanswered line this old: clients send every 2 s, looks come each second, 7 s are too long
@@ -30,6 +31,7 @@
 
     def __init__(self, name: str, address: tuple[str, int]):
         self.name, self.address = name, address
+        self.start: Start | None = None  # the last that was listed
         self.legs: dict[ServerLink, None] = {}  # standing
         self.took: list[float] = []  # by the answers since the last look
         self.late = False  # by those, as last told
@@ -48,6 +50,7 @@
     """A connection that we open."""
 
     task: asyncio.Task | None = None  # while it is coming up
+    local_failure = False  # it did not come up for want of something on our own machine
 
     def open(self, address: tuple[str, int], wait: float) -> None:
         self.task = self.node.loop.create_task(self._open(address, wait))
@@ -56,23 +59,43 @@
         self.node.limits.counted(1)  # the descriptor is there from the start
         sock = None
         try:
-            sock = socket.socket(socket.AF_INET)  # fails where the kernel has no descriptor left
-            sock.setblocking(False)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait):
-                    await self.node.loop.sock_connect(sock, address)
+            sock = await self.connected(address, wait)
             # Guards against a pause of our own taken for a server out of reach: it is up or not, and a
             # line that went out meanwhile had run.
             sock.getpeername()
             await self.node.loop.create_connection(lambda: self, sock=sock)
         except OSError as error:
             self.ended = "refused" if isinstance(error, ConnectionRefusedError) else "unreached"
+            self.local_failure = transient.is_local(error)
             self.wake()
         finally:
             if self.transport is None and sock is not None:
                 sock.close()
             self.node.limits.counted(-1)
 
+    async def connected(self, address: tuple[str, int], wait: float) -> socket.socket:
+        """A socket that is up, or on which the time is over. What our own machine fails in for a moment is
+        tried again: guards against requests refused, and servers blamed, for it."""
+        loop = self.node.loop
+        end = loop.time() + wait
+        try_until = min(end, loop.time() + transient.CONNECT_FOR)
+        while True:
+            sock = None
+            try:
+                sock = socket.socket(socket.AF_INET)  # fails where the kernel has no descriptor left
+                sock.setblocking(False)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout_at(end):
+                        await loop.sock_connect(sock, address)
+                return sock
+            except BaseException as error:
+                if sock is not None:
+                    sock.close()
+                passes = isinstance(error, OSError) and transient.is_local(error)
+                if not passes or loop.time() >= try_until:
+                    raise
+            await asyncio.sleep(transient.AGAIN)
+
     def made(self) -> None:
         if self.over:  # given up while it came up
             self.transport.abort()
@@ -95,7 +118,7 @@
     ):
         super().__init__(node)
         self.leg, self.client, self.until, self.resumes = leg, client, until, resumes
-        self.asked: deque[float] = deque(maxlen=64)  # when the client's lines still unanswered went on
+        self.asked: deque[float] = deque()  # when the client's lines still unanswered went on
         self.written = stood  # in another process before: it is up and needs no connecting
         self.said = ""  # how the server said that the connection ends
         leg.host = client.leg = self
@@ -131,17 +154,34 @@
             self.lost()
 
     def speak(self) -> None:
-        """The first byte goes out now; a drain heard while we connected is a connection never made."""
-        server = self.leg.server
-        if self.answered_already():
-            self.end(model.NO_CONN, "client-answered")
-        elif not self.resumes and not server.usable:
-            self.end(model.NO_CONN, "drain-heard")
+        """The first byte goes out now, or the connection counts as never made."""
+        if refusal := self.refusal():
+            self.end(model.NO_CONN, refusal)
         else:
             self.written = True
             self.node.counters["upstream_requests"] += 1
             self.write(lines.with_wait(self.client.request_line, self.until - self.node.now))
 
+    def refusal(self) -> str:
+        """The one guard before a first line is written: why it must not be, or ''. It asks the clock itself,
+        since the turn may have begun long ago."""
+        now = self.node.clock()
+        if self.answered_already():
+            return "client-answered"
+        if self.resumes:
+            return ""
+        if not self.leg.server.usable:
+            return "drain-heard"  # while we connected
+        if now >= self.leg.call.write_by:
+            return "repeat-window-over"
+        may_write = self.node.invariants.may_write
+        allowed = self.node.balancer.cold.allowed(self.leg.server)
+        return "" if may_write(self.leg, self.request_id, now, self.client.answered, allowed) else "invariant"
+
+    @property
+    def request_id(self) -> str:
+        return self.client.request_line.id
+
     def answered_already(self) -> bool:
         """Is the client's answer out, or decided on in this batch and about to go out?"""
         return self.client.over or self.leg.call.done
@@ -155,12 +195,12 @@
             self.timer.cancel()
             self.other, self.client.other = self.client, self
             self.place.legs[self] = None
-            self.client.write(line)
+            self.client.write_final(line)
             self.node.stands(self.leg, self.resumes)
             self.client.wake()
         else:
             if kind == model.COMPLETED:
-                self.client.write(line)
+                self.client.write_final(line)
                 self.client.counted_as("failed")  # it was never up
             self.end(kind or model.ERROR, f"answer-{kind or 'unknown'}")
 
@@ -184,7 +224,7 @@
             self.client.finish(f"server-{self.said or self.ended}", "fin" if self.said else self.ended)
             self.end(self.said or model.RESET, self.said or self.ended)
         elif not self.written:
-            self.end(model.NO_CONN, self.ended)
+            self.end(model.MOOT if self.local_failure else model.NO_CONN, self.ended)
         else:
             self.end(model.RESET, self.ended)
 
@@ -204,7 +244,8 @@
         self.timer.cancel()
         self.drop()
         self.place.legs.pop(self, None)
-        self.finish(reason, how, server=self.place.name, result=kind)
+        attempt = len(self.leg.call.legs)
+        self.finish(reason, how, server=self.place.name, result=kind, attempt=attempt)
         self.client.leg = None
         self.node.leg_over(self, kind)
 
--- a/bellrack/net/shutdown.py
+++ b/bellrack/net/shutdown.py
@@ -37,6 +37,16 @@
         node.after(self.allowed - ANSWER, self.answer_rest)
         self.empty()
 
+    @property
+    def still_places(self) -> bool:
+        """Is a request that comes now still placed? By a process that was followed, while there is time."""
+        return self.node.hot_restart.followed and self.node.now - self.begun < self.allowed - ANSWER
+
+    def on_successor_lost(self) -> None:
+        """Nobody takes what stands any more."""
+        if self.node.now - self.begun >= REST * self.allowed:
+            self.move_rest()
+
     def move_spread(self, standing: list[Any]) -> None:
         for index, client in enumerate(standing):
             # Late, and not at once: guards against clients without a balancer while the one that restarted
--- a/bellrack/net/startup.py
+++ b/bellrack/net/startup.py
@@ -7,7 +7,7 @@
 import math
 from typing import Any
 
-from bellrack.net import lines, log, resumption
+from bellrack.net import lines, log, resumption, transient
 
 
 async def wait_until_ready(node: Any, alone: bool) -> None:
@@ -31,5 +31,5 @@
 async def listen_unready(node: Any) -> None:
     """Resumed connections are admitted from now on; whoever else comes is turned away."""
     node.takes_requests = False
-    await node.doors.open(None)
+    await transient.retried(lambda: node.doors.open(None))
     log.tell("listening", address=lines.written(node.doors.socket.getsockname()), ready=False)
