--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -22,7 +22,7 @@
 PATIENCE = 1.0  # seconds that the one that starts waits for the one that serves
 TELL_EVERY = 0.25  # seconds between figures told to the other
 BUSY = b'{"busy": true}\n'  # to a process that comes while there is a sibling already
-LONGEST = 1 << 20  # bytes of one message
+LONGEST = 1 << 24  # bytes of one message: 3,200 servers make 1.5 MB
 VERSION = 1  # of what is told with the door; what is unknown in it is left
 PART = 65536  # bytes read at one go
 
