A successor whose answer is cut off in the middle asks again; the refusal goes out whole

Change: sendall, and a part is BusyError. Soak: what is written to a process that has gone is told to nobody, and discovery answers for a second at least between two outages (a drain was counted in 12 ms of an outage's end).

--- a/bellrack/lab/soak/driver.py
+++ b/bellrack/lab/soak/driver.py
@@ -23,6 +23,7 @@
 FAULTY = "bellrack.lab.soak.faulty"
 READY_WITHIN = 10.0  # seconds: STANDING.md, "nine in ten restarted balancers are ready within 10 s"
 ENDS_WITHIN = 3.7 + 0.6  # seconds from SIGTERM: PROTOCOL.md's 3.7, and what the machine needs to reap it
+BETWEEN_OUTAGES = 1.0  # seconds for which discovery answers at least: less can't be used by anybody
 FRONT_NOTICES = 0.3  # seconds after SIGTERM for which new connections go on coming
 SERVER_PROCESSES, KEY_TTL, GRACE = 3, 1.2, 0.5
 RAMP, FALL, COLD_SHARE, FACTOR, CAPACITY = 6.0, 1.0, 0.2, 1.5, 12.0
@@ -30,7 +31,7 @@
 SELF_REPORTED = re.compile(r"event=(fault|violation|loop)\b")
 
 
-def settings(number: int, balancers: int) -> dict[str, Any]:
+def settings(number: int, balancers: int, pushed: bool) -> dict[str, Any]:
     """The settings object of one balancer, in the form of the operators' pages."""
     return {
         "trafficTypes": [
@@ -66,7 +67,7 @@
         "az": number % 2,
         "peersTotal": balancers,
         "slotNo": number,
-        "discovery": "ask",
+        "discovery": "push" if pushed else "ask",
         "tickUs": 4000,
     }
 
@@ -216,6 +217,7 @@
         self.starts: dict[int, list[float]] = {n: [] for n in range(plan.balancers)}
         self.detached: list[tuple[int, str, float, float]] = []
         self.unreachable: list[tuple[float, float]] = []
+        self.reloads: dict[int, list[float]] = {n: [] for n in range(plan.balancers)}
         self.helpers: list[Helper] = []
         self.server_of: dict[str, Helper] = {}
         self.busy_servers: set[str] = set()
@@ -247,7 +249,7 @@
                 "limits": {"sockets": 1024},
                 "peer_listen": peers[number],
                 "peers": peers,
-                "settings": settings(number, plan.balancers),
+                "settings": settings(number, plan.balancers, plan.pushed),
                 "known": {"generation": 1, "reset": True, "instances": self.known(number)},
             }
             self.balancers.append(Balancer(number, self.folder, raw))
@@ -436,6 +438,7 @@
         places = self.discovery.hello[balancer.number]
         balancer.raw["discovery"] = places[1 - places.index(balancer.raw["discovery"])]
         balancer.write()
+        self.reloads[balancer.number].append(time.monotonic())
         for process in list(balancer.processes):
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGHUP)
@@ -511,6 +514,7 @@
         await self.discovery.command(do="mode", mode="up")
         if trouble.detail == "down":
             self.unreachable.append((begun, time.monotonic()))
+        await asyncio.sleep(BETWEEN_OUTAGES)
 
     # The record.
 
@@ -529,7 +533,17 @@
                 events += [json.loads(line) for line in file if line.endswith("\n")]
         events.sort(key=lambda event: event["t"])
         starts, kills = self.starts, self.kills
-        return oracle.Record(RULES, events, outcomes, kills, starts, self.detached, self.unreachable)
+        return oracle.Record(
+            RULES,
+            events,
+            outcomes,
+            kills,
+            starts,
+            self.detached,
+            self.unreachable,
+            self.plan.pushed,
+            self.reloads,
+        )
 
     def problems(self) -> list[str]:
         """Crashes, hangs and refused starts; and what the balancers counted or logged against themselves."""
--- a/bellrack/lab/soak/plan.py
+++ b/bellrack/lab/soak/plan.py
@@ -13,6 +13,8 @@
 COOL_DOWN = 4.5  # seconds without new trouble at the end: the longest shutdown and deadline
 EVERY = 0.25  # seconds between the beginnings of two troubles, in the mean
 LASTS = (0.3, 3.0)  # seconds
+PUSHED_SHARE, QUIET_SHARE = 0.3, 0.25  # of the seeds
+QUIET_FOR = 8.0  # seconds
 SHORT_PAUSE = 0.15  # seconds: STANDING.md, "a balancer that is held up for up to 0.15 s"
 CLOCK_STEPS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds
 
@@ -78,6 +80,8 @@
     balancers: int
     servers: list[str]
     troubles: list[Trouble] = field(default_factory=list)
+    pushed: bool = False  # lists come unasked
+    quiet: tuple[float, float] = (0.0, 0.0)  # nobody asks for anything in this time, and nothing goes wrong
     faults: list[list[dict[str, Any]]] = field(default_factory=list)  # by balancer
     demands: list[Demand] = field(default_factory=list)
 
@@ -87,12 +91,17 @@
     rng = random.Random(seed)
     plan = Plan(seed, seconds, balancers, [f"s-{number}" for number in range(servers)])
     plan.faults = [[] for _ in range(balancers)]
-    now, end = WARM_UP, seconds - COOL_DOWN
+    plan.pushed = rng.random() < PUSHED_SHARE
+    if rng.random() < QUIET_SHARE:
+        plan.quiet = WARM_UP, WARM_UP + QUIET_FOR
+    now, end = max(WARM_UP, plan.quiet[1]), seconds - COOL_DOWN
     while (now := now + rng.expovariate(1 / EVERY)) < end:
         until = min(end, now + rng.uniform(*LASTS))
         add_trouble(plan, rng, now, until)
     now = 0.2
     while (now := now + rng.expovariate(rate)) < seconds - 1.0:
+        if plan.quiet[0] <= now < plan.quiet[1]:
+            continue
         plan.demands.append(
             Demand(
                 now,
@@ -118,7 +127,8 @@
         detail = rng.choice(PROXY_MODES) if kind == "mode" else rng.choice((0.0, *CLOCK_STEPS))
         plan.troubles.append(Trouble(now, kind, server, until, detail))
     elif group == "discovery":
-        plan.troubles.append(Trouble(now, "discovery", None, until, rng.choice(DISCOVERY_TROUBLES)))
+        mode = "down" if plan.pushed else rng.choice(DISCOVERY_TROUBLES)
+        plan.troubles.append(Trouble(now, "discovery", None, until, mode))
     else:
         kind = rng.choice(FAULTS)
         fault = {"kind": kind, "at": now, "until": until, "share": SHARES.get(kind, 1.0)}
--- a/bellrack/net/handover.py
+++ b/bellrack/net/handover.py
@@ -78,6 +78,8 @@
             part, got, _, _ = socket.recv_fds(sock, PART, 2)
             fds += got
             text += part
+            if not part and text:
+                raise BusyError  # cut off in the middle: it has ended, or says so
             if not part or len(text) > LONGEST:
                 raise OSError("cut off")
         text, _, rest = text.partition(b"\n")
@@ -204,7 +206,7 @@
             log.tell("handover", given="nothing", error=error)
             if error.errno == errno.EAGAIN or transient.passes(error):
                 with contextlib.suppress(OSError):
-                    sock.send(BUSY)
+                    sock.sendall(BUSY)
             sock.close()
             return
         self.node.hot_restart.connect(sock, passing.Giver(self.node, ours), unsent=text[sent:])
