A process that has ended runs nothing more

Change: TurnLoop.stop, called by Node.serve after the counters, drops what is queued and takes nothing more.

--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -245,6 +245,7 @@
         self.doors.close()
         self.hot_restart.close()
         self.show()
+        self.stop()
 
     def handle_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/bellrack/net/turns.py
+++ b/bellrack/net/turns.py
@@ -32,6 +32,7 @@
         self.actions: Queue = deque()  # asked for by the decisions
         self.events: Queue = deque()
         self.turning, self.longest_turn = False, 0.0  # seconds
+        self.stopped = False
         self.now = self.clock()  # fixed for a turn
 
     def clock(self) -> float:
@@ -39,6 +40,8 @@
 
     def queue(self, what: Callable, *values: Any, first: bool = False) -> None:
         """For the next turn; this is all that callbacks do."""
+        if self.stopped:
+            return
         (self.list_changes if first else self.events).append((what, values))
         if not self.turning:
             self.turning = True
@@ -54,6 +57,12 @@
     def after(self, wait: float, what: Callable, *values: Any) -> asyncio.TimerHandle:
         return self.loop.call_later(wait, self.queue, what, *values)
 
+    def stop(self) -> None:
+        """Run nothing more: the event loop goes on for a while when it is taken down."""
+        self.stopped = True
+        for queue in (self.list_changes, self.actions, self.events):
+            queue.clear()
+
     def turn(self) -> None:
         self.now = self.clock()
         self.run_queue(self.list_changes, len(self.list_changes))
