Failing test: set-ups to a cold server that come up late go out together

Cause, found by looking for the mistake of the repeat window elsewhere: Cold.tokens spaces decisions, and what a cold server bears counts when lines come there. Excluded: the invariant cold_budget, which counts at the write but only for the whole tier and prevents nothing.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,6 +1,7 @@
 """Rule 4 for the sum over all balancers, on generated starts."""
 
 import asyncio
+import contextlib
 import time
 from dataclasses import replace
 
@@ -12,6 +13,7 @@
 from bellrack.lab import cold
 from bellrack.lab.scenario import most_requests
 from bellrack.model import Settings
+from bellrack.net import servers
 
 STARTS = cold.starts(40, 7, (3, 20, 30))
 
@@ -90,6 +92,45 @@
         return super().entry(number, place, started=time.time() * 1000, **fields)
 
 
+@played
+async def test_set_ups_that_come_up_late_together_keep_to_the_budget(monkeypatch):
+    """One balancer alone; its connections to the cold server come up all at once, long after each was
+    decided. What a cold server bears counts when the line comes there."""
+    rules = raw_settings()["obligations"] | {
+        "rampTimeUs": RAMP * 1e6,
+        "overloadFactor": 4.0,
+        "fallUs": 2e6,
+    }
+    caps = raw_settings()["caps"] | {"connectTimeoutUs": 3e7}
+    kinds = [raw_settings()["trafficTypes"][0] | {"guardTimeUs": 5e7}]
+    come_up, waiting = asyncio.Event(), []
+    honest = servers.Outgoing._open
+
+    async def late(link, address, wait):
+        if link.side == "server":
+            waiting.append(link)
+            await come_up.wait()
+        await honest(link, address, wait)
+
+    monkeypatch.setattr(servers.Outgoing, "_open", late)
+    async with Cold(obligations=rules, caps=caps, trafficTypes=kinds) as world:
+        clients = []
+        for number in range(1, 13):
+            world.node.anchor += 2.0  # a window later there are new tokens
+            for _ in range(4):
+                clients.append(await world.call("c=chat,t=acme,d=50000"))
+            await world.until(lambda calls=4 * number: world.node.counters["calls"] == calls)
+        allowed = 4.0 * choice.FIRST_FILL * (0.2 + 0.8 * 26 / RAMP) * 2.0 / RAMP
+        assert len(waiting) > most_requests(allowed)
+        come_up.set()
+        sent = 0
+        with contextlib.suppress(TimeoutError):
+            while True:
+                await asyncio.wait_for(world.arrived.get(), 0.3)
+                sent += 1
+        assert 0 < world.node.counters["upstream_requests"] <= most_requests(allowed)
+
+
 @played
 async def test_twenty_nodes_on_sockets_keep_to_the_budget_of_one_cold_server():
     """All have it as their only server, and three calls each; what is sent there ends at once. The window is
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -251,7 +251,7 @@
 
 @played
 async def test_a_process_that_has_ended_begins_nothing_more():
-    """While the loop is taken down its timers still run: a watch or an attempt would begin with nobody left."""
+    """While the loop is taken down its timers still run: a watch or an attempt would begin for nobody."""
     async with World() as world:
         begun = []
         world.node.after(0.0, begun.append, "by a timer")
