What goes out to a cold server counts at the write

Change: Cold.may_write, asked by the one guard before a write, keeps the writes of fall_time under this balancer's part of the budget; what it refuses is moot, since the server is not to blame, and goes on.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -190,6 +190,20 @@
             self.spend(server)
         self.withheld = on
 
+    def may_write(self, server: Server) -> bool:
+        """May a set-up that was sent earlier go out now? Counts it if so. Guards against connections that
+        come up late, and then together: what a cold server bears counts when lines come there."""
+        now, rules, stand = self.door.now, self.settings, server.stand
+        if stand.warm_at <= now:
+            return True
+        budget, _ = rules.cold_budget(self.borne, server.size * self.warm(server))
+        while stand.written and stand.written[0] <= now - rules.fall_time:
+            stand.written.popleft()
+        if len(stand.written) >= max(1, math.floor(budget + 1 / rules.peers)):
+            return False
+        stand.written.append(now)
+        return True
+
     def spend(self, server: Server) -> None:
         """What was issued so far may have been used by a process before us."""
         if server.stand.warm_at > self.door.now:
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -158,6 +159,7 @@
         self.next_leg = 0.0  # not before this
         self.issued = self.issued_at = 0.0  # tokens for set-ups while it is cold, and up to when
         self.taken = 0  # of them, those used or lost
+        self.written: deque[float] = deque()  # when set-ups went out to it while it was cold, of late
         self.groups: dict[int, int] = {}  # the same by group
         self.legs: dict[Leg, None] = {}  # own standing connections, oldest first
         self.delay, self.holds = 0.0, 0.0  # as last told, over the shortest message aim; for how long
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -21,6 +21,7 @@
 from bellrack.net.ring import Link
 from bellrack.net.start_times import Start
 
+COLD_BUDGET = "cold-budget"  # why an attempt is not written: its server bears no more just now
 PROBE_WAIT = 0.25  # seconds that a probe may take
 SILENT = 2.5  # an unanswered line this old: clients send every 2 s, looks come each second, 7 s are too long
 SAID = 0.5  # seconds from a server's last line to its end of the connection; a client is owed that in one
@@ -156,7 +157,8 @@
     def speak(self) -> None:
         """The first byte goes out now, or the connection counts as never made."""
         if refusal := self.refusal():
-            self.end(model.NO_CONN, refusal)
+            # Not the server's: guards against a cold one that counts as failing since it came up late.
+            self.end(model.MOOT if refusal == COLD_BUDGET else model.NO_CONN, refusal)
         else:
             self.written = True
             self.node.counters["upstream_requests"] += 1
@@ -174,8 +176,10 @@
             return "drain-heard"  # while we connected
         if now >= self.leg.call.write_by:
             return "repeat-window-over"
-        may_write = self.node.invariants.may_write
-        allowed = self.node.balancer.cold.allowed(self.leg.server)
+        cold = self.node.balancer.cold
+        if not cold.may_write(self.leg.server):
+            return COLD_BUDGET
+        may_write, allowed = self.node.invariants.may_write, cold.allowed(self.leg.server)
         return "" if may_write(self.leg, self.request_id, now, self.client.answered, allowed) else "invariant"
 
     @property
