--- a/bellrack/lab/soak/__main__.py
+++ b/bellrack/lab/soak/__main__.py
@@ -1,7 +1,7 @@
 """The command of the soak: plays a seed, prints what it found, exits with 1 if that is anything.
 
 Usage: python -m bellrack.lab.soak --seed N [--seconds S] [--balancers N] [--servers N] [--rate R]
-           [--keep DIR] [--quiet]
+           [--focus NAME] [--keep DIR] [--quiet]
 """
 
 from __future__ import annotations
@@ -46,11 +46,13 @@
     parser.add_argument("--balancers", type=int, default=6)
     parser.add_argument("--servers", type=int, default=9)
     parser.add_argument("--rate", type=float, default=60.0, help="requests a second over all balancers")
+    parser.add_argument("--focus", choices=list(plan.FOCUSES), default="all", help="which troubles are drawn")
     parser.add_argument("--keep", help="a folder for events and logs")
     parser.add_argument("--quiet", action="store_true", help="counts by rule only")
     given = parser.parse_args()
     kinds = list(driver.EFFECTS)
-    drawn = plan.draw(given.seed, given.seconds, given.balancers, given.servers, given.rate, kinds)
+    focus = plan.FOCUSES[given.focus]
+    drawn = plan.draw(given.seed, given.seconds, given.balancers, given.servers, given.rate, kinds, focus)
     with contextlib.ExitStack() as stack:
         folder = given.keep or stack.enter_context(tempfile.TemporaryDirectory())
         Path(folder).mkdir(parents=True, exist_ok=True)
--- a/bellrack/lab/soak/driver.py
+++ b/bellrack/lab/soak/driver.py
@@ -25,7 +25,7 @@
 ENDS_WITHIN = 3.7 + 0.6  # seconds from SIGTERM: PROTOCOL.md's 3.7, and what the machine needs to reap it
 BETWEEN_OUTAGES = 1.0  # seconds for which discovery answers at least: less can't be used by anybody
 FRONT_NOTICES = 0.3  # seconds after SIGTERM for which new connections go on coming
-SERVER_PROCESSES, KEY_TTL, GRACE = 3, 1.2, 0.5
+SERVER_PROCESSES, KEY_TTL, GRACE = 3, 0.7, 0.5
 RAMP, FALL, COLD_SHARE, FACTOR, CAPACITY = 6.0, 1.0, 0.2, 1.5, 12.0
 EFFECTS = {"chat": "retryable", "order": "dedup", "pay": "fragile"}
 SELF_REPORTED = re.compile(r"event=(fault|violation|loop)\b")
--- a/bellrack/lab/soak/plan.py
+++ b/bellrack/lab/soak/plan.py
@@ -15,6 +15,7 @@
 LASTS = (0.3, 3.0)  # seconds
 PUSHED_SHARE, QUIET_SHARE = 0.3, 0.25  # of the seeds
 QUIET_FOR = 8.0  # seconds
+LATE_CONNECT = 0.85  # seconds at most that a connection comes up late: under the time-out of the settings
 SHORT_PAUSE = 0.15  # seconds: STANDING.md, "a balancer that is held up for up to 0.15 s"
 CLOCK_STEPS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds
 
@@ -50,6 +51,39 @@
 }
 
 
+@dataclass(frozen=True)
+class Focus:
+    """The troubles that are drawn; empty ones are left out."""
+
+    processes: tuple[str, ...] = PROCESS_TROUBLES
+    servers: tuple[str, ...] = SERVER_TROUBLES
+    discovery: tuple[str, ...] = DISCOVERY_TROUBLES
+    faults: tuple[str, ...] = FAULTS
+    modes: tuple[str, ...] = PROXY_MODES
+    every: float = EVERY
+
+    def groups(self) -> list[str]:
+        weights = {"process": 2, "server": 2, "discovery": 1, "fault": 2}
+        kinds = {
+            "process": self.processes,
+            "server": self.servers,
+            "discovery": self.discovery,
+            "fault": self.faults,
+        }
+        return [group for group, weight in weights.items() if kinds[group] for _ in range(weight)]
+
+
+FOCUSES = {
+    "all": Focus(),
+    # Repeats whose connections come up late.
+    "repeat": Focus((), ("mode",), (), ("connect_late",), ("reset", "half"), 0.1),
+    # Cold servers, clocks and processes that follow one another.
+    "cold": Focus(("hot_restart", "hot_restart_twice", "kill"), ("replace",), (), ("clock",), (), 0.15),
+    # Processes that start, end and follow one another, on a machine that fails for a moment.
+    "restart": Focus(PROCESS_TROUBLES, (), (), ("accept", "socket", "short", "disk", "clock"), (), 0.2),
+}
+
+
 @dataclass(frozen=True)
 class Trouble:
     at: float
@@ -86,7 +120,15 @@
     demands: list[Demand] = field(default_factory=list)
 
 
-def draw(seed: int, seconds: float, balancers: int, servers: int, rate: float, kinds: list[str]) -> Plan:
+def draw(
+    seed: int,
+    seconds: float,
+    balancers: int,
+    servers: int,
+    rate: float,
+    kinds: list[str],
+    focus: Focus = FOCUSES["all"],
+) -> Plan:
     """`rate`: requests a second over all balancers. `kinds`: the traffic types."""
     rng = random.Random(seed)
     plan = Plan(seed, seconds, balancers, [f"s-{number}" for number in range(servers)])
@@ -95,9 +137,9 @@
     if rng.random() < QUIET_SHARE:
         plan.quiet = WARM_UP, WARM_UP + QUIET_FOR
     now, end = max(WARM_UP, plan.quiet[1]), seconds - COOL_DOWN
-    while (now := now + rng.expovariate(1 / EVERY)) < end:
+    while (now := now + rng.expovariate(1 / focus.every)) < end:
         until = min(end, now + rng.uniform(*LASTS))
-        add_trouble(plan, rng, now, until)
+        add_trouble(plan, rng, now, until, focus)
     now = 0.2
     while (now := now + rng.expovariate(rate)) < seconds - 1.0:
         if plan.quiet[0] <= now < plan.quiet[1]:
@@ -117,20 +159,20 @@
     return plan
 
 
-def add_trouble(plan: Plan, rng: random.Random, now: float, until: float) -> None:
-    group = rng.choice(("process", "process", "server", "server", "discovery", "fault", "fault"))
+def add_trouble(plan: Plan, rng: random.Random, now: float, until: float, focus: Focus) -> None:
+    group = rng.choice(focus.groups())
     balancer, server = rng.randrange(plan.balancers), rng.choice(plan.servers)
     if group == "process":
-        plan.troubles.append(Trouble(now, rng.choice(PROCESS_TROUBLES), balancer, until, server))
+        plan.troubles.append(Trouble(now, rng.choice(focus.processes), balancer, until, server))
     elif group == "server":
-        kind = rng.choice(SERVER_TROUBLES)
-        detail = rng.choice(PROXY_MODES) if kind == "mode" else rng.choice((0.0, *CLOCK_STEPS))
+        kind = rng.choice(focus.servers)
+        detail = rng.choice(focus.modes) if kind == "mode" else rng.choice((0.0, *CLOCK_STEPS))
         plan.troubles.append(Trouble(now, kind, server, until, detail))
     elif group == "discovery":
-        mode = "down" if plan.pushed else rng.choice(DISCOVERY_TROUBLES)
+        mode = "down" if plan.pushed else rng.choice(focus.discovery)
         plan.troubles.append(Trouble(now, "discovery", None, until, mode))
     else:
-        kind = rng.choice(FAULTS)
+        kind = rng.choice(focus.faults)
         fault = {"kind": kind, "at": now, "until": until, "share": SHARES.get(kind, 1.0)}
-        fault["by"] = rng.choice(CLOCK_STEPS) if kind == "clock" else 0.8
+        fault["by"] = rng.choice(CLOCK_STEPS) if kind == "clock" else LATE_CONNECT
         plan.faults[balancer].append(fault)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,7 @@
     return [violation.rule for violation in oracle.judge(record(*args, **named))]
 
 
+TTL = driver.RULES.key_ttl
 BUSY = [(10.2, "BUSY 500")]
 RAN = {"ev": "ran", "t": 10.1, "s": "s-0", "id": "a1"}
 
@@ -92,9 +93,9 @@
     "kind, again, busy, answer, rules",
     [
         ("chat", 0.5, False, "UP", []),
-        ("order", 1.2, False, "UP", []),
-        ("order", 1.3, False, "UP", ["repeated_late"]),
-        ("order", 1.3, True, "UP", []),
+        ("order", TTL, False, "UP", []),
+        ("order", TTL + 0.1, False, "UP", ["repeated_late"]),
+        ("order", TTL + 0.1, True, "UP", []),
         ("pay", 0.1, False, "UP", ["effect_twice"]),
         ("pay", 0.1, True, "UP", []),
         ("pay", None, False, "BUSY", ["false_refusal"]),
