--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -170,7 +170,7 @@
     def confirmed(self, since: float) -> None:
         """The list is what discovery had then, and was heeded."""
         self.age.confirmed(since)
-        self.node.server_list.confirmed_at = since
+        self.node.server_list.confirmed = True
         self.node.balancer.retry.answered()
         self.judge()
 
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -21,7 +21,7 @@
         self.node = node
         self.version = 0  # of the list in hand, by the versions of discovery's present address
         self.machine_types: dict[str, int] = {}  # by name, numbered as the list brings them
-        self.confirmed_at: float | None = None  # when it last was what discovery has; None: not yet
+        self.confirmed = False  # discovery has told us a list
         self.cordoned: dict[int, str] = {}  # names by mark of servers that operators took out by hand
 
     def on_list(self, news: lines.Listing, fetched: bool = False, counts: bool = True) -> None:
@@ -85,7 +85,7 @@
     def started(self, place: Place, stamp: float, newest: float) -> float:
         """When the server last started, on our clock: another stamp is another start."""
         if place.start is None or place.start.stamp != stamp:
-            place.start = start_times.bounded_start(stamp, self.node.now, self.confirmed_at, newest)
+            place.start = start_times.latest_start(stamp, self.node.now, not self.confirmed, newest)
         return place.start.time
 
     def written(self) -> dict[str, Any]:
--- a/bellrack/net/shutdown.py
+++ b/bellrack/net/shutdown.py
@@ -65,15 +65,25 @@
             if client.call and not client.call.done:
                 self.node.balancer.woke(client.call)
 
+    def answer_silent(self) -> None:
+        """Take in who still waits in the listener and answer all that have said nothing, or half a line:
+        guards against a request that crosses the end of the process. Nobody comes in any more."""
+        self.node.doors.last()
+        for client in list(self.node.clients):
+            if client.call is None and not client.over:
+                client.turned_away("leaving")
+
     def hand_over(self) -> None:
         """What stands goes to the process after us; what comes up later, or is still to be sent, then."""
         if self.node.hot_restart.giver:
             self.node.after(0 if self.node.hot_restart.giver.give_some() else LOOK, self.hand_over)
 
     def empty(self) -> None:
+        gone = self.node.now - self.begun
+        if gone >= self.allowed - ANSWER:
+            self.answer_silent()
         # Whoever has come in is owed an answer once its line is whole: also who has said nothing yet, or half
         # a line, who is not told by our answer yet, and who waits in the door.
-        gone = self.node.now - self.begun
         alone = gone >= STAY and not self.node.clients and not self.node.doors.last()
         if alone or gone >= self.allowed - MARGIN:
             self.node.over.set()
--- a/bellrack/net/start_times.py
+++ b/bellrack/net/start_times.py
@@ -2,9 +2,9 @@
 
 A list stamps a server's start with the wall clock of some machine. Any wall clock, ours too, may be off by
 seconds or an hour, and may be stepped. So a stamp is taken as a name of a start: another stamp is another
-start. When that start was is bounded by what the monotonic clock saw. An error on the one side takes a server
-for colder than it is and costs some load; on the other side it would push over a cold one, so the later of
-all possible times is taken. Pure: no clock and no I/O; times are seconds.
+start. When that was is bounded by what the monotonic clock saw. An error on the one side takes a server for
+colder than it is and costs some load; on the other side it would push over a cold one, so the latest possible
+time is taken: that at which we were told. Pure: no clock and no I/O; times are seconds.
 """
 
 from __future__ import annotations
@@ -23,19 +23,18 @@
     time: float
 
 
-def bounded_start(stamp: float, now: float, confirmed_at: float | None, newest_stamp: float) -> Start:
-    """The start that this stamp, new to us, tells of.
+def latest_start(stamp: float, now: float, first_list: bool, newest_stamp: float) -> Start:
+    """The latest start that this stamp, new to us, can tell of.
 
-    `confirmed_at`: when the list was last known to be what discovery has, before it told of this; None before
-    the first list. A start that was not listed then has come since, as far as anybody was told.
-    `newest_stamp`: the newest of the whole list. Where nothing was confirmed before, a server is older than
-    the newest one by the difference of their stamps; how old that is nobody can tell."""
+    `first_list`: discovery has told us no list before, so the server may have started long ago. It is older
+    than the newest one of the list (`newest_stamp`) by the difference of their stamps; how old that one is
+    nobody can tell. Two stamps of clocks that differ, or one that agrees with our own by mistake, are not
+    seen through here."""
     if stamp == LONG_AGO:
         return Start(stamp, LONG_AGO)
-    by_clocks = min(stamp, now)
-    by_newest = now - max(0.0, newest_stamp - stamp)
-    by_evidence = by_newest if confirmed_at is None else min(confirmed_at, now)
-    return Start(stamp, max(by_clocks, by_evidence))
+    if not first_list:
+        return Start(stamp, now)
+    return Start(stamp, max(min(stamp, now), now - max(0.0, newest_stamp - stamp)))
 
 
 def newest(stamps: Iterable[float]) -> float:
