--- a/tests/test_two_restarts.py
+++ b/tests/test_two_restarts.py
@@ -8,7 +8,7 @@
 from helpers import Peer, World, played, raw_settings
 from test_handover import folder, free  # noqa: F401 (a fixture)
 
-from bellrack import choice
+from bellrack import choice, model
 from bellrack.lab.scenario import most_requests
 from bellrack.net import handover, limits, lines, node, shutdown
 from bellrack.net.config import parse_config
@@ -115,6 +115,37 @@
         world.node = second
 
 
+@pytest.mark.parametrize("teller", [0, 1])
+@pytest.mark.parametrize("whole", [False, True])
+@played
+async def test_what_one_of_two_processes_is_told_the_other_heeds(folder, teller, whole):  # noqa: F811
+    """Two processes are one balancer: what the watch of the one brings counts as told to both."""
+    async with World(servers=3, control=True, listen=free()) as world, world.beside() as second:
+        nodes = [world.node, second]
+        await world.until(lambda: world.node.hot_restart.followed)
+        told, other = nodes[teller], nodes[1 - teller]
+        drained = world.entries[0] | {"lifecycle": "terminating"}
+        gone = {"instanceId": "s-1", "hostPort": "", "lifecycle": "terminated"}
+        instances = [drained, world.entries[2]] if whole else [drained, gone]
+        news = {"generation": 60, "reset": whole, "instances": instances}
+        told.queue(told.server_list.on_list, lines.listing(news))
+        marks = [lines.mark(entry["instanceId"]) for entry in world.entries]
+        await world.until(lambda: other.servers[marks[0]].state == model.DRAINING)
+        assert other.servers[marks[1]].state == model.GONE and other.servers[marks[2]].usable
+        assert other.server_list.version == 41  # its own watch still brings all since then
+        other.server_list.version = 61
+        old = {
+            "generation": 60,
+            "reset": False,
+            "instances": [world.entries[0] | {"lifecycle": "in_service"}],
+        }
+        other.hot_restart.on_message({"news": old, "discovery": lines.written(other.discovery.address)})
+        assert other.servers[marks[0]].state == model.DRAINING  # newer is known
+        elsewhere = old | {"generation": 90}
+        other.hot_restart.on_message({"news": elsewhere, "discovery": "127.0.0.1:9"})
+        assert other.servers[marks[0]].state == model.DRAINING  # another address has versions of its own
+
+
 @pytest.mark.parametrize("said", [b"{", b'{"busy": tr', b'{"version": 1, "list"'])
 @played
 async def test_a_process_that_is_cut_off_in_the_middle_asks_again(folder, said):  # noqa: F811
