What discovery tells one of two processes is told to the other

Change: while there is a sibling, ServerList.on_list sends it the news in discovery's form; it is merged if newer than what the other has at the same address, and the version stays, so the own watch still brings all.

--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -110,6 +110,12 @@
         if self.sibling:
             self.sibling.say(**words)
 
+    def publish_news(self, news: lines.Listing) -> None:
+        """Two processes are one balancer: what discovery tells the one counts as told to both."""
+        if self.sibling:
+            address = lines.written(self.node.discovery.address)
+            self.sibling.say(news=lines.retold(news), discovery=address)
+
     def on_message(self, said: dict[str, Any]) -> None:
         """Of the sibling."""
         node = self.node
@@ -118,6 +124,8 @@
             on_the_way = int(said.get("passed", 0)) - self.taker.passed if self.taker else 0
             node.limits.beside = int(said["held"]) + max(0, on_the_way)
             node.limits.room(node.now)
+        if "news" in said and said.get("discovery") == lines.written(node.discovery.address):
+            node.server_list.on_sibling_news(lines.listing(said["news"]))
         if "out" in said or "back" in said:
             node.server_list.cordon(said.get("out") or said["back"], "out" in said)
         if "took" in said and self.sibling and self.sibling.giver:
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -130,16 +130,16 @@
         raise LineError(f"bad-list: {error!r}") from None
 
 
-def told(rows: Iterable[tuple]) -> dict[str, Any]:
-    """A whole list in the form that `listing` reads, from rows of what an entry has."""
+def told(rows: Iterable[tuple], version: int = 0, whole: bool = True) -> dict[str, Any]:
+    """A list, or changes of one, in the form that `listing` reads, from rows of what an entry has."""
     states = {state: word for word, state in STATES.items()}
     return {
-        "generation": 0,
-        "reset": True,
+        "generation": version,
+        "reset": whole,
         "instances": [
             {
                 "instanceId": name,
-                "hostPort": written(place),
+                "hostPort": written(place) if place else "",
                 "zone": zone,
                 "lifecycle": states[state],
                 "cell": cell,
@@ -152,6 +152,24 @@
     }
 
 
+def retold(news: Listing) -> dict[str, Any]:
+    """News of discovery in the form in which they came."""
+    rows = (
+        (
+            e.name,
+            e.address,
+            e.zone,
+            e.row[0],
+            e.row[1],
+            0.0 if e.row[2] is None else e.row[2],
+            e.row[3],
+            e.machine,
+        )
+        for e in news.entries
+    )
+    return told(rows, news.version, news.whole)
+
+
 def entry(item: Any) -> Entry:
     """One server. Guards against a list lost for one entry: in a state that we do not know it gets nothing
     new, and one that is gone needs no address."""
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -31,9 +31,15 @@
         if counts:
             self.version = news.version
         self.merge(news)
+        self.node.hot_restart.publish_news(news)
         self.node.readiness.on_list(news.whole or bool(self.node.servers))
         self.node.changed.set()
 
+    def on_sibling_news(self, news: lines.Listing) -> None:
+        """What the watch of our other process brought. Our own still brings all since our version."""
+        if news.version > self.version:
+            self.merge(news)
+
     def on_unchanged(self) -> None:
         """A watch stands and brings nothing new: what was listed holds."""
         self.node.readiness.on_list(bool(self.node.servers))
