Test of signals at a start: the second configuration waits for the first to be read

Change: it waits for event=serving first, which comes after the first reading; nothing is asked less.

--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -84,9 +84,9 @@
     with opened(starting) as file:
         starting.process.send_signal(signal.SIGHUP)
         file.write(configuration("127.0.0.1:1"))
+    starting.log.wait_for("event=serving")  # the first reading is over: the pipe is its next reader's alone
     starting.write(configuration("127.0.0.1:2"))
     assert " discovery=127.0.0.1:2 " in starting.log.wait_for("event=reload")
-    starting.log.wait_for("event=serving")
     assert starting.process.poll() is None
 
 
