--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -249,6 +249,20 @@
         await asyncio.wait_for(world.serving, 2)
 
 
+@played
+async def test_a_server_that_says_nothing_is_silent_however_much_its_client_sends():
+    async with World() as world:
+        client, _ = await world.standing()
+        (link,) = next(iter(world.node.servers.values())).host.legs
+        for sent in (100, 200):
+            client.writer.write(b"M\r\n" * 100)
+            await world.until(lambda sent=sent: world.node.counters["lines_to_servers"] == sent)
+            assert not link.silent()
+            world.node.anchor += 1.5
+            world.node.now = world.node.clock()
+        assert link.silent()
+
+
 @pytest.mark.parametrize("words", [b"", b"PING\r\n", b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=ch"])
 @played
 async def test_asked_to_end_it_answers_who_says_nothing_before_it_goes(monkeypatch, words):
--- a/tests/test_two_restarts.py
+++ b/tests/test_two_restarts.py
@@ -10,7 +10,7 @@
 
 from bellrack import choice, model
 from bellrack.lab.scenario import most_requests
-from bellrack.net import handover, limits, lines, node, shutdown
+from bellrack.net import handover, hot_restart, limits, lines, node, shutdown
 from bellrack.net.config import parse_config
 
 LINE = b"OPEN %016x 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
@@ -115,6 +115,33 @@
         world.node = second
 
 
+@played
+async def test_what_is_detached_at_a_process_that_waits_for_its_turn_stays_so(folder, monkeypatch):  # noqa: F811
+    """Operators are answered by a process that starts, too: what it says is out stays out, at both."""
+    turn, honest = asyncio.Event(), hot_restart.HotRestart.meet
+
+    async def meets(restart, path):
+        await turn.wait()
+        return await honest(restart, path)
+
+    async with World(servers=2, control=True, listen=free()) as world:
+        first = world.node
+        monkeypatch.setattr(hot_restart.HotRestart, "meet", meets)
+        second = node.Node(parse_config(world.raw), first.loop)
+        serving = asyncio.create_task(second.serve())
+        await world.until(lambda: second.doors.desk and second.servers)
+        assert second.server_list.cordon("s-1", True)
+        turn.set()
+        await world.until(lambda: first.hot_restart.followed)
+        try:
+            assert second.servers[lines.mark("s-1")].out
+            assert second.hot_restart.snapshot()["out"] == ["s-1"]  # for the process after it
+            await world.until(lambda: first.servers[lines.mark("s-1")].out)
+        finally:
+            second.over.set()
+            await serving
+
+
 @pytest.mark.parametrize("teller", [0, 1])
 @pytest.mark.parametrize("whole", [False, True])
 @played
