--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 from standins import (
     BROKEN,
@@ -39,15 +38,14 @@
 AFTER_SECONDS = 3.0  # for which clients still come after the last upgrade
 
 
-def slow_set_up(slow_id: str) -> Callable[[str, Any], Awaitable[bool]]:
+def slow_set_up(slow_id: str) -> Callable[[str], Awaitable[None]]:
     """Lets the set-up of one connection take SET_UP_SECONDS; it comes up then like any other."""
 
-    async def first(id: str, writer: Any) -> bool:
+    async def before_answer(id: str) -> None:
         if id == slow_id:
             await asyncio.sleep(SET_UP_SECONDS)
-        return False
 
-    return first
+    return before_answer
 
 
 async def terminate(balancer: Balancer) -> None:
@@ -112,7 +110,7 @@
         # One set-up takes long, within its deadline: the first process owes its answer when it gets SIGTERM.
         slow = Client(record, wait_ms=DEADLINE_MS)
         for server in servers:
-            server.first = slow_set_up(slow.id)
+            server.before_answer = slow_set_up(slow.id)
         tasks.append(asyncio.create_task(slow.run(first.address)))
         await second.start(temporary)
         await wait_for_yes(record, second)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -65,8 +65,10 @@
         await asyncio.sleep(2.0)
         servers[0].draining = True
         discovery.change(servers[0], "terminating")
-        told = time.monotonic()
         await asyncio.sleep(2.0)
+        if discovery.generation not in discovery.told_at:
+            raise CannotRunError("the balancer keeps no watch")
+        told = discovery.told_at[discovery.generation]
         sending.cancel()
         if not all(server.opens for server in servers):
             raise CannotRunError("a server got no connection while it was in service")
