--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -350,8 +350,13 @@
 
     def signal(self, number: signal.Signals) -> None:
         self.record.write("signal", name=self.name, signal=number.name)
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(number)
+        self.kill(number)
+
+    def kill(self, number: signal.Signals) -> None:
+        # Not `send_signal` of the process: it may reap the process before asyncio does.
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def wait_for_pong(self, seconds: float = 30.0) -> None:
         """Wait as the front does: it takes in a balancer that has answered `PING` with `PONG`."""
@@ -379,8 +384,7 @@
     async def end(self) -> None:
         """End the process if it runs."""
         if self.process and self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.kill()
+            self.kill(signal.SIGKILL)
             await self.process.wait()
 
 
