Hot restart: each process logs when it learns of an operator's order, and from whom

Only the process that the operator called logged it.

event=by_hand is logged wherever an order is applied, with source=operator, sibling or predecessor. A process that waits for its turn logs event=handover waits=..., once, and counts its attempts (waits_for_predecessor).

Tests: test_two_restarts, test_shared_state, test_handover, test_control, 75 passed.

--- a/bellrack/net/control.py
+++ b/bellrack/net/control.py
@@ -9,7 +9,7 @@
 
 from typing import Any
 
-from bellrack.net import limits, lines, log, metrics
+from bellrack.net import limits, lines, metrics
 from bellrack.net.http import CONTINUE, HttpError, Request, response
 from bellrack.net.ring import Connection
 
@@ -97,7 +97,6 @@
     if not node.server_list.cordon(name, out):
         return 404, "no such server\n"
     node.hot_restart.publish_order(node.server_list.orders[lines.id_hash(name)])
-    log.event("by_hand", server=name, out=out)
     return 200, "out\n" if out else "back\n"
 
 
--- a/bellrack/net/fact_versions.py
+++ b/bellrack/net/fact_versions.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 
@@ -18,6 +19,14 @@
     return offered >= held
 
 
+class OrderSource(Enum):
+    """Who told this process of an operator's order. The values stand in the log."""
+
+    OPERATOR = "operator"  # given at our own admin address
+    SIBLING = "sibling"  # sent by the other process of a hot restart
+    PREDECESSOR = "predecessor"  # part of the state that the serving process passed to us
+
+
 @dataclass(frozen=True)
 class CordonOrder:
     """An operator's last order for one server."""
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from bellrack.net import handoff, lines, log, shared_state, sibling
-from bellrack.net.fact_versions import CordonOrder
+from bellrack.net.fact_versions import CordonOrder, OrderSource
 
 # A third process waits so long for the first of two to end: that one's shutdown takes 3.7 s, plus a start.
 PREDECESSOR_WAIT_SECONDS = 8.0
@@ -59,6 +59,9 @@
             try:
                 return await asyncio.to_thread(sibling.connect_to_predecessor, path)
             except (sibling.BusyError, OSError) as error:
+                if not self.node.counters["waits_for_predecessor"]:
+                    log.event("handover", waits=error)
+                self.node.counters["waits_for_predecessor"] += 1
                 if self.node.clock() >= end:
                     log.event("handover", taken="nothing", error=repr(error))
                     break
@@ -134,7 +137,7 @@
         if "out" in message or "back" in message:
             ordered_at = float(message.get("given", node.clock() - node.anchor))
             order = CordonOrder(str(message.get("out") or message["back"]), "out" in message, ordered_at)
-            node.server_list.on_order(order)
+            node.server_list.on_order(order, OrderSource.SIBLING)
         if "took" in message and self.sibling and self.sibling.handoff_sender:
             self.handoff_sender = self.sibling.handoff_sender
             node.listeners.stop_accepting()
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -13,7 +13,7 @@
 from bellrack import model
 from bellrack.model import Server
 from bellrack.net import lines, log, start_times
-from bellrack.net.fact_versions import CordonOrder, ListVersions, supersedes
+from bellrack.net.fact_versions import CordonOrder, ListVersions, OrderSource, supersedes
 from bellrack.net.servers import Endpoint
 
 
@@ -227,16 +227,19 @@
         listed = server is not None and server.state != model.GONE and server.host_record is not None
         if id_hash not in self.cordoned and not listed:
             return False
-        self.on_order(CordonOrder(name, on, self.node.clock() - self.node.anchor))
+        order = CordonOrder(name, on, self.node.clock() - self.node.anchor)
+        self.on_order(order, OrderSource.OPERATOR)
         return True
 
-    def on_order(self, order: CordonOrder) -> None:
+    def on_order(self, order: CordonOrder, source: OrderSource) -> None:
         """Applies an order of operators, given here or at the sibling process, unless a later one is held.
         The server need not be listed yet."""
         id_hash = lines.id_hash(order.name)
         held = self.orders.get(id_hash)
         if held and not supersedes(order.version, held.version):
             return
+        if order != held:
+            log.event("by_hand", server=order.name, out=order.cordon, source=source.value)
         self.orders[id_hash] = order
         if server := self.node.servers.get(id_hash):
             self.node.balancer.on_cordoned(server, order.cordon)
--- a/bellrack/net/shared_state.py
+++ b/bellrack/net/shared_state.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from bellrack.net import lines, log, sibling
-from bellrack.net.fact_versions import CordonOrder, ListVersions
+from bellrack.net.fact_versions import CordonOrder, ListVersions, OrderSource
 
 # Two processes that read the offset of the wall clock get values that differ by less, unless it was stepped.
 SAME_CLOCK_SECONDS = 1e-3
@@ -103,7 +103,7 @@
 def adopt_orders(node: Any, predecessor: Predecessor) -> None:
     """Adopt the operators' orders."""
     for order in predecessor.orders():
-        node.server_list.on_order(order)
+        node.server_list.on_order(order, OrderSource.PREDECESSOR)
 
 
 def adopt_list(node: Any, predecessor: Predecessor) -> None:
--- a/bellrack/net/sibling.py
+++ b/bellrack/net/sibling.py
@@ -97,13 +97,13 @@
             fds += received_fds
             text += part
             if not part and text:
-                raise BusyError  # closed within a message: the process has ended or is busy
+                raise BusyError("the serving process has ended or is ending")
             if not part or len(text) > MAX_MESSAGE_BYTES:
                 raise OSError("the state of the serving process is missing or too long")
         text, _, unread = text.partition(b"\n")
         state = json.loads(text)
         if isinstance(state, dict) and state.get("busy"):
-            raise BusyError
+            raise BusyError("the serving process has another sibling")
         if not fds or not isinstance(state, dict):
             raise OSError("the serving process sent no listening socket or no state")
         listening_socket, *handoff_sockets = (socket.socket(fileno=fd) for fd in fds)
@@ -113,7 +113,7 @@
     except (OSError, ValueError, BusyError) as error:
         if isinstance(error, BusyError | ConnectionResetError) and not fds:
             sock.close()
-            raise BusyError from error
+            raise BusyError(str(error)) from error
         if isinstance(error, OSError) and transient.is_transient(error) and not fds:
             sock.close()
             raise
--- a/tests/test_two_restarts.py
+++ b/tests/test_two_restarts.py
@@ -319,3 +319,20 @@
         first.now = first.clock() + 40  # without a successor the budget is its own again
         assert first.balancer.slow_start.available_tokens(server) > 0
         assert sibling.VERSION == 1
+
+
+@async_test
+async def test_log_says_which_process_was_told_of_an_order_and_by_whom(folder, caplog):  # noqa: F811
+    """Without the time at which the serving process learned of an order, its sends cannot be explained."""
+    caplog.set_level("INFO", logger="bellrack")
+
+    def sources():
+        return [record.fields["source"] for record in caplog.records if record.msg == "by_hand"]
+
+    async with World(servers=2, control=True, listen=reserved_address()) as world:
+        assert (await world.ask("/_servers/detach", "s-0"))[0] == 200
+        async with world.beside() as second:
+            assert second.server_list.cordoned and sources() == ["operator", "predecessor"]
+            assert (await world.ask("/_servers/attach", "s-0"))[0] == 200
+            await world.until(lambda: not second.server_list.cordoned)
+            assert sources() == ["operator", "predecessor", "operator", "sibling"]
