Hot restart: an order at a waiting process gets its yes once the serving one has it

Cause: a process answers operators from its start, by its own records. While the serving process has a sibling, a further one is only told to ask again; its orders reach the serving process with the state that it gives back when it takes over.

Change: until a process has met its predecessor, or knows that it has none, an order is pending. The serving process exchanges orders with each process that it tells to wait, on that connection, passes them on to its sibling and confirms them; then comes the yes, else 503 after 0.8 s. The same cause the other way: a server that only the serving process knows got 404, and a waiting process that had to start alone knew none of the serving one's orders. At the admin address a complete request is no longer evicted before incomplete ones.

Why it works: the yes is sent after the serving process has applied the order in a turn of its own, in which news goes before sends.

--- a/bellrack/net/control.py
+++ b/bellrack/net/control.py
@@ -1,16 +1,16 @@
 """The admin address: HTTP requests of operators and of health checks, and their responses.
 
-Each connection carries one request, which is answered at once, without waiting for anything. The number of
-these connections is limited, so that they take no descriptors that clients need. Which server is used is
-decided elsewhere; operators can only detach a server and attach it again.
+Each connection carries one request. It is answered at once, but for an order to a process that waits for its
+turn in a hot restart (`order_relay.py`). The number of these connections is limited, so that they take no
+descriptors that clients need. Which server is used is decided elsewhere; operators can only detach a server
+and attach it again.
 """
 
 from __future__ import annotations
 
-from typing import Any
-
-from bellrack.net import limits, lines, metrics
+from bellrack.net import limits, metrics
 from bellrack.net.http import CONTINUE, HttpError, Request, response
+from bellrack.net.order_relay import OrderOutcome
 from bellrack.net.ring import Connection
 
 
@@ -25,7 +25,9 @@
         admin_connections[self] = None
         if len(admin_connections) > self.node.limits.max_admin_connections:
             # Connections with incomplete requests must not lock others out: the oldest one is closed.
-            next(iter(admin_connections)).reply(503, "too many callers\n", "many-callers")
+            incomplete = (one for one in admin_connections if not one.request.done)
+            oldest = next(incomplete, next(iter(admin_connections)))
+            oldest.reply(503, "too many callers\n", "many-callers")
         self.expire_after(limits.ADMIN_REQUEST_SECONDS, self.on_expired)
         self.wake()
 
@@ -38,6 +40,8 @@
 
     def ready(self) -> None:
         """Read what has arrived, and answer the request once it is complete."""
+        if self.request.done:
+            return  # its outcome is awaited
         try:
             had_head = self.request.method
             self.request.feed(self.ring.take(self.ring.length) if self.ring.length else b"")
@@ -58,7 +62,11 @@
         elif method != ROUTES[path][0]:
             self.reply(405, f"this is a {ROUTES[path][0]}\n", "other-method", ROUTES[path][0])
         else:
-            self.reply(*ROUTES[path][1](self.node, self.request), path)
+            ROUTES[path][1](self)
+
+    def respond(self, status: int, text: str) -> None:
+        """Answer the request."""
+        self.reply(status, text, self.request.path)
 
     def reply(self, status: int, text: str, reason: str, allow: str = "") -> None:
         """Send the response and close the connection.
@@ -69,36 +77,47 @@
         self.finish(reason, status=status)
 
 
-def ready(node: Any, request: Request) -> tuple[int, str]:
-    """Return status and text of `/_ready`: whether this process takes requests."""
-    return (200, "ready\n") if node.can_serve() else (503, "not ready\n")
+def ready(connection: AdminConnection) -> None:
+    """Answer `/_ready`: whether this process takes requests."""
+    if connection.node.can_serve():
+        connection.respond(200, "ready\n")
+    else:
+        connection.respond(503, "not ready\n")
 
 
-def show_metrics(node: Any, request: Request) -> tuple[int, str]:
-    """Return status and text of `/_vars`: all metrics."""
-    return 200, metrics.text(metrics.collect(node))
+def show_metrics(connection: AdminConnection) -> None:
+    """Answer `/_vars` with all metrics."""
+    connection.respond(200, metrics.text(metrics.collect(connection.node)))
 
 
-def detach(node: Any, request: Request) -> tuple[int, str]:
+def detach(connection: AdminConnection) -> None:
     """Detach the server that the body names: it gets no new connections."""
-    return cordon(node, request, True)
+    give_order(connection, cordon=True)
 
 
-def attach(node: Any, request: Request) -> tuple[int, str]:
+def attach(connection: AdminConnection) -> None:
     """Attach the server that the body names again."""
-    return cordon(node, request, False)
+    give_order(connection, cordon=False)
 
 
-def cordon(node: Any, request: Request, out: bool) -> tuple[int, str]:
-    """Detach (`out`) or attach a server, and send the order to the sibling process.
+def give_order(connection: AdminConnection, cordon: bool) -> None:
+    """Detach (`cordon`) or attach a server at all processes of the balancer.
 
     Repeated orders succeed, as the server is in the requested state."""
-    name = request.body.decode("utf-8", "replace").strip()
-    if not node.server_list.cordon(name, out):
-        return 404, "no such server\n"
-    node.hot_restart.publish_order(node.server_list.orders[lines.id_hash(name)])
-    return 200, "out\n" if out else "back\n"
+    name = connection.request.body.decode("utf-8", "replace").strip()
+    applied = (200, "out\n" if cordon else "back\n")
+
+    def respond(outcome: OrderOutcome) -> None:
+        connection.respond(*FAILED_ORDERS.get(outcome, applied))
 
+    connection.node.hot_restart.give_order(name, cordon, respond)
+
+
+# Status and text for orders that were not applied.
+FAILED_ORDERS = {
+    OrderOutcome.UNKNOWN_SERVER: (404, "no such server\n"),
+    OrderOutcome.UNCONFIRMED: (503, "the serving process has not confirmed this, call again\n"),
+}
 
 ROUTES = {
     "/_ready": ("GET", ready),
--- a/bellrack/net/fact_versions.py
+++ b/bellrack/net/fact_versions.py
@@ -24,7 +24,8 @@
 
     OPERATOR = "operator"  # given at our own admin address
     SIBLING = "sibling"  # sent by the other process of a hot restart
-    PREDECESSOR = "predecessor"  # part of the state that the serving process passed to us
+    PREDECESSOR = "predecessor"  # held by the serving process when we asked it for its state
+    WAITING = "waiting"  # sent by a process that waits for its turn in a hot restart
 
 
 @dataclass(frozen=True)
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from bellrack.net import handoff, lines, log, shared_state, sibling
 from bellrack.net.fact_versions import CordonOrder, OrderSource
+from bellrack.net.order_relay import OrderOutcome, OrderRelay
 
 # A third process waits so long for the first of two to end: that one's shutdown takes 3.7 s, plus a start.
 PREDECESSOR_WAIT_SECONDS = 8.0
@@ -31,6 +33,7 @@
         self.handoff_receiver: handoff.HandoffReceiver | None = None
         self.connecting: asyncio.Task | None = None
         self.reopening: asyncio.Task | None = None
+        self.order_relay = OrderRelay(node)
         self.clock_ahead = 0.0  # seconds by which our clock is ahead of the predecessor's
 
     @property
@@ -46,28 +49,37 @@
         predecessor = await self.await_predecessor(path) if path else None
         if predecessor:
             await self.take_over(predecessor)
+        self.order_relay.close()
         return predecessor
 
     async def await_predecessor(self, path: str) -> sibling.Predecessor | None:
         """Connect to the predecessor at this path; wait while it is busy with another sibling.
 
         Otherwise a third process would start with no state at all, not even with the detached servers.
-        Returns None if there is no predecessor, it stays busy for PREDECESSOR_WAIT_SECONDS, or we are asked
-        to end."""
+        Meanwhile operators' orders are exchanged with it. Returns None if there is no predecessor, it stays
+        busy for PREDECESSOR_WAIT_SECONDS, or we are asked to end."""
         end = self.node.clock() + PREDECESSOR_WAIT_SECONDS
         while not self.node.shutdown:
+            self.order_relay.submitted.clear()
             try:
                 return await asyncio.to_thread(sibling.connect_to_predecessor, path)
             except (sibling.BusyError, OSError) as error:
-                if not self.node.counters["waits_for_predecessor"]:
-                    log.event("handover", waits=error)
-                self.node.counters["waits_for_predecessor"] += 1
+                await self.on_busy(error)
                 if self.node.clock() >= end:
                     log.event("handover", taken="nothing", error=repr(error))
                     break
-            await asyncio.sleep(PREDECESSOR_RETRY_SECONDS)
+            await self.order_relay.wait(PREDECESSOR_RETRY_SECONDS)
+        self.order_relay.abandon()
         return None
 
+    async def on_busy(self, error: sibling.BusyError | OSError) -> None:
+        """The predecessor cannot hand over now: exchange operators' orders with it, if it can do that."""
+        if not self.node.counters["waits_for_predecessor"]:
+            log.event("handover", waits=error)
+        self.node.counters["waits_for_predecessor"] += 1
+        if isinstance(error, sibling.BusyError) and error.channel:
+            await self.order_relay.exchange(error.channel)
+
     async def take_over(self, predecessor: sibling.Predecessor) -> None:
         """Adopt the predecessor's state and connect to it.
 
@@ -107,6 +119,24 @@
         if self.sibling:
             self.sibling.send(**words)
 
+    def give_order(self, name: str, cordon: bool, on_outcome: Callable[[OrderOutcome], None]) -> None:
+        """Detach a server (`cordon`) or attach it, on an operator's request, at all processes.
+
+        `on_outcome` is called with the outcome, before or after the return."""
+        order = CordonOrder(name, cordon, self.node.clock() - self.node.anchor)
+        if self.order_relay.is_open:
+            self.order_relay.submit(order, on_outcome)
+        else:
+            on_outcome(self.apply_order(order))
+
+    def apply_order(self, order: CordonOrder) -> OrderOutcome:
+        """Apply an operator's order here and at the sibling."""
+        if not self.node.server_list.knows(order.name):
+            return OrderOutcome.UNKNOWN_SERVER
+        self.node.server_list.on_order(order, OrderSource.OPERATOR)
+        self.publish_order(order)
+        return OrderOutcome.APPLIED
+
     def publish_order(self, order: CordonOrder) -> None:
         """Send the sibling an order to detach or attach a server."""
         self.publish(**shared_state.order_message(order))
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -219,21 +219,25 @@
         for server in self.node.servers.values():
             server.needs_attempt = self.node.now - max(server.last_accepted, server.last_attempted) > since
 
-    def cordon(self, name: str, on: bool) -> bool:
-        """Cordons a server on an operator's request, or uncordons it if `on` is false. Returns False if
-        no server of that name is listed or cordoned."""
+    def knows(self, name: str) -> bool:
+        """Whether a server of that name is listed or cordoned."""
         id_hash = lines.id_hash(name)
         server = self.node.servers.get(id_hash)
         listed = server is not None and server.state != model.GONE and server.host_record is not None
-        if id_hash not in self.cordoned and not listed:
+        return listed or id_hash in self.cordoned
+
+    def cordon(self, name: str, on: bool) -> bool:
+        """Cordons a server on an operator's request, or uncordons it if `on` is false. Returns False if
+        no server of that name is listed or cordoned."""
+        if not self.knows(name):
             return False
         order = CordonOrder(name, on, self.node.clock() - self.node.anchor)
         self.on_order(order, OrderSource.OPERATOR)
         return True
 
     def on_order(self, order: CordonOrder, source: OrderSource) -> None:
-        """Applies an order of operators, given here or at the sibling process, unless a later one is held.
-        The server need not be listed yet."""
+        """Applies an order of operators, given at this or another process of the balancer, unless a later one
+        is held. The server need not be listed yet."""
         id_hash = lines.id_hash(order.name)
         held = self.orders.get(id_hash)
         if held and not supersedes(order.version, held.version):
--- a/bellrack/net/sibling.py
+++ b/bellrack/net/sibling.py
@@ -19,12 +19,14 @@
 import struct
 from typing import Any
 
-from bellrack.net import handoff, log, transient
+from bellrack.net import handoff, log, order_channel, transient
+from bellrack.net.order_channel import OrderChannel, WaitingSuccessor
 
 CONNECT_TIMEOUT_SECONDS = 1.0  # how long a starting process waits for the state of the serving one
 DESCRIPTORS_INTERVAL_SECONDS = 0.25  # between two messages with the number of open descriptors
 BUSY_MESSAGE = b'{"busy": true}\n'  # to a process that connects while there is a sibling already
 MAX_MESSAGE_BYTES = 1 << 24  # of one message: 3,200 servers take 1.5 MB
+MAX_WAITING_SUCCESSORS = 4  # processes that may exchange orders with the serving one at the same time
 VERSION = 1  # of the state that is passed with the listening socket; unknown keys are ignored
 READ_BYTES = 65536  # per receive call
 
@@ -51,7 +53,14 @@
 
 
 class BusyError(Exception):
-    """The serving process has a sibling already, or is ending: the caller may ask again."""
+    """The serving process has a sibling already, or is ending: the caller may ask again.
+
+    `channel`: where the caller may exchange operators' orders with it meanwhile, and closes it after that;
+    None if it exchanges none."""
+
+    def __init__(self, reason: str, channel: OrderChannel | None = None):
+        super().__init__(reason)
+        self.channel = channel
 
 
 class Predecessor:
@@ -103,7 +112,8 @@
         text, _, unread = text.partition(b"\n")
         state = json.loads(text)
         if isinstance(state, dict) and state.get("busy"):
-            raise BusyError("the serving process has another sibling")
+            channel = order_channel.accept_busy_message(sock, state, unread)
+            raise BusyError("the serving process has another sibling", channel)
         if not fds or not isinstance(state, dict):
             raise OSError("the serving process sent no listening socket or no state")
         listening_socket, *handoff_sockets = (socket.socket(fileno=fd) for fd in fds)
@@ -111,6 +121,8 @@
             sock, listening_socket, handoff_sockets[0] if handoff_sockets else None, state, unread
         )
     except (OSError, ValueError, BusyError) as error:
+        if isinstance(error, BusyError) and error.channel:
+            raise
         if isinstance(error, BusyError | ConnectionResetError) and not fds:
             sock.close()
             raise BusyError(str(error)) from error
@@ -202,6 +214,8 @@
 
     def __init__(self, node: Any, path: str):
         self.node, self.path = node, path
+        # Processes that wait for their turn and are connected, with the task that connects each.
+        self.waiting: dict[WaitingSuccessor, asyncio.Task] = {}
         # A file at this path belongs to a process that has ended or has been succeeded. The socket is bound
         # under a temporary name and renamed, which replaces such a file atomically.
         temporary_path = f"{path}.{os.getpid()}"
@@ -227,7 +241,7 @@
         """Accept a successor; send it the state, the listening socket and a socket for handed-over
         connections.
 
-        If there is a sibling already, the successor gets BUSY_MESSAGE, and asks again."""
+        If there is a sibling already, the successor is told so, and asks again: see `exchange_orders`."""
         try:
             sock, _ = self.sock.accept()
         except OSError:
@@ -235,10 +249,11 @@
         try:
             if not same_user(sock):
                 raise OSError("the connecting process runs as another user")
+            sock.setblocking(False)  # otherwise a process that connects and reads nothing would block us
             if self.node.hot_restart.sibling:
                 self.node.counters["successors_refused"] += 1  # the refused process asks again
-                raise OSError(errno.EAGAIN, "another is met already")
-            sock.setblocking(False)  # otherwise a process that connects and reads nothing would block us
+                self.exchange_orders(sock)
+                return
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * MAX_MESSAGE_BYTES)
             text = json.dumps(self.node.hot_restart.snapshot()).encode() + b"\n"
             ours, theirs = handoff.socket_pair()
@@ -254,6 +269,19 @@
             return
         self.node.hot_restart.connect(sock, handoff.HandoffSender(self.node, ours), unsent=text[sent:])
 
+    def exchange_orders(self, sock: socket.socket) -> None:
+        """Tell a process that it has to wait, and exchange operators' orders with it.
+
+        It does not serve yet, but operators call it already. Raises OSError if too many processes wait."""
+        if len(self.waiting) >= MAX_WAITING_SUCCESSORS:
+            raise OSError(errno.EAGAIN, "another is met already, and many wait")
+        waiting = WaitingSuccessor(self.node, self.on_exchange_ended)
+        self.waiting[waiting] = self.node.loop.create_task(waiting.run(sock))
+
+    def on_exchange_ended(self, waiting: WaitingSuccessor) -> None:
+        """The connection to a process that waits has ended."""
+        del self.waiting[waiting]
+
     def remove_file(self) -> None:
         """Remove the socket's file, unless a successor has replaced it with its own."""
         with contextlib.suppress(OSError):
@@ -264,4 +292,6 @@
         """Close the socket. Its file stays."""
         self.node.loop.remove_reader(self.sock.fileno())
         self.sock.close()
+        for waiting in list(self.waiting):
+            waiting.abort()
         self.node.limits.count_descriptors(-1)
