Hot restart: a waiting process that is asked to end still passes operators' orders on

It now goes on asking until it has ended. If its turn comes meanwhile it is connected as the sibling, does not listen, and passes orders on as such.

--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -56,10 +56,10 @@
         """Connect to the predecessor at this path; wait while it is busy with another sibling.
 
         Otherwise a third process would start with no state at all, not even with the detached servers.
-        Meanwhile operators' orders are exchanged with it. Returns None if there is no predecessor, it stays
-        busy for PREDECESSOR_WAIT_SECONDS, or we are asked to end."""
+        Meanwhile operators' orders are exchanged with it, also while this process shuts down. Returns None if
+        there is no predecessor, it stays busy for PREDECESSOR_WAIT_SECONDS, or this process has ended."""
         end = self.node.clock() + PREDECESSOR_WAIT_SECONDS
-        while not self.node.shutdown:
+        while not self.node.finished.is_set():
             self.order_relay.submitted.clear()
             try:
                 return await asyncio.to_thread(sibling.connect_to_predecessor, path)
--- a/tests/test_order_relay.py
+++ b/tests/test_order_relay.py
@@ -89,6 +89,18 @@
         assert cordoned(processes.second) == cordoned(processes.third) == {"s-1"}
 
 
+@async_test
+async def test_process_that_is_asked_to_end_while_it_waits_passes_orders_on(folder):  # noqa: F811
+    """Guards against a yes whose order is lost with the process that gave it."""
+    async with (
+        World(servers=2, control=True, listen=reserved_address()) as world,
+        three_processes(world) as processes,
+    ):
+        processes.third.begin_shutdown()
+        assert await processes.order("detach", "s-1") == 200
+        assert cordoned(processes.second) == {"s-1"}
+
+
 @async_test
 async def test_order_that_the_serving_process_does_not_confirm_gets_no_yes(folder, monkeypatch):  # noqa: F811
     """An older release exchanges no orders: the operator is told so, and the order holds after the turn."""
