Soak: a focus that detaches servers at a process that waits for its turn

A new focus, waiting, detaches a server at the third process of two hot restarts, and calls until that listens.

--- a/bellrack/lab/soak/plan.py
+++ b/bellrack/lab/soak/plan.py
@@ -46,6 +46,7 @@
     "restart_in_signals",
     "end_at_start",
 )
+DETACHING_TROUBLES = ("detach", "detach_waiting")  # their detail is a server
 SERVER_TROUBLES = ("drain", "replace", "replace", "mode", "idle_reset")
 DISCOVERY_TROUBLES = ("down", "hang", "slow")
 FAULTS = ("accept", "socket", "connect", "connect_late", "short", "broken", "disk", "clock", "clock")
@@ -107,6 +108,8 @@
     "detach": Focus(
         ("detach", "hot_restart", "hot_restart_twice", "hot_restart_first_killed"), (), (), (), (), 0.1
     ),
+    # Servers detached at a process that waits for its turn in a hot restart.
+    "waiting": Focus(("detach_waiting", "hot_restart"), (), (), (), (), 0.2),
     # Clients that leave while the balancer is paused, and connections that are established late.
     "leave": Focus(("pause",), ("mode",), (), ("connect_late",), ("reset", "late"), 0.05),
     # Series of signals to processes that start, serve and shut down.
@@ -237,7 +240,7 @@
     if group == "process":
         kind = rng.choice(focus.processes)
         series = tuple(rng.choices(SIGNALS, k=rng.randint(*SIGNALS_PER_SERIES)))
-        detail = server if kind == "detach" else series
+        detail = server if kind in DETACHING_TROUBLES else series
         plan.troubles.append(Trouble(now, kind, balancer, until, detail))
     elif group == "server":
         kind = rng.choice(focus.servers)
--- a/bellrack/lab/soak/troubles.py
+++ b/bellrack/lab/soak/troubles.py
@@ -22,6 +22,7 @@
 BETWEEN_OUTAGES_SECONDS = 1.0  # discovery answers at least this long between outages; less is of no use
 # Kinds that are applied even while another trouble of the balancer is in progress.
 UNSERIALIZED_KINDS = ("pause", "reload", "detach", "signals")
+OPERATOR_PATIENCE_SECONDS = 2.0  # an operator calls a process that does not listen yet for this long
 FRONT_END_DELAY_SECONDS = 0.3  # for this long after SIGTERM, new connections still arrive
 
 
@@ -221,14 +222,16 @@
         await self.reload(balancer, trouble)
         await starting
 
-    async def detach(self, balancer: Balancer, trouble: Trouble) -> None:
-        """An operator detaches a server and attaches it again, across other troubles of the balancer."""
+    async def detach(self, balancer: Balancer, trouble: Trouble, patience: float = 0.0) -> None:
+        """An operator detaches a server and attaches it again, across other troubles of the balancer.
+
+        `patience`: seconds for which the operator calls again while the process does not listen yet."""
         if not balancer.processes or any(
             row[:2] == (balancer.number, trouble.detail) for row in self.detached
         ):
             return
         fresh_starts = len(self.driver.starts[balancer.number])
-        if await balancer.operator_request(balancer.processes[-1], "/_servers/detach", trouble.detail) != 200:
+        if not await self.detach_at(balancer, balancer.processes[-1], trouble.detail, patience):
             return
         since, index = time.monotonic(), len(self.detached)
         self.detached.append((balancer.number, trouble.detail, since, since))
@@ -244,6 +247,28 @@
             if await balancer.operator_request(process, "/_servers/attach", trouble.detail) == 200:
                 return
 
+    async def detach_waiting(self, balancer: Balancer, trouble: Trouble) -> None:
+        """An operator detaches a server at a third process while the first is still shutting down."""
+        restarts = asyncio.create_task(self.hot_restart_twice(balancer, trouble))
+        spawned = len(balancer.logs)
+        while len(balancer.logs) < spawned + 2 and not restarts.done():
+            await asyncio.sleep(0.005)
+        await self.detach(balancer, trouble, OPERATOR_PATIENCE_SECONDS)
+        await restarts
+
+    async def detach_at(
+        self, balancer: Balancer, process: asyncio.subprocess.Process, server: str, patience: float
+    ) -> bool:
+        """Detach a server at this process; return whether it said yes.
+
+        `patience`: seconds for which the operator calls again while it does not listen yet."""
+        end = time.monotonic() + patience
+        while (status := await balancer.operator_request(process, "/_servers/detach", server)) == 0:
+            if process.returncode is not None or time.monotonic() >= end:
+                return False
+            await asyncio.sleep(0.005)
+        return status == 200
+
     # Troubles of servers and of discovery.
 
     async def drain(self, trouble: Trouble) -> None:
--- a/tests/play_soak_mutants.py
+++ b/tests/play_soak_mutants.py
@@ -143,10 +143,24 @@
                 "                if self.node.clock() >= end:\n",
                 "                if True:\n",
             ),
+            ("net/hot_restart.py", "                await self.on_busy(error)\n", ""),
         ),
         "detach",
         ("detached",),
     ),
+    Mutant(
+        "a process that waits for its turn confirms orders that the serving one does not have",
+        (
+            ("net/order_relay.py", "        self.is_open = True ", "        self.is_open = False "),
+            (
+                "net/hot_restart.py",
+                "            await self.order_relay.exchange(error.channel)\n",
+                "            pass\n",
+            ),
+        ),
+        "waiting",
+        ("detached",),
+    ),
     Mutant(
         "a newer list of the sibling process is ignored",
         (("net/server_list.py", "        if listing.version > self.version:\n", "        if False:\n"),),
