Hot restart: rows of operators' orders are written and read in one place

The state of a hot restart and the exchange with a waiting process carry orders in the same form; CordonOrder.to_row and from_row serve both, in place of functions of the exchange that the state borrowed.

--- a/bellrack/net/fact_versions.py
+++ b/bellrack/net/fact_versions.py
@@ -41,6 +41,16 @@
         """The sort key. Of two orders given at the same time, the one that detaches counts as later."""
         return self.ordered_at, self.cordon
 
+    def to_row(self) -> list[Any]:
+        """Return the order in its form within a message."""
+        return [self.name, self.cordon, self.ordered_at]
+
+    @classmethod
+    def from_row(cls, row: Any) -> CordonOrder:
+        """Parse an order of a message. Raises ValueError or TypeError."""
+        name, cordon, ordered_at = row
+        return cls(str(name), bool(cordon), float(ordered_at))
+
 
 @dataclass
 class ListVersions:
--- a/bellrack/net/order_channel.py
+++ b/bellrack/net/order_channel.py
@@ -41,21 +41,15 @@
     return json.dumps(message).encode() + b"\n"
 
 
-def order_rows(orders: Iterable[CordonOrder]) -> list[list[Any]]:
-    """Return orders in their form within a message."""
-    return [[order.name, order.cordon, order.ordered_at] for order in orders]
-
-
-def parse_order(row: Any) -> CordonOrder:
-    """Parse an order of a message. Raises ValueError or TypeError."""
-    name, cordon, ordered_at = row
-    return CordonOrder(str(name), bool(cordon), float(ordered_at))
+def offers_message(offers: Iterable[OrderOffer]) -> dict[str, Any]:
+    """Return the message of a waiting process."""
+    return {"orders": [[*offer.order.to_row(), offer.listed] for offer in offers]}
 
 
 def parse_offers(line: bytes) -> list[OrderOffer]:
     """Parse the message of a waiting process. Raises ValueError, TypeError or KeyError."""
     rows = json.loads(line)["orders"]
-    return [OrderOffer(parse_order(row[:3]), bool(row[3])) for row in rows if len(row) == 4]
+    return [OrderOffer(CordonOrder.from_row(row), bool(listed)) for *row, listed in rows]
 
 
 class OrderChannel:
@@ -71,8 +65,7 @@
 
         Returns the names of the servers that neither process knows: orders for these are not applied. Raises
         OSError or ValueError if no answer comes."""
-        rows = [[*order_rows([offer.order])[0], offer.listed] for offer in offers]
-        self.sock.sendall(encode_line({"orders": rows}))
+        self.sock.sendall(encode_line(offers_message(offers)))
         answer = self.unread
         while b"\n" not in answer:
             part = self.sock.recv(READ_BYTES)
@@ -94,7 +87,7 @@
 
     Returns None if the serving process exchanges no orders."""
     try:
-        return OrderChannel(sock, [parse_order(row) for row in message["orders"]], unread)
+        return OrderChannel(sock, [CordonOrder.from_row(row) for row in message["orders"]], unread)
     except (KeyError, TypeError, ValueError):
         return None
 
@@ -121,7 +114,7 @@
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         self.expiry = self.node.loop.call_later(EXCHANGE_SECONDS, transport.abort)
-        orders = order_rows(self.node.server_list.orders.values())
+        orders = [order.to_row() for order in self.node.server_list.orders.values()]
         transport.write(encode_line({"busy": True, "orders": orders}))
 
     def data_received(self, data: bytes) -> None:
--- a/bellrack/net/shared_state.py
+++ b/bellrack/net/shared_state.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bellrack.net import lines, log, order_channel, sibling
+from bellrack.net import lines, log, sibling
 from bellrack.net.fact_versions import CordonOrder, ListVersions, OrderSource
 
 # Two processes that read the offset of the wall clock get values that differ by less, unless it was stepped.
@@ -41,7 +41,7 @@
         },
         "learned": node.export_learned(),
         "out": list(node.server_list.cordoned.values()),  # for older versions, which ignore "orders"
-        "orders": order_channel.order_rows(orders),
+        "orders": [order.to_row() for order in orders],
         "seen": [*node.limits.recent_ids, *node.limits.open_ids],
         "started": node.resumed.window.started,
         "anchor": node.anchor,
@@ -60,7 +60,7 @@
 
         An older version sends no times; then every order given to this process counts as later."""
         if "orders" in self.state:
-            return [order_channel.parse_order(row) for row in self.state["orders"]]
+            return [CordonOrder.from_row(row) for row in self.state["orders"]]
         return [CordonOrder(str(name), True, 0.0) for name in self.state.get("out", ())]
 
     def list_versions(self, discovery: tuple[str, int]) -> ListVersions | None:
--- a/bellrack/net/sibling.py
+++ b/bellrack/net/sibling.py
@@ -280,7 +280,7 @@
 
     def on_exchange_ended(self, waiting: WaitingSuccessor) -> None:
         """The connection to a process that waits has ended."""
-        del self.waiting[waiting]
+        self.waiting.pop(waiting, None)
 
     def remove_file(self) -> None:
         """Remove the socket's file, unless a successor has replaced it with its own."""
--- a/tests/test_order_relay.py
+++ b/tests/test_order_relay.py
@@ -200,14 +200,13 @@
 
     def __init__(self, serving, fails):
         self.serving, self.fails = serving, fails
-        rows = json.loads(json.dumps(order_channel.order_rows(serving.server_list.orders.values())))
-        self.orders = [order_channel.parse_order(row) for row in rows]
+        rows = json.dumps([order.to_row() for order in serving.server_list.orders.values()])
+        self.orders = [CordonOrder.from_row(row) for row in json.loads(rows)]
 
     def send(self, offers):
         waiting = order_channel.WaitingSuccessor(self.serving, lambda _: None)
         waiting.transport = mock.Mock()
-        rows = [[*order_channel.order_rows([offer.order])[0], offer.listed] for offer in offers]
-        waiting.apply(json.dumps({"orders": rows}).encode())
+        waiting.apply(json.dumps(order_channel.offers_message(offers)).encode())
         if self.fails:
             raise ConnectionResetError
         return frozenset(json.loads(waiting.transport.write.call_args.args[0])["unknown"])
