--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,6 +11,7 @@
 
 from bellrack.lab.scale import roles, stubs
 from bellrack.lab.scale.fit import fit_line, fit_power
+from bellrack.lab.scale.roles import aggregator, decisions, hosts, inputs, placements
 from bellrack.net import lines
 from bellrack.net.node import Node
 from bellrack.peers import aggregation
@@ -99,7 +100,7 @@
 def test_simulation_counts_the_datagrams_of_a_tier():
     """A reporting balancer sends two datagrams each half second while its pairs fit into one: its records and
     its pairs."""
-    simulation = roles.AggregationSimulation(12)
+    simulation = aggregator.AggregationSimulation(12)
     costs = simulation.run(3.0)
     assert costs["datagrams"] == 2 * 2 * 11
     assert costs["in"] < 2 * 2 * 11 * 256
@@ -112,52 +113,52 @@
 
 
 def test_measured_node_applies_a_full_list_and_a_change():
-    with roles.SocketlessNode() as node:
-        request = roles.open_watch(node)
-        request.feed(roles.http_chunk(roles.list_line(300)))
+    with hosts.SocketlessNode() as node:
+        request = hosts.open_watch(node)
+        request.feed(inputs.http_chunk(inputs.list_line(300)))
         assert len(node.servers) == 300 and node.server_list.version == 1
-        request.feed(roles.http_chunk(roles.list_line(300, "draining", full=False, generation=2)))
+        request.feed(inputs.http_chunk(inputs.list_line(300, "draining", full=False, generation=2)))
         assert node.server_list.version == 2 and node.counters["list_lines"] == 2
         assert sum(server.state == "draining" for server in node.servers.values()) == 1
         assert not request.closed and not node.counters["list_failures"]
 
 
 def test_generated_list_entries_equal_those_that_a_node_writes():
-    with roles.SocketlessNode() as node:
-        node.server_list.on_list(lines.parse_list(json.loads(roles.list_line(3))))
+    with hosts.SocketlessNode() as node:
+        node.server_list.on_list(lines.parse_list(json.loads(inputs.list_line(3))))
         entries = node.hot_restart.snapshot()["list"]["instances"]
-    assert entries == roles.list_entries(3)
+    assert entries == inputs.list_entries(3)
 
 
 def test_measured_decisions_find_a_server():
-    assert roles.decision_time_us(12, 1, 5) > 0 and roles.decision_time_us(12, 10, 5) > 0
+    assert decisions.decision_time_us(12, 1, 5) > 0 and decisions.decision_time_us(12, 10, 5) > 0
 
 
 def test_reports_an_error_when_a_decision_finds_no_server(monkeypatch):
-    monkeypatch.setattr(roles.StubHost, "send", lambda *_: None)
+    monkeypatch.setattr(hosts.StubHost, "send", lambda *_: None)
     with pytest.raises(stubs.ScaleError):
-        roles.decision_time_us(12, 1, 5)
+        decisions.decision_time_us(12, 1, 5)
 
 
 def test_number_of_shared_short_ids_agrees_with_the_formula():
     for count in (600, 3000):
-        expected = roles.expected_shared_short_ids(count)
-        assert abs(roles.shared_short_ids(count) - expected) < 5 * math.sqrt(expected)
+        expected = placements.expected_shared_short_ids(count)
+        assert abs(placements.shared_short_ids(count) - expected) < 5 * math.sqrt(expected)
     short_ids = [lines.id_hash(f"server-{n:06d}") & aggregation.SHORT_ID_MASK for n in range(3000)]
-    assert roles.shared_short_ids(3000) == sum(short_ids.count(short_id) > 1 for short_id in short_ids)
+    assert placements.shared_short_ids(3000) == sum(short_ids.count(short_id) > 1 for short_id in short_ids)
 
 
 def test_placements_are_limited_to_the_maximum():
     for number in (0, 5):
-        assert len(roles.aggregation_with_placements(1000, number).placements) == 1000
+        assert len(placements.aggregation_with_placements(1000, number).placements) == 1000
     assert (
-        len(roles.aggregation_with_placements(aggregation.MAX_PLACEMENTS + 5, 5).placements)
+        len(placements.aggregation_with_placements(aggregation.MAX_PLACEMENTS + 5, 5).placements)
         == aggregation.MAX_PLACEMENTS
     )
 
 
 def test_hot_restart_snapshot_grows_with_the_ids_of_open_calls():
-    with roles.SocketlessNode() as node:
+    with hosts.SocketlessNode() as node:
         empty_bytes = len(json.dumps(node.hot_restart.snapshot()))
         node.limits.open_ids = {"c00000001": None}
         assert len(json.dumps(node.hot_restart.snapshot())) == empty_bytes + len('"c00000001"')
@@ -196,7 +197,7 @@
 def test_failed_start_raises_an_error_and_cleans_up(tmp_path):
     async def run():
         async with stubs.StubEnvironment(
-            roles.deployment_settings(trafficTypes=[]), roles.list_entries
+            inputs.deployment_settings(trafficTypes=[]), inputs.list_entries
         ) as environment:
             with pytest.raises(stubs.ScaleError, match="ended"):
                 await environment.start_child()
@@ -215,7 +216,7 @@
             "log_text",
             lambda self: f"event=serving name=b0 listen={address} after={self is children[-1] and after}",
         )
-        async with stubs.StubEnvironment(roles.deployment_settings(), roles.list_entries) as environment:
+        async with stubs.StubEnvironment(inputs.deployment_settings(), inputs.list_entries) as environment:
             children = environment.children
             return await stubs.successor_gets_listening_socket(environment)
 
@@ -226,7 +227,7 @@
     monkeypatch.setattr(stubs, "SETTLE_SECONDS", 0.0)
 
     async def run():
-        async with stubs.StubEnvironment(roles.deployment_settings(), roles.list_entries) as environment:
+        async with stubs.StubEnvironment(inputs.deployment_settings(), inputs.list_entries) as environment:
             memory_bytes = await stubs.memory_by_connections(environment, [3, 6])
             spent_ns = await stubs.relay_time_ns(environment, environment.children[0], [5], 100)
             return (
@@ -378,8 +379,8 @@
 def test_counted_values_of_the_page_are_current():
     """Checks values that are cheap to count exactly: a change of a message format requires new values."""
     slopes, _, _, _ = page()
-    assert all(slopes["C1"].values[n] == len(roles.list_line(n)) for n in (60, 6000))
-    assert slopes["G5"].values[600] == roles.shared_short_ids(600)
-    assert slopes["F1"].values[4800] == len(json.dumps(roles.balancer_config(4800)))
-    change = roles.list_line(6000, "draining", full=False, generation=2)
-    assert slopes["C2"].values[6000] == len(roles.http_chunk(change))
+    assert all(slopes["C1"].values[n] == len(inputs.list_line(n)) for n in (60, 6000))
+    assert slopes["G5"].values[600] == placements.shared_short_ids(600)
+    assert slopes["F1"].values[4800] == len(json.dumps(inputs.balancer_config(4800)))
+    change = inputs.list_line(6000, "draining", full=False, generation=2)
+    assert slopes["C2"].values[6000] == len(inputs.http_chunk(change))
