Second review: stand-ins listen outside the ports of connecting sockets

Cause: a service that is restarted could find its port taken by one of the clients' connections, and a long temporary folder would have changed what case 9 shows.

--- a/review/standins-2/stand.py
+++ b/review/standins-2/stand.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import resource
 import shutil
 import signal
@@ -27,6 +28,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
 LINE_SECONDS = 2.0  # PROTOCOL.md, "Figures": clients send a line every 2 s
+GIVEN_PORTS: set[int] = set()
 EMPTY_LINE_SECONDS = 2.0  # PROTOCOL.md, "Discovery": an empty line while nothing changes
 
 
@@ -50,10 +52,27 @@
 
 
 def free_port() -> int:
-    """A free port of 127.0.0.1."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A free port of 127.0.0.1, below those that the system gives to connecting sockets.
+
+    Among these a service that is restarted might find its port taken."""
+    first = 32768
+    with contextlib.suppress(OSError, ValueError):
+        first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    for _ in range(1000):
+        port = random.randrange(10000, first) if first > 11000 else 0
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
+            if (port := sock.getsockname()[1]) not in GIVEN_PORTS:
+                GIVEN_PORTS.add(port)
+                return port
+    raise NotRunError("no free port")
+
+
+def temporary_folder() -> Path:
+    """A new folder whose path leaves room for that of a Unix socket."""
+    root = tempfile.gettempdir()
+    short = "/tmp" if len(root) > 30 and os.access("/tmp", os.W_OK) else root
+    return Path(tempfile.mkdtemp(prefix="case-", dir=short))
 
 
 def settings(**changes: Any) -> dict[str, Any]:
@@ -154,8 +173,8 @@
         self.server: asyncio.Server | None = None
 
     async def start(self) -> Server:
+        self.port = self.port or free_port()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
         self.record(f"server {self.name} listens at 127.0.0.1:{self.port}")
         return self
 
@@ -242,8 +261,8 @@
         self.server: asyncio.Server | None = None
 
     async def start(self) -> Discovery:
+        self.port = self.port or free_port()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
         self.record(f"{self.name} listens at 127.0.0.1:{self.port}")
         return self
 
@@ -338,8 +357,8 @@
         return f"127.0.0.1:{self.port}"
 
     async def start(self) -> Wire:
+        self.port = self.port or free_port()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -586,7 +605,7 @@
     """The frame of a case: record, temporary folder, trouble or not, and the end of all processes."""
 
     def __init__(self, folder: Path):
-        self.folder = Path(tempfile.mkdtemp(prefix="case-"))
+        self.folder = temporary_folder()
         self.record = Record(folder / "record.txt")
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.balancers: list[Balancer] = []
