Log what determines the age of the list of servers

The log had the ends of the calls, but not what they did to the age of the list: three causes looked alike, a watch whose silence is not noticed, a silence that is noticed and forgotten, and a silence that has no effect while no call reaches discovery.

Change: event=list_age with because=confirmed, watch-silent, reached or unreachable, the seconds since the list was as discovery had it, and whether a call reached discovery since. Equal events in a row are logged once.

--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -146,6 +146,7 @@
         self.list_age = discovery_retry.ListAge(node.started_at)
         # Whether the list may be out of date, and whether half the time until then has passed.
         self.doubtful = self.aging = False
+        self.logged_age_event = ""  # the last one that was logged
 
     def watch(self, on: bool = True) -> None:
         """Opens a watch unless there is one, or closes it."""
@@ -195,6 +196,7 @@
     def on_confirmed(self, since: float) -> None:
         """The list in use is at least as recent as discovery's at the time `since` (seconds)."""
         self.list_age.confirm(since)
+        self.log_age("confirmed")
         self.node.server_list.confirmed = True
         self.node.balancer.discovery_retry.reset()
         self.update_doubt()
@@ -208,8 +210,10 @@
         # The end of a watch that had received lines does not show whether discovery is up.
         if request.service_up and not request.received_line:
             self.list_age.on_reached()
+            self.log_age("reached")
         elif not request.service_up:
             self.list_age.on_unreachable(request.started_at)
+            self.log_age("unreachable")
         if request is self.hedged or request is self.current and self.hedged:
             # The other request may still be answered; the next one beside it goes out when a retry is due.
             self.current = self.hedged if request is self.current else self.current
@@ -240,6 +244,7 @@
         ):
             if watch.received_line:
                 self.list_age.on_watch_silent()
+                self.log_age("watch-silent")
                 self.stop_watches("watch-silent")
                 self.watch()
             else:
@@ -262,6 +267,17 @@
         self.hedged = self.new_request(self.node, self.address, True)
         self.hedge_at = self.node.now + retry.hedge_delay()
 
+    def log_age(self, event: str) -> None:
+        """Logs what determines the age of the list, once for each run of equal events."""
+        if event != self.logged_age_event:
+            self.logged_age_event = event
+            log.event(
+                "list_age",
+                because=event,
+                confirmed_before=self.node.now - self.list_age.confirmed_at,
+                reached=self.list_age.reached,
+            )
+
     def update_doubt(self) -> None:
         """Recomputes whether the list may be out of date, and marks its servers accordingly."""
         if any(one and not one.received_line and one.service_up for one in (self.current, self.hedged)):
