Discovery client: request, doubt and age of the list in modules of their own

Change: DiscoveryRequest moves to net/discovery_request.py, the marks and their log to net/list_doubt.py, ListAge to list_age.py. Tests patch SILENCE_SECONDS where it now is; no check has changed. No behaviour has changed.

--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -1,7 +1,7 @@
-"""Delays between calls to discovery, and how long the current list may be used without an answer.
+"""Delays between calls to discovery, and for how long a proof that a server is in service is valid.
 
-This module computes the delays between calls and the age of the list. It opens no connection, reads no clock
-(times are seconds, passed in) and chooses no server.
+This module opens no connection, reads no clock and chooses no server. The age of the list is kept in
+`list_age.py`.
 
 A change of the list counts as told TOLD_AFTER_SECONDS after discovery had it and could be reached, whether or
 not our calls succeeded. Once the drain of a server counts as told, new connections to it have to stop within
@@ -18,24 +18,10 @@
 In a larger tier, calls that were refused or wait in the queue of discovery are repeated at the tier's rate,
 so a delay may be longer. Over all balancers the rate is TIER_CALLS_PER_SECOND; but delays are at most
 MAX_BUSY_DELAY_SECONDS as long as that needs no more than MAX_TIER_CALLS_PER_SECOND, which is the rate beyond.
-
-A balancer that has no answer in time then, for whatever reason, has a doubtful list (`ListAge.is_doubtful`):
-discovery was reached since the list was last confirmed, and that was a window ago (TOLD_AFTER_SECONDS and the
-grace, less MARGIN_SECONDS). A call fails either because it waited too long or because discovery is down (see
-the protocol page); one that fails within PROMPT_FAILURE_SECONDS found discovery down. While the list is
-doubtful, only servers that accepted a connection within the last window get new ones. A draining server
-rejects new connections, so a server that accepted one was not draining yet, and a drain since then counts as
-told TOLD_AFTER_SECONDS later at the earliest.
-
-This does not hold after a watch that fell silent: all changes that it missed count as told TOLD_AFTER_SECONDS
-after its last line, so connections accepted before then prove nothing (`ListAge.on_watch_silent`). While
-discovery cannot be reached at all, nothing counts as told and the list stays valid.
 """
 
 from __future__ import annotations
 
-import math
-
 from bellrack.model import Settings
 from bellrack.rng import Rng, lcg_step
 
@@ -120,34 +106,3 @@
 
     def _jittered(self, cap: float, rng: Rng) -> float:
         return cap * (1 - JITTER_SHARE * rng.uniform())
-
-
-class ListAge:
-    """The age of the current list: since when it may lack a change that counts as told."""
-
-    def __init__(self, now: float):
-        self.confirmed_at, self.reached = now, False  # reached: by a call since then
-        self.proofs_valid_from = -math.inf  # connections that servers accepted before prove nothing
-
-    def confirm(self, now: float) -> None:
-        """Discovery sent the list, or all changes of it, as of `now`."""
-        self.confirmed_at, self.reached, self.proofs_valid_from = now, False, -math.inf
-
-    def on_watch_silent(self) -> None:
-        """A watch fell silent after its last line. All changes that it misses count as told
-        TOLD_AFTER_SECONDS after that line, even one just before then: a server that accepted a connection
-        meanwhile may have drained since."""
-        self.proofs_valid_from = self.confirmed_at + TOLD_AFTER_SECONDS
-
-    def on_reached(self) -> None:
-        """Discovery queued a call or began to answer it: it counts as reached from now on."""
-        self.reached = True
-
-    def on_unreachable(self, started: float) -> None:
-        """A call that began at `started` could not reach discovery, or found it down."""
-        if not self.reached:
-            self.confirmed_at = max(self.confirmed_at, started)
-
-    def is_doubtful(self, now: float, window: float) -> bool:
-        """Returns whether the list was not confirmed for `window` seconds and discovery was reached since."""
-        return self.reached and now - self.confirmed_at >= window
--- a/bellrack/lab/scale/roles/hosts.py
+++ b/bellrack/lab/scale/roles/hosts.py
@@ -10,7 +10,7 @@
 from bellrack.model import Call, Leg, Server, Settings
 from bellrack.net import lines
 from bellrack.net.config import parse_config
-from bellrack.net.discovery import DiscoveryRequest
+from bellrack.net.discovery_request import DiscoveryRequest
 from bellrack.net.node import Node
 from bellrack.peers import aggregation
 from bellrack.settings import parse_settings
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -201,7 +201,7 @@
     def mark_doubtful(self, window: float) -> None:
         """The list may lack changes that count as received: new connections go only to servers that accepted
         one within the last `window` seconds. Infinite: the list is up to date again."""
-        since = max(self.node.now - window, self.node.discovery.list_age.proofs_valid_from)
+        since = max(self.node.now - window, self.node.discovery.doubt.age.proofs_valid_from)
         changed = False
         for server in self.node.servers.values():
             doubtful = server.last_accepted < since
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,7 +19,7 @@
 from bellrack import discovery_retry, model
 from bellrack.accounting import Accounting
 from bellrack.model import Call, Result
-from bellrack.net import discovery
+from bellrack.net import discovery, discovery_request
 from bellrack.net import node as host
 from bellrack.net.discovery import Discovery
 from bellrack.net.log import Counters
@@ -301,7 +301,9 @@
         tier = Tier(3)
         tier.service.set_mode(how)
         tier.run(60.0)
-        assert len(tier.may_use_draining) == 3 and not any(node.discovery.doubtful for node in tier.nodes)
+        assert len(tier.may_use_draining) == 3 and not any(
+            node.discovery.doubt.doubtful for node in tier.nodes
+        )
 
 
 def test_list_becomes_doubtful_when_discovery_accepts_requests_but_never_answers():
@@ -376,7 +378,7 @@
     tier.service.set_mode("up")
     tier.run(1.0)
     # The bound counts from the end of the outage.
-    assert not any(node.discovery.doubtful for node in tier.nodes)
+    assert not any(node.discovery.doubt.doubtful for node in tier.nodes)
     tier.run(BOUND_SECONDS - 1.0)
     had = 200 - len(tier.without_change)
     assert not tier.may_use_draining
@@ -416,7 +418,7 @@
     assert worst >= discovery_retry.HEDGE_AFTER_SECONDS + discovery.CHECK_INTERVAL_SECONDS
     retry = discovery_retry.RetrySchedule(settings(drain_grace=0.0), Rng(5))
     assert (
-        discovery.SILENCE_SECONDS + discovery.CHECK_INTERVAL_SECONDS
+        discovery_request.SILENCE_SECONDS + discovery.CHECK_INTERVAL_SECONDS
         < retry.window()
         < discovery_retry.TOLD_AFTER_SECONDS
     )
@@ -497,7 +499,7 @@
     refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
     monkeypatch.setattr(discovery_retry, "PROMPT_FAILURE_SECONDS", 60.0)
     async with World() as world:
-        age = world.node.discovery.list_age
+        age = world.node.discovery.doubt.age
         for number in range(3):
             before = age.confirmed_at
             request, _ = await world.discovery_request()
@@ -552,7 +554,7 @@
         await world.until(lambda: world.node.counters["list_failures"] >= 3)
         old.writer.write(drain_chunk(world, 1, 51))  # changes from the old address are still applied
         await drained(world, 1)
-        assert not world.node.discovery.list_age.reached and world.node.server_list.version == 0
+        assert not world.node.discovery.doubt.age.reached and world.node.server_list.version == 0
         for filler in fillers:
             filler.close()
         asked = asyncio.Queue()
@@ -607,7 +609,7 @@
             await asyncio.sleep(0.02)  # limits the rate of calls
             return line == "UP 1"
 
-        while not world.node.discovery.doubtful:
+        while not world.node.discovery.doubt.doubtful:
             await served()
         assert set(placed_on) == {0, 1, 2} and first.usable and not any(one.usable for one in others)
         placed_on.clear()
@@ -617,7 +619,7 @@
         assert not await served() and not placed_on
         serving.cancel()
         recovered.set()
-        await world.until(lambda: not world.node.discovery.doubtful)
+        await world.until(lambda: not world.node.discovery.doubt.doubtful)
         assert all(one.usable for one in others) and not first.usable
         assert world.node.counters["doubtful_lists"] == 1
         answering.cancel()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -15,7 +15,7 @@
 from helpers import Batch, Bench, Peer, World, async_test, settings
 
 from bellrack import model
-from bellrack.net import discovery, lines, server_watch, servers, shutdown
+from bellrack.net import discovery, discovery_request, lines, server_watch, servers, shutdown
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -332,7 +332,7 @@
 @pytest.mark.parametrize("part", [b"x", b"1\r\n \r\n"])
 @async_test
 async def test_a_watch_without_whole_lines_counts_as_silent(monkeypatch, start, part):
-    monkeypatch.setattr(discovery, "SILENCE_SECONDS", 0.3)
+    monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 0.3)
     monkeypatch.setattr(discovery, "CHECK_INTERVAL_SECONDS", 0.05)
     monkeypatch.setattr("bellrack.discovery_retry.FIRST_DELAY_SECONDS", 0.02)
     if part == b"x" and start.endswith(b"\n"):
@@ -367,7 +367,7 @@
 
 @async_test
 async def test_empty_lines_keep_a_watch_open(monkeypatch):
-    monkeypatch.setattr(discovery, "SILENCE_SECONDS", 0.3)
+    monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 0.3)
     monkeypatch.setattr(discovery, "CHECK_INTERVAL_SECONDS", 0.05)
     async with World() as world:
         watch, _ = await world.discovery_request()
@@ -405,7 +405,7 @@
 
 @async_test
 async def test_gives_up_a_fetch_that_is_not_answered(monkeypatch):
-    monkeypatch.setattr(discovery, "SILENCE_SECONDS", 0.1)
+    monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 0.1)
     async with World(discovery="push") as world:
         await world.discovery_request()
         world.node.queue(world.node.discovery.fetch)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -570,6 +570,7 @@
         "bellrack.rng",
         "bellrack.choice",
         "bellrack.discovery_retry",
+        "bellrack.list_age",
         "bellrack.model",
         "bellrack.net",
         "bellrack.peers",
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 from helpers import LIVE, Peer, World, async_test, configured, refused
 
 from bellrack import model
-from bellrack.net import discovery, limits, lines, resumption, server_watch, servers
+from bellrack.net import discovery, discovery_request, limits, lines, resumption, server_watch, servers
 from bellrack.net.peer_socket import PeerSocket
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -578,7 +578,7 @@
 async def test_watch_brings_changes_and_is_renewed_when_it_fails(monkeypatch):
     monkeypatch.setattr("bellrack.discovery_retry.FIRST_DELAY_SECONDS", 0.05)
     monkeypatch.setattr(discovery, "CHECK_INTERVAL_SECONDS", 0.05)
-    monkeypatch.setattr(discovery, "SILENCE_SECONDS", 0.4)
+    monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 0.4)
     async with World(servers=2) as world:
         refused, target = await world.discovery_request()
         assert target == "/v1/endpoints?watch=1&after=41"
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -18,7 +18,7 @@
 
 from bellrack import __main__ as program
 from bellrack.lab import starts
-from bellrack.net import discovery, lines, node
+from bellrack.net import discovery_request, lines, node
 from bellrack.net.config import parse_config, read_config, reread
 from bellrack.net.node import Node
 from bellrack.net.readiness import Readiness
@@ -248,7 +248,7 @@
 
 @async_test
 async def test_shutdown_while_waiting_for_a_list(monkeypatch):
-    monkeypatch.setattr(discovery, "SILENCE_SECONDS", 60.0)  # the watch does not time out
+    monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 60.0)  # the watch does not time out
     async with starting(0.02, known=EMPTY) as world:
         world.node.queue(world.node.begin_shutdown)
         await asyncio.wait_for(world.serving, 10)
