A watch that fell silent counts from its last line, whatever later calls come to

Cause, by event=list_age: the silence is noticed (4.746 s after the last line) and then lost. A call that does not come up moved the date of the list on to that call's start, and the list was never doubtful unless a call had reached discovery; both had to go, one alone is no mend. The outage: proofs counted from 6 s after the last line, and the list was doubtful from then on with a grace of 0.5 s, so none could be had.

Change: ListAge keeps watches that fell silent, each with its last line and its end, apart from the calls. What such a watch missed counts as told 6 s after its last line; it missed nothing after its end, so a connection that was sent after that and accepted is a proof, and does not expire while discovery cannot be reached. From the end of the watch on, calls without a group go to servers without a proof. The end of the watch and of the grace are kept to the moment, not to the next check. The same for watches that had a head and no line, that were reset after a silence, that a hedged request replaced, and at the previous address of discovery.

Tests: test_silent_watch.py. Two tests read complete_until in place of confirmed_at, and both windows in place of one; nothing else in them has changed.

--- a/bellrack/discovery_retry.py
+++ b/bellrack/discovery_retry.py
@@ -22,13 +22,16 @@
 
 from __future__ import annotations
 
+from bellrack.list_age import Windows
 from bellrack.model import Settings
 from bellrack.rng import Rng, lcg_step
 
 # From when discovery had a change and could be reached, until the change counts as told.
 TOLD_AFTER_SECONDS = 6.0
-# Subtracted from the window, for the interval between checks and for what is under way.
+# Subtracted from the windows: from both for what is under way and for a line that is read late, from the one
+# without an answer also for the interval between checks.
 MARGIN_SECONDS = 0.5
+SILENT_MARGIN_SECONDS = 0.3
 CONNECT_TIMEOUT_SECONDS = 1.5
 FIRST_DELAY_SECONDS = 0.5  # before the first call, and before the first repeat, at most
 MAX_DELAY_SECONDS = 2.0  # before a later repeat
@@ -93,8 +96,8 @@
         # Not longer each time: the delays would grow while the process that accepted the calls is long dead.
         return max(HEDGE_AFTER_SECONDS, self._jittered(self.tier_interval, self.hedge_rng))
 
-    def window(self) -> float:
-        """Returns the seconds for which the last proof, of the list or of a server, is valid."""
+    def windows(self) -> Windows:
+        """Returns for how long the last proof, of the list or of a server, is valid."""
         # In a tier so large that a delay exceeds the time for which a list stays valid without a call, each
         # change counts as told that long after it was made.
         told = (
@@ -102,7 +105,11 @@
             if self.tier_interval <= self.settings.ask_within
             else min(TOLD_AFTER_SECONDS, self.settings.ask_within)
         )
-        return told + self.settings.drain_grace - MARGIN_SECONDS
+        end_of_grace = told + self.settings.drain_grace
+        return Windows(
+            unanswered=end_of_grace - MARGIN_SECONDS,
+            silent=end_of_grace - SILENT_MARGIN_SECONDS,
+        )
 
     def _jittered(self, cap: float, rng: Rng) -> float:
         return cap * (1 - JITTER_SHARE * rng.uniform())
--- a/bellrack/list_age.py
+++ b/bellrack/list_age.py
@@ -2,42 +2,77 @@
 
 This module opens no connection and reads no clock: times are seconds, passed in.
 
-A balancer that has no answer in time then, for whatever reason, has a doubtful list (`ListAge.is_doubtful`):
-discovery was reached since the list was last confirmed, and that was a window ago (TOLD_AFTER_SECONDS and the
-grace, less MARGIN_SECONDS). A call fails either because it waited too long or because discovery is down (see
-the protocol page); one that fails within PROMPT_FAILURE_SECONDS found discovery down. While the list is
-doubtful, only servers that accepted a connection within the last window get new ones. A draining server
-rejects new connections, so a server that accepted one was not draining yet, and a drain since then counts as
-told TOLD_AFTER_SECONDS later at the earliest.
-
-This does not hold after a watch that fell silent: all changes that it missed count as told TOLD_AFTER_SECONDS
-after its last line, so connections accepted before then prove nothing (`ListAge.on_watch_silent`). While
-discovery cannot be reached at all, nothing counts as told and the list stays valid.
+A list is doubtful while changes that it may lack count as told. There are two ways to that:
+
+    - Discovery was reached since the list was last confirmed, and sent no list in time: `Windows.unanswered`
+      seconds after the list was confirmed, or after the start of the last call that could not reach
+      discovery before then. A change counts as told TOLD_AFTER_SECONDS after discovery had it and could be
+      reached. A call fails either because it waited too long or because discovery is down (see the protocol
+      page); one that fails within PROMPT_FAILURE_SECONDS found discovery down.
+    - A watch fell silent: `Windows.silent` seconds after its last line. What it missed until it was closed
+      counts as told TOLD_AFTER_SECONDS after it fell silent, whatever becomes of later calls.
+
+Without either the list stays valid, however old it is: while discovery cannot be reached, no further change
+counts as told.
+
+While the list is doubtful, only servers that have proved themselves get new connections. A draining server
+rejects new connections, so one that accepted a connection was not draining when that was sent. After a watch
+that fell silent, a connection proves that if it was sent after the watch was closed: the watch missed nothing
+later. Such a proof does not expire, as nothing later counts as told. Once discovery was reached it does: a
+drain after the proof counts as told TOLD_AFTER_SECONDS later at the earliest.
 """
 
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass, field
+
+# Watches that fell silent since the list was confirmed, of which the last are kept. A new one can fall silent
+# HEDGE_AFTER_SECONDS after the one before, so an older one has been succeeded by others that count by now.
+MAX_SILENT_WATCHES = 8
+
+
+@dataclass(frozen=True)
+class Windows:
+    """Seconds until changes that the list may lack count as told and the drain grace is over."""
+
+    unanswered: float  # after discovery could be reached
+    silent: float  # after the last line of a watch
+
 
-from bellrack import discovery_retry
+@dataclass(frozen=True)
+class SilentWatch:
+    """A watch that was closed after it had fallen silent."""
 
+    last_line_at: float
+    closed_at: float
 
+
+@dataclass
 class ListAge:
-    """The age of the current list: since when it may lack a change that counts as told."""
+    """Since when the current list may lack changes that count as told."""
+
+    confirmed_at: float  # the list is at least as recent as discovery's was then
+    # When the last call began that could not reach discovery; none has reached it since the confirmation.
+    unreachable_at: float = -math.inf
+    reached: bool = False  # a call has reached discovery since the confirmation
+    silent_watches: list[SilentWatch] = field(default_factory=list)  # not yet made up for, the oldest first
 
-    def __init__(self, now: float):
-        self.confirmed_at, self.reached = now, False  # reached: by a call since then
-        self.proofs_valid_from = -math.inf  # connections that servers accepted before prove nothing
+    @property
+    def complete_until(self) -> float:
+        """No later call could reach discovery before this time, apart from watches that fell silent."""
+        return max(self.confirmed_at, self.unreachable_at)
 
-    def confirm(self, now: float) -> None:
-        """Discovery sent the list, or all changes of it, as of `now`."""
-        self.confirmed_at, self.reached, self.proofs_valid_from = now, False, -math.inf
+    def confirm(self, since: float) -> None:
+        """The list is at least as recent as discovery's at the time `since`."""
+        self.confirmed_at = max(self.confirmed_at, since)
+        self.reached = False
+        self.silent_watches = [watch for watch in self.silent_watches if watch.closed_at > since]
 
-    def on_watch_silent(self) -> None:
-        """A watch fell silent after its last line. All changes that it misses count as told
-        TOLD_AFTER_SECONDS after that line, even one just before then: a server that accepted a connection
-        meanwhile may have drained since."""
-        self.proofs_valid_from = self.confirmed_at + discovery_retry.TOLD_AFTER_SECONDS
+    def on_watch_silent(self, last_line_at: float, closed_at: float) -> None:
+        """A watch that had sent its last line at `last_line_at` was closed at `closed_at`."""
+        self.silent_watches.append(SilentWatch(last_line_at, closed_at))
+        del self.silent_watches[:-MAX_SILENT_WATCHES]
 
     def on_reached(self) -> None:
         """Discovery queued a call or began to answer it: it counts as reached from now on."""
@@ -46,8 +81,33 @@
     def on_unreachable(self, started: float) -> None:
         """A call that began at `started` could not reach discovery, or found it down."""
         if not self.reached:
-            self.confirmed_at = max(self.confirmed_at, started)
+            self.unreachable_at = max(self.unreachable_at, started)
+
+    def proofs_needed_from(self, now: float, windows: Windows) -> float:
+        """Returns the time since which a server must have accepted a connection to get new ones.
+
+        It is -inf if the list is not doubtful."""
+        needed = [watch.closed_at for watch in self.silent_watches if now >= self._due(watch, windows)]
+        if self.reached and now >= self.complete_until + windows.unanswered:
+            needed.append(now - windows.unanswered)
+        return max(needed, default=-math.inf)
+
+    def attempts_needed_from(self, now: float, windows: Windows) -> float:
+        """Returns the time since which each server should have been tried, as the list ages.
+
+        Otherwise only the few servers that proved themselves by chance would stay usable. It is -inf if the
+        list is recent."""
+        needed = [watch.closed_at for watch in self.silent_watches]
+        if self.reached and now >= self.complete_until + windows.unanswered / 2:
+            needed.append(now - windows.unanswered / 2)
+        return max(needed, default=-math.inf)
+
+    def next_silence_due(self, now: float, windows: Windows) -> float:
+        """Returns when what a silent watch missed next counts as told; infinite if there is none."""
+        due = (self._due(watch, windows) for watch in self.silent_watches)
+        return min((at for at in due if at > now), default=math.inf)
 
-    def is_doubtful(self, now: float, window: float) -> bool:
-        """Returns whether the list was not confirmed for `window` seconds and discovery was reached since."""
-        return self.reached and now - self.confirmed_at >= window
+    @staticmethod
+    def _due(watch: SilentWatch, windows: Windows) -> float:
+        """When the list becomes doubtful because of a watch that fell silent."""
+        return watch.last_line_at + windows.silent
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -18,7 +18,9 @@
 from bellrack.net.discovery_request import DiscoveryRequest
 from bellrack.net.list_doubt import ListDoubt
 
-CHECK_INTERVAL_SECONDS = 0.25  # between checks for silent watches
+CHECK_INTERVAL_SECONDS = 0.25  # between checks of the requests, at most
+MIN_CHECK_INTERVAL_SECONDS = 0.001
+EMPTY_LINE_LATE_SECONDS = 2.5  # without a line after which a watch has fallen silent; one is due every 2 s
 # The share of the drain grace period after which a lost watch is reopened where discovery pushes its lists: a
 # change counts as received there even while no watch is open.
 WATCH_RETRY_GRACE_SHARE = 0.25
@@ -53,9 +55,21 @@
         """Closes the watch and the hedged request, if any; `reason` is logged."""
         for request in (self.current, self.hedged):
             if request:
-                request.stop(reason)
+                self.stop(request, reason)
         self.current = self.hedged = None
 
+    def stop(self, request: Any, reason: str) -> None:
+        """Closes a watch, or a request for one, that is no longer needed."""
+        self.note_silence(request)
+        request.stop(reason)
+
+    def note_silence(self, request: Any) -> None:
+        """A request ends. If it is a watch that has fallen silent, what it missed counts as told in time,
+        whatever becomes of the requests that follow."""
+        quiet_for = self.node.now - request.last_received
+        if request.watch and not request.awaits_response and quiet_for >= EMPTY_LINE_LATE_SECONDS:
+            self.doubt.on_watch_silent(request.last_received)
+
     def fetch(self) -> None:
         """Requests a single list."""
         self.new_request(self.node, self.address, False)
@@ -79,10 +93,10 @@
         if request is self.hedged:
             self.current, self.hedged = self.hedged, self.current
         if self.hedged:
-            self.hedged.stop("watch-overtaken")
+            self.stop(self.hedged, "watch-overtaken")
             self.hedged = None
         if self.previous and has_listing:
-            self.previous.stop("watch-replaced")
+            self.stop(self.previous, "watch-replaced")
             self.previous = None
 
     def on_confirmed(self, since: float) -> None:
@@ -94,6 +108,7 @@
     def on_request_failed(self, request: Any) -> None:
         """A request has failed. If another one is still open, schedules the next hedged request; otherwise
         reports the failure to the decisions, which schedule the next request."""
+        self.note_silence(request)
         if request is self.previous:
             self.previous = None  # expected: not a failure of the list
             return
@@ -121,27 +136,37 @@
         A watch that has received a line is reopened at once: a drain that it misses counts as received 6 s
         after discovery has it. A request without a response may be queued at discovery, and a new one would
         go to the end of that queue, so it is kept and a hedged request is sent beside it."""
-        self.node.after(CHECK_INTERVAL_SECONDS, self.check_watch)
-        now = self.node.now
-        if self.previous and now - self.previous.last_received > discovery_request.SILENCE_SECONDS:
+        self.node.after(self.seconds_to_check(), self.check_watch)
+        if self.previous and self.seconds_to_silence(self.previous) <= 0:
             self.previous.fail("watch-silent")
-        if (
-            (watch := self.current)
-            and not watch.awaits_response
-            and now - watch.last_received > discovery_request.SILENCE_SECONDS
-        ):
+        watch = self.current
+        if watch and self.seconds_to_silence(watch) <= 0:
             if watch.received_line:
-                self.doubt.on_watch_silent()
                 self.stop_watches("watch-silent")
                 self.watch()
             else:
                 watch.fail("watch-silent")  # the response broke off before its first whole line
-        elif watch and not watch.received_line and now >= self.hedge_at:
+        elif watch and not watch.received_line and self.node.now >= self.hedge_at:
             self.send_hedged()
         if any(one and not one.received_line and one.service_up for one in (self.current, self.hedged)):
             self.doubt.on_reached()
         self.doubt.update()
 
+    def seconds_to_silence(self, watch: Any) -> float:
+        """Returns in how many seconds a watch counts as silent if it receives no line; infinite for one whose
+        request may still be queued at discovery."""
+        if watch.awaits_response:
+            return math.inf
+        return watch.last_received + discovery_request.SILENCE_SECONDS - self.node.now
+
+    def seconds_to_check(self) -> float:
+        """Returns the seconds until the next check. Servers can prove themselves between the end of a silent
+        watch and the moment in which the list becomes doubtful, so both are kept to the moment."""
+        waits = [self.seconds_to_silence(watch) for watch in (self.current, self.previous) if watch]
+        waits.append(self.doubt.seconds_to_next_silence())
+        next_event = min((wait for wait in waits if wait > 0), default=math.inf)
+        return max(MIN_CHECK_INTERVAL_SECONDS, min(CHECK_INTERVAL_SECONDS, next_event))
+
     def send_hedged(self) -> None:
         """Sends a hedged request beside the one that has been without a response for too long.
 
@@ -152,6 +177,6 @@
         if self.hedged and self.node.now - self.current.started_at > retry.hedge_patience:
             self.current, self.hedged = self.hedged, self.current
         if self.hedged:
-            self.hedged.stop("watch-late")
+            self.stop(self.hedged, "watch-late")
         self.hedged = self.new_request(self.node, self.address, True)
         self.hedge_at = self.node.now + retry.hedge_delay()
--- a/bellrack/net/list_doubt.py
+++ b/bellrack/net/list_doubt.py
@@ -8,7 +8,7 @@
 import math
 from typing import Any
 
-from bellrack.list_age import ListAge
+from bellrack.list_age import ListAge, Windows
 from bellrack.net import log
 
 
@@ -17,7 +17,7 @@
 
     def __init__(self, node: Any):
         self.node, self.age = node, ListAge(node.started_at)
-        # Whether the list may be out of date, and whether half the time until then has passed.
+        # Whether the list is doubtful, and whether servers should be tried before it is.
         self.doubtful = self.aging = False
         self.logged_event = ""  # the last one that was logged
 
@@ -37,10 +37,11 @@
         self.age.on_unreachable(started)
         self.log_age("unreachable")
 
-    def on_watch_silent(self) -> None:
-        """The watch fell silent after its last line."""
-        self.age.on_watch_silent()
+    def on_watch_silent(self, last_line_at: float) -> None:
+        """A watch is closed that fell silent after the time `last_line_at`."""
+        self.age.on_watch_silent(last_line_at, self.node.now)
         self.log_age("watch-silent")
+        self.update()
 
     def log_age(self, event: str) -> None:
         """Logs what determines the age of the list, once for each run of equal events."""
@@ -51,21 +52,29 @@
                 because=event,
                 confirmed_before=self.node.now - self.age.confirmed_at,
                 reached=self.age.reached,
+                silent_watches=len(self.age.silent_watches),
             )
 
+    def seconds_to_next_silence(self) -> float:
+        """Returns in how many seconds what a silent watch missed counts as told; infinite if nothing does."""
+        return self.age.next_silence_due(self.node.now, self.windows()) - self.node.now
+
+    def windows(self) -> Windows:
+        """Returns for how long proofs are valid by the settings in force."""
+        return self.node.balancer.discovery_retry.windows()
+
     def update(self) -> None:
-        """Recomputes whether the list may be out of date, and marks its servers accordingly."""
-        window = self.node.balancer.discovery_retry.window()
-        doubtful = self.age.is_doubtful(self.node.now, window)
-        if doubtful != self.doubtful:
-            self.doubtful = doubtful
-            self.node.counters["doubtful_lists"] += doubtful
-            log.event("list", doubtful=doubtful)
-            if not doubtful:
-                self.node.server_list.mark_doubtful(math.inf)
-        if doubtful:
-            self.node.server_list.mark_doubtful(window)
-        aging = self.age.is_doubtful(self.node.now, window / 2)
-        if aging or self.aging:
-            self.node.server_list.mark_untried(window / 2 if aging else math.inf)
-        self.aging = aging
+        """Recomputes whether the list is doubtful, and marks its servers accordingly."""
+        now, windows, server_list = self.node.now, self.windows(), self.node.server_list
+        proofs_needed_from = self.age.proofs_needed_from(now, windows)
+        was_doubtful, self.doubtful = self.doubtful, proofs_needed_from > -math.inf
+        if self.doubtful or was_doubtful:
+            server_list.mark_doubtful(proofs_needed_from)
+        if self.doubtful != was_doubtful:
+            self.node.counters["doubtful_lists"] += self.doubtful
+            usable = sum(server.usable for server in self.node.servers.values())
+            log.event("list", doubtful=self.doubtful, usable=usable)
+        attempts_needed_from = self.age.attempts_needed_from(now, windows)
+        was_aging, self.aging = self.aging, attempts_needed_from > -math.inf
+        if self.aging or was_aging:
+            server_list.mark_untried(attempts_needed_from)
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -198,10 +198,9 @@
         if id_hash in self.orders and not self.orders[id_hash].cordon:
             del self.orders[id_hash]
 
-    def mark_doubtful(self, window: float) -> None:
-        """The list may lack changes that count as received: new connections go only to servers that accepted
-        one within the last `window` seconds. Infinite: the list is up to date again."""
-        since = max(self.node.now - window, self.node.discovery.doubt.age.proofs_valid_from)
+    def mark_doubtful(self, since: float) -> None:
+        """The list may lack changes that count as told: new connections go only to servers that accepted one
+        since the time `since`. -inf: the list is up to date again."""
         changed = False
         for server in self.node.servers.values():
             doubtful = server.last_accepted < since
@@ -211,13 +210,13 @@
             self.node.balancer.refresh_usable()
 
     def mark_untried(self, since: float) -> None:
-        """Servers that neither accepted nor were sent a connection for `since` seconds get the next call
+        """Servers that neither accepted nor were sent a connection since the time `since` get the next call
         without a group. Otherwise, once the list becomes doubtful, only the servers that accepted one lately
-        would be usable, and they become fewer and fewer. Infinite: the list is recent.
+        would be usable, and they become fewer and fewer. -inf: the list is recent.
 
         Calls of a group are not redirected: each further server that holds a group has a cost."""
         for server in self.node.servers.values():
-            server.needs_attempt = self.node.now - max(server.last_accepted, server.last_attempted) > since
+            server.needs_attempt = max(server.last_accepted, server.last_attempted) < since
 
     def knows(self, name: str) -> bool:
         """Whether a server of that name is listed or cordoned."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,263 +7,19 @@
 
 import asyncio
 import contextlib
-import heapq
-import itertools
 import json
 import socket
 
 import pytest
 from helpers import Peer, World, async_test, settings
+from simulated_discovery import BOUND_SECONDS, LISTS_PER_SECOND, SERVER_COUNT, Tier
 from test_net import HEAD, chunk
 
 from bellrack import discovery_retry, model
-from bellrack.accounting import Accounting
-from bellrack.model import Call, Result
 from bellrack.net import discovery, discovery_request
-from bellrack.net import node as host
-from bellrack.net.discovery import Discovery
-from bellrack.net.log import Counters
-from bellrack.net.readiness import Readiness
-from bellrack.net.server_list import ServerList
 from bellrack.net.servers import ServerConnection
 from bellrack.rng import Rng
 
-LISTS_PER_SECOND = 10  # written by the service
-QUEUE_TIMEOUT_SECONDS = 2.0  # after which the service answers a queued request with 503
-BOUND_SECONDS = discovery_retry.TOLD_AFTER_SECONDS + 1.0  # with the drain grace period
-DRAINING_SERVER = 3  # id hash
-SERVER_COUNT = 8
-
-
-class FakeRequest:
-    """A request to a simulated discovery, with the part of DiscoveryRequest that Discovery uses."""
-
-    def __init__(self, node, address, watch):
-        self.node, self.started_at, self.last_received = node, node.now, node.now
-        self.reached = self.received_line = self.closed = False
-        self.accepted_at = node.now
-        self.awaits_response = True
-        node.service.on_request(self)
-
-    @property
-    def service_up(self):
-        return self.reached and (
-            self.received_line or self.node.now - self.accepted_at > discovery_retry.PROMPT_FAILURE_SECONDS
-        )
-
-    def fail(self, reason):
-        if not self.closed:
-            self.closed = True
-            self.node.discovery.on_request_failed(self)
-
-    def stop(self, reason):
-        self.closed = True
-
-
-class FakeService:
-    """Discovery as PROTOCOL.md describes it: requests are answered in turn; one that waits too long gets 503.
-    Requests that the balancer has abandoned are processed as well, since the service may not notice."""
-
-    def __init__(self, tier):
-        self.tier, self.queue, self.watches, self.request_count, self.working = tier, [], [], 0, False
-        self.mode, self.max_open = "", 0  # mode: up, refused, lost, 503, busy (503 after a wait) or silent
-        self.drained, self.open = False, {}
-
-    def on_request(self, request):
-        self.request_count += 1
-        still_open = [earlier for earlier in self.open.get(request.node, ()) if not earlier.closed] + [
-            request
-        ]
-        self.open[request.node] = still_open
-        self.max_open = max(self.max_open, len(still_open))
-        wait = discovery_retry.CONNECT_TIMEOUT_SECONDS if self.mode == "lost" else 0.001
-        self.tier.after(request.node, wait, self.connected, request, self.mode)
-
-    def connected(self, request, mode):
-        if request.closed or not mode:
-            return
-        if mode in ("refused", "lost"):
-            request.fail(mode)
-            return
-        request.reached, request.accepted_at = True, request.node.now
-        if mode == "503":
-            request.fail("status-503")
-        elif mode == "busy":
-            self.tier.after(request.node, QUEUE_TIMEOUT_SECONDS, request.fail, "status-503")
-        elif mode == "up":
-            self.queue.append(request)
-            self.tier.after(request.node, QUEUE_TIMEOUT_SECONDS, self.time_out, request)
-            if not self.working:
-                self.process_queue()
-
-    def time_out(self, request):
-        if request in self.queue:
-            self.queue.remove(request)
-            request.fail("status-503")
-
-    def process_queue(self):
-        self.working = bool(self.queue)
-        if self.working:
-            request = self.queue.pop(0)
-            if self.mode == "up":
-                self.tier.after(request.node, 1 / LISTS_PER_SECOND, self.answer, request)
-            self.tier.after(None, 1 / LISTS_PER_SECOND, self.process_queue)
-
-    def answer(self, request):
-        if not request.closed and self.mode == "up":
-            request.awaits_response, request.received_line, request.last_received = (
-                False,
-                True,
-                request.node.now,
-            )
-            request.node.discovery.on_line(request, has_listing=True)
-            request.node.apply_list(self.drained)
-            request.node.discovery.on_confirmed(request.node.now)
-            self.watches.append(request)
-            self.tier.after(request.node, 2.0, self.send_empty_line, request)
-
-    def send_empty_line(self, request):
-        if not request.closed and request in self.watches:
-            request.last_received = request.node.now
-            request.node.discovery.on_confirmed(request.node.now)
-            self.tier.after(request.node, 2.0, self.send_empty_line, request)
-
-    def set_mode(self, mode):
-        """Changes the mode. Open watches and queued requests are reset, except in mode `silent` (they stay
-        open and get no more data) and `up`."""
-        self.mode, self.queue, waiting = mode, [], self.queue
-        watches, self.watches = self.watches, []
-        for request in watches + waiting if mode not in ("silent", "up") else ():
-            self.tier.after(request.node, 0.0, request.fail, "list-rst")
-
-
-class FakeNode(Accounting):
-    """A node with the real Discovery and decisions, in virtual time."""
-
-    started_at = 100.0
-
-    def __init__(self, tier, number, peers):
-        self.tier, self.service, self.counters = tier, tier.service, Counters()
-        self.readiness, self.readiness_changed = (
-            Readiness(tier.now, host.KNOWN_LIST_WAIT, True),
-            asyncio.Event(),
-        )
-        super().__init__(settings(peers=peers), 7 + 104729 * number, tier.now)
-        self.has_change, self.traffic_rng = False, Rng(number)
-        self.sent, self.rejected_at, self.doubtful = [], [], []  # sent: times and id hashes
-        self.discovery = Discovery(self, ("", 0), FakeRequest)
-        self.server_list = ServerList(self)
-        self.apply_list(False)
-        tier.after(self, 0.25 * self.traffic_rng.uniform(), self.discovery.check_watch)
-
-    def apply_list(self, drained):
-        self.has_change = drained
-        self.apply_entries(
-            [
-                (
-                    id_hash,
-                    model.DRAINING if drained and id_hash == DRAINING_SERVER else model.READY,
-                    0,
-                    0,
-                    1.0,
-                    0.0,
-                    0,
-                )
-                for id_hash in range(SERVER_COUNT)
-            ],
-            True,
-        )
-
-    def after(self, wait, callback, *values):
-        self.tier.after(self, wait, callback, *values)
-
-    def set_timer(self, when, callback):
-        self.tier.after(self, when - self.now, self.on_timer, callback)
-
-    def on_timer(self, callback):
-        self.balancer.on_timer(callback)
-
-    def watch(self, on=True):
-        self.discovery.watch(on)
-
-    def send_call(self):
-        """Makes a client's call, and schedules the next one."""
-        self.after(0.4 + 0.2 * self.traffic_rng.uniform(), self.send_call)
-        self.balancer.on_call(Call(self.settings.types[0], self.now + 3.0, self.now))
-
-    def send(self, call, server, until):
-        leg = self.begin_leg(call, server)
-        self.sent.append((self.now, server.id_hash))
-        self.after(0.005, self.finish_setup, leg)
-        return leg
-
-    def finish_setup(self, leg):
-        if leg.server.id_hash == DRAINING_SERVER and self.now > self.tier.drained_at:
-            # A draining server refuses new connections.
-            self.leg_ended(leg, Result(model.FULL), leg.call.done)
-        else:
-            leg.server.last_accepted = max(leg.server.last_accepted, leg.sent)
-            self.leg_established(leg)
-            self.after(0.3, self.leg_ended, leg, Result(model.COMPLETED), True)
-
-    def reject(self, call, wait=0.0):
-        call.done = True
-        self.rejected_at.append(self.now)
-
-    release = reject
-
-    def move(self, call): ...
-    def probe(self, server): ...
-    def send_datagram(self, peer, data): ...
-    def log(self, text): ...
-
-
-class Tier:
-    """Balancers with open watches, and their discovery, which learns of a drain at once. `clients`: how many
-    of the balancers get calls."""
-
-    def __init__(self, peers, clients=0):
-        self.now, self.order, self.agenda, self.drained_at = 100.0, itertools.count(), [], float("inf")
-        self.service = FakeService(self)
-        self.nodes = [FakeNode(self, number, peers) for number in range(peers)]
-        for node in self.nodes:
-            node.discovery.watch()
-            request = node.discovery.current
-            request.reached = True
-            self.service.mode = "up"
-            self.service.answer(request)
-            self.service.mode = ""
-            if node in self.nodes[:clients]:
-                self.after(node, node.traffic_rng.uniform(), node.send_call)
-        self.service.request_count, self.service.mode = 0, "up"
-
-    def after(self, node, wait, callback, *values):
-        heapq.heappush(self.agenda, (self.now + wait, next(self.order), node, callback, values))
-
-    def run(self, seconds, on_event=None):
-        end = self.now + seconds
-        while self.agenda[0][0] <= end:
-            self.now, _, node, callback, values = heapq.heappop(self.agenda)
-            if node:
-                node.now = self.now
-            callback(*values)
-            if on_event:
-                on_event()
-        self.now = end
-
-    def drain(self):
-        self.drained_at = self.now
-        self.service.drained = True
-
-    @property
-    def may_use_draining(self):
-        """Balancers that may still send new calls to the draining server."""
-        return [node for node in self.nodes if node.servers[DRAINING_SERVER].usable]
-
-    @property
-    def without_change(self):
-        return [node for node in self.nodes if not node.has_change]
-
 
 @pytest.mark.parametrize("how", ["refused", "lost", "503", "busy"])
 @pytest.mark.parametrize("peers", [1, 3, 10])
@@ -329,12 +85,6 @@
     assert not any(server.needs_attempt for server in marked)
 
 
-def sends_after(tier, when):
-    return [
-        at for node in tier.nodes for at, id_hash in node.sent if id_hash == DRAINING_SERVER and at > when
-    ]
-
-
 def test_200_balancers_refused_for_20_s_avoid_the_draining_server_without_a_request_storm(capsys):
     """The service writes ten lists per second and must not be flooded; the balancers keep serving clients."""
     tier = Tier(200, clients=20)
@@ -361,7 +111,7 @@
             f"{tier.service.request_count} in all; all have the list {tier.now - begun:.0f} s after"
         )
         print(f"20 of them with clients, in doubt: {sent} legs, {rejected} rejected")
-    assert not sends_after(tier, told)
+    assert not tier.sends_after(told)
     assert refused <= 5 * 200 and tier.service.request_count <= 6 * 200
     assert rejected < sent / 4
 
@@ -392,7 +142,7 @@
     assert had > 0.4 * LISTS_PER_SECOND * BOUND_SECONDS
     assert (
         not tier.without_change
-        and not sends_after(tier, told)
+        and not tier.sends_after(told)
         and tier.service.request_count - before <= 5 * 200
     )
 
@@ -417,13 +167,15 @@
     assert worst <= discovery_retry.TOLD_AFTER_SECONDS - 2.0
     assert worst >= discovery_retry.HEDGE_AFTER_SECONDS + discovery.CHECK_INTERVAL_SECONDS
     retry = discovery_retry.RetrySchedule(settings(drain_grace=0.0), Rng(5))
-    assert (
-        discovery_request.SILENCE_SECONDS + discovery.CHECK_INTERVAL_SECONDS
-        < retry.window()
-        < discovery_retry.TOLD_AFTER_SECONDS
-    )
+    for window in (retry.windows().unanswered, retry.windows().silent):
+        assert (
+            discovery_request.SILENCE_SECONDS + discovery.CHECK_INTERVAL_SECONDS
+            < window
+            < discovery_retry.TOLD_AFTER_SECONDS
+        )
     # In a tier whose retry delays exceed `ask_within`, a change counts as received after `ask_within`.
-    assert discovery_retry.RetrySchedule(settings(peers=4800, ask_within=3.0), Rng(5)).window() < 3.0 + 1.0
+    windows = discovery_retry.RetrySchedule(settings(peers=4800, ask_within=3.0), Rng(5)).windows()
+    assert max(windows.unanswered, windows.silent) < 3.0 + 1.0
 
 
 # On real connections, with times reduced to about a tenth. Order and counts are checked, not durations.
@@ -501,11 +253,11 @@
     async with World() as world:
         age = world.node.discovery.doubt.age
         for number in range(3):
-            before = age.confirmed_at
+            before = age.complete_until
             request, _ = await world.discovery_request()
             request.writer.write(refusal)
             await world.until(lambda least=number: world.node.counters["list_failures"] > least)
-            assert age.confirmed_at > before and not age.reached
+            assert age.complete_until > before and not age.reached
         monkeypatch.setattr(discovery_retry, "PROMPT_FAILURE_SECONDS", 0.0)
         request, _ = await world.discovery_request()
         request.writer.write(refusal)
--- /dev/null
+++ b/tests/test_silent_watch.py
@@ -0,0 +1,234 @@
+"""A watch that fell silent: what it missed counts as told 6 s after its last line, whatever becomes of the
+calls that follow, and servers that proved themselves after its end stay in use.
+
+The first part checks the age of the list by itself, the second plays many balancers in virtual time, and the
+third uses real connections.
+"""
+
+import asyncio
+import math
+
+import pytest
+from helpers import World, async_test
+from hypothesis import given
+from hypothesis import strategies as st
+from simulated_discovery import Tier
+from test_discovery import full_listener, quick  # noqa: F401  `quick` is a fixture
+from test_net import HEAD, chunk
+
+from bellrack import discovery_retry
+from bellrack.list_age import ListAge, Windows
+from bellrack.net import discovery_request
+
+WINDOWS = Windows(unanswered=6.0, silent=6.2)
+GRACE_SECONDS = 0.5
+TOLD_SECONDS = 6.0
+
+
+class Timeline:
+    """What one process sees of discovery, and by the pages' sentences when a drain counts as told."""
+
+    def __init__(self):
+        self.now, self.age = 100.0, ListAge(100.0)
+        self.confirmed_at = self.now
+        self.silent = []  # pairs: last line, end of the watch
+        self.calls = []  # pairs: start, whether it reached discovery
+
+    def confirm(self):
+        self.age.confirm(self.now)
+        self.confirmed_at, self.silent, self.calls = self.now, [], []
+
+    def watch_falls_silent(self, silent_for):
+        last_line = max(self.confirmed_at, self.now - silent_for)
+        self.age.on_watch_silent(last_line, self.now)
+        self.silent.append((last_line, self.now))
+
+    def reach(self):
+        self.age.on_reached()
+        self.calls.append((self.now, True))
+
+    def fail_to_reach(self, lasted):
+        started = max(self.confirmed_at, self.now - lasted)
+        self.age.on_unreachable(started)
+        self.calls.append((started, False))
+
+    def told_at(self, drained_at):
+        """When a drain counts as told: by a watch that missed it, or by discovery that could be reached."""
+        by_silence = [
+            last_line + TOLD_SECONDS for last_line, closed in self.silent if last_line <= drained_at <= closed
+        ]
+        first_reach = next((number for number, (_, reached) in enumerate(self.calls) if reached), None)
+        if first_reach is None:
+            return min(by_silence, default=math.inf)
+        # Discovery may have been reachable ever since the last call that found it unreachable before then.
+        reachable_from = max([started for started, _ in self.calls[:first_reach]], default=self.confirmed_at)
+        return min([*by_silence, max(drained_at, reachable_from) + TOLD_SECONDS])
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["confirm", "watch_falls_silent", "reach", "fail_to_reach", "wait", "wait"]),
+            st.floats(0.1, 5.0),
+        ),
+        max_size=14,
+    ),
+    st.data(),
+)
+def test_no_server_is_used_whose_drain_since_its_last_proof_counts_as_told(events, data):
+    """Guards against a later failure of a call that makes the list count as younger than its silent watch."""
+    timeline = Timeline()
+    for event, seconds in events:
+        if event == "wait":
+            timeline.now += seconds
+        elif event in ("watch_falls_silent", "fail_to_reach"):
+            getattr(timeline, event)(seconds)
+        else:
+            getattr(timeline, event)()
+    proof_needed_from = timeline.age.proofs_needed_from(timeline.now, WINDOWS)
+    proof = data.draw(st.floats(timeline.confirmed_at - 1.0, timeline.now))
+    drained_at = data.draw(st.floats(max(proof, timeline.confirmed_at), timeline.now))
+    if proof >= proof_needed_from:
+        assert timeline.now <= timeline.told_at(drained_at) + GRACE_SECONDS
+
+
+def test_proofs_after_the_end_of_a_silent_watch_do_not_expire_while_discovery_is_unreachable():
+    age = ListAge(100.0)
+    age.on_watch_silent(100.0, 104.5)
+    assert age.attempts_needed_from(104.5, WINDOWS) == 104.5
+    for started in (104.5, 106.0, 109.0, 115.0):
+        age.on_unreachable(started)
+    assert age.proofs_needed_from(106.19, WINDOWS) == -math.inf
+    assert age.proofs_needed_from(106.2, WINDOWS) == age.proofs_needed_from(200.0, WINDOWS) == 104.5
+    age.on_reached()  # from here on drains count as told again: 6 s after the last call that could not
+    assert age.proofs_needed_from(120.9, WINDOWS) == 104.5
+    assert age.proofs_needed_from(121.5, WINDOWS) == 121.5 - WINDOWS.unanswered
+
+
+def test_list_as_of_before_the_end_of_a_silent_watch_does_not_make_up_for_it():
+    age = ListAge(100.0)
+    age.on_watch_silent(100.0, 104.5)
+    age.confirm(104.0)  # a single list that was requested before the watch was closed
+    assert age.proofs_needed_from(106.2, WINDOWS) == 104.5
+    age.confirm(104.5)
+    assert age.proofs_needed_from(106.2, WINDOWS) == -math.inf
+
+
+# In virtual time.
+
+FAILURES = {
+    "calls never come up": ["cut"],
+    "calls are accepted and not answered": ["silent"],
+    "calls are queued and refused": ["silent", "busy"],
+    # The watch is reset after it was silent for 4.4 s, and no call reaches discovery from then on.
+    "calls are refused": ["silent", "refused"],
+    "calls get 503 at once": ["silent", "503"],
+    "calls never come up after the reset": ["silent", "lost"],
+}
+
+
+def fall_silent(tier, modes):
+    """Lets all watches fall silent, and a server drain soon after. Returns when that counts as told and the
+    drain grace is over."""
+    tier.run(5.0)
+    last_line_at = tier.nodes[0].discovery.current.last_received
+    assert all(node.discovery.current.last_received == last_line_at for node in tier.nodes)
+    tier.service.set_mode(modes[0])
+    tier.run(0.5)
+    tier.drain()
+    tier.run(last_line_at + 4.4 - tier.now)
+    for mode in modes[1:]:
+        tier.service.set_mode(mode)
+    return last_line_at + TOLD_SECONDS + GRACE_SECONDS
+
+
+@pytest.mark.parametrize("modes", FAILURES.values(), ids=FAILURES)
+def test_drain_that_a_silent_watch_missed_is_kept_whatever_the_calls_that_follow_come_to(modes):
+    """Guards against review/10: a call that did not come up made a list count as confirmed at its start."""
+    tier = Tier(10, clients=10, drain_grace=GRACE_SECONDS)
+    told = fall_silent(tier, modes)
+    tier.run(told - tier.now)
+    assert not tier.may_use_draining
+    tier.run(60.0)
+    assert not tier.may_use_draining and not tier.sends_after(told)
+    tier.service.set_mode("up")
+    tier.run(10.0)
+    assert not tier.without_change and not any(node.discovery.doubt.doubtful for node in tier.nodes)
+
+
+@pytest.mark.parametrize("modes", FAILURES.values(), ids=FAILURES)
+@pytest.mark.parametrize("call_interval", [0.1, 0.5])
+def test_callers_are_served_through_the_silence_where_servers_could_prove_themselves(modes, call_interval):
+    """Guards against an outage while servers are healthy: no server was usable from the sixth second on."""
+    tier = Tier(10, clients=10, call_interval=call_interval, shared=False, drain_grace=GRACE_SECONDS)
+    fall_silent(tier, modes)
+    tier.run(30.0)
+    assert not any(node.rejected_at for node in tier.nodes)
+
+
+@pytest.mark.parametrize("call_interval", [3.0, 5.0])
+def test_few_callers_are_served_through_a_cut_once_one_server_has_proved_itself(call_interval, capsys):
+    tier = Tier(60, clients=60, call_interval=call_interval, shared=False, drain_grace=GRACE_SECONDS)
+    told = fall_silent(tier, ["cut"])
+    closed_at = told - GRACE_SECONDS - TOLD_SECONDS + discovery_request.SILENCE_SECONDS
+    tier.run(30.0)
+    proved = [node for node in tier.nodes if max(s.last_accepted for s in node.servers.values()) >= closed_at]
+    with capsys.disabled():
+        print(f"\na call every {call_interval:g} s: {len(proved)} of 60 balancers serve through a cut")
+    assert proved and not any(node.rejected_at for node in proved)
+    # A balancer without a call in that time may not send anything anywhere.
+    assert all(node.rejected_at for node in tier.nodes if node not in proved)
+
+
+def test_lists_that_are_only_unreachable_after_a_sound_watch_stay_valid():
+    tier = Tier(3, clients=3)
+    tier.run(5.0)
+    tier.service.set_mode("lost")  # watches are reset, a second after their last line
+    tier.run(60.0)
+    assert len(tier.may_use_draining) == 3 and not any(node.rejected_at for node in tier.nodes)
+
+
+# On real connections, with times reduced.
+
+
+@async_test
+async def test_silent_watch_of_an_unreachable_discovery_makes_the_list_doubtful(quick, monkeypatch):  # noqa: F811
+    """Guards against review/10: the way to discovery is cut, and the list stands as long as that lasts."""
+    monkeypatch.setattr(discovery_retry, "TOLD_AFTER_SECONDS", 1.0)
+    monkeypatch.setattr(discovery_retry, "SILENT_MARGIN_SECONDS", 0.1)
+    monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 0.4)
+    monkeypatch.setattr("bellrack.net.discovery.EMPTY_LINE_LATE_SECONDS", 0.2)
+    rules = {"answerSlackUs": 16000, "coldShare": 0.2, "rampTimeUs": 2e7, "stopSendingWithinUs": 1e5}
+    listener, fillers = full_listener()
+    async with World(servers=3, obligations=rules) as world:
+        watch, _ = await world.discovery_request()
+        watch.writer.write(HEAD + chunk("\n"))
+        await world.until(lambda: world.node.readiness.list_received)
+        world.node.discovery.address = listener.getsockname()
+        placed_on = []
+
+        async def serve():
+            """The second server rejects new connections, as if it drained; the others accept them."""
+            while True:
+                number, peer = await world.arrived.get()
+                await peer.line()
+                placed_on.append(number)
+                peer.say("BUSY" if number == 1 else "UP 1")
+
+        async def served():
+            client = await world.call()
+            line = await client.line()
+            client.end("fin")
+            await asyncio.sleep(0.02)  # limits the rate of calls
+            return line == "UP 1"
+
+        serving = asyncio.create_task(serve())
+        while not world.node.discovery.doubt.doubtful:
+            await served()
+        assert world.node.counters["list_failures"] and not world.node.discovery.doubt.age.reached
+        placed_on.clear()
+        assert [await served() for _ in range(20)] == [True] * 20
+        assert placed_on and 1 not in placed_on
+        serving.cancel()
+    for sock in (listener, *fillers):
+        sock.close()
