The age of the list goes over in an upgrade, with the servers' proofs

What callers saw: a new version started while discovery had too many callers, or while its watch was silent, took the predecessor's list with the date of its own start.

Cause: the age of the list was not among what the two processes share; the successor's ListAge began at its own start.

Change: the age is one value with a form of its own (ListAge.to_message) and a merge. A successor without a list of discovery's own drops the date of its start. Times are of the monotonic clock.

--- a/bellrack/list_age.py
+++ b/bellrack/list_age.py
@@ -25,7 +25,9 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 # Watches that fell silent since the list was confirmed, of which the last are kept. A new one can fall silent
 # HEDGE_AFTER_SECONDS after the one before, so an older one has been succeeded by others that count by now.
@@ -55,9 +57,14 @@
     confirmed_at: float  # the list is at least as recent as discovery's was then
     # When the last call began that could not reach discovery; none has reached it since the confirmation.
     unreachable_at: float = -math.inf
-    reached: bool = False  # a call has reached discovery since the confirmation
+    reached_at: float = -math.inf  # when a call was last known to have reached it since the confirmation
     silent_watches: list[SilentWatch] = field(default_factory=list)  # not yet made up for, the oldest first
 
+    @property
+    def reached(self) -> bool:
+        """Whether a call has reached discovery since the list was confirmed."""
+        return self.reached_at > -math.inf
+
     @property
     def complete_until(self) -> float:
         """No later call could reach discovery before this time, apart from watches that fell silent."""
@@ -66,7 +73,7 @@
     def confirm(self, since: float) -> None:
         """The list is at least as recent as discovery's at the time `since`."""
         self.confirmed_at = max(self.confirmed_at, since)
-        self.reached = False
+        self.unreachable_at = self.reached_at = -math.inf
         self.silent_watches = [watch for watch in self.silent_watches if watch.closed_at > since]
 
     def on_watch_silent(self, last_line_at: float, closed_at: float) -> None:
@@ -74,15 +81,61 @@
         self.silent_watches.append(SilentWatch(last_line_at, closed_at))
         del self.silent_watches[:-MAX_SILENT_WATCHES]
 
-    def on_reached(self) -> None:
+    def on_reached(self, now: float) -> None:
         """Discovery queued a call or began to answer it: it counts as reached from now on."""
-        self.reached = True
+        self.reached_at = now
 
     def on_unreachable(self, started: float) -> None:
         """A call that began at `started` could not reach discovery, or found it down."""
         if not self.reached:
             self.unreachable_at = max(self.unreachable_at, started)
 
+    def merge(self, other: ListAge) -> None:
+        """Takes over what another process of this balancer knows, which holds the same list.
+
+        The result is not younger than the age that one process would have that had seen all of it."""
+        self.confirmed_at = max(self.confirmed_at, other.confirmed_at)
+        reached = [age for age in (self, other) if age.reached_at >= self.confirmed_at]
+        self.unreachable_at = (
+            min(age.unreachable_at for age in reached)
+            if reached
+            else max(self.unreachable_at, other.unreachable_at)
+        )
+        self.reached_at = max((age.reached_at for age in reached), default=-math.inf)
+        watches = {*self.silent_watches, *other.silent_watches}
+        missed = [watch for watch in watches if watch.closed_at >= self.confirmed_at]
+        self.silent_watches = sorted(missed, key=lambda watch: watch.closed_at)[-MAX_SILENT_WATCHES:]
+
+    def to_message(self, anchor: float) -> dict[str, Any]:
+        """Returns the age as a JSON object, for `from_message`; `anchor` is subtracted from all times."""
+        return {
+            "confirmed": self.confirmed_at - anchor,
+            "unreachable": self.unreachable_at - anchor if self.unreachable_at > -math.inf else None,
+            "reached": self.reached_at - anchor if self.reached else None,
+            "silent": [
+                [watch.last_line_at - anchor, watch.closed_at - anchor] for watch in self.silent_watches
+            ],
+        }
+
+    @classmethod
+    def from_message(cls, message: Mapping[str, Any], anchor: float) -> ListAge:
+        """Reads a JSON object of `to_message`; `anchor` is added to all times.
+
+        Raises KeyError, TypeError or ValueError if it is malformed."""
+
+        def optional(time: float | None) -> float:
+            return -math.inf if time is None else float(time) + anchor
+
+        return cls(
+            confirmed_at=float(message["confirmed"]) + anchor,
+            unreachable_at=optional(message["unreachable"]),
+            reached_at=optional(message["reached"]),
+            silent_watches=[
+                SilentWatch(float(last_line_at) + anchor, float(closed_at) + anchor)
+                for last_line_at, closed_at in message["silent"]
+            ][-MAX_SILENT_WATCHES:],
+        )
+
     def proofs_needed_from(self, now: float, windows: Windows) -> float:
         """Returns the time since which a server must have accepted a connection to get new ones.
 
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -164,6 +164,8 @@
             node.limits.make_room(node.now)
         if "news" in message and message.get("discovery") == lines.format_address(node.discovery.address):
             node.server_list.on_sibling_list(lines.parse_list(message["news"]))
+        if "list_age" in message:
+            shared_state.adopt_part(shared_state.adopt_list_age, node, shared_state.Predecessor(message))
         if "out" in message or "back" in message:
             ordered_at = float(message.get("given", node.clock() - node.anchor))
             order = CordonOrder(str(message.get("out") or message["back"]), "out" in message, ordered_at)
@@ -172,6 +174,8 @@
             self.handoff_sender = self.sibling.handoff_sender
             node.listeners.stop_accepting()
             node.balancer.slow_start.suspend(True)  # the successor uses the budget now
+            # Servers may have accepted connections since the snapshot.
+            self.publish(list_age=node.discovery.doubt.to_message(with_proofs=True))
             log.event("followed")
 
     def on_sibling_lost(self, lost: sibling.Sibling) -> None:
--- a/bellrack/net/list_doubt.py
+++ b/bellrack/net/list_doubt.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bellrack.list_age import ListAge, Windows
-from bellrack.net import log
+from bellrack.net import lines, log
 
 
 class ListDoubt:
@@ -24,23 +24,62 @@
     def on_confirmed(self, since: float) -> None:
         """The list in use is at least as recent as discovery's at the time `since`."""
         self.age.confirm(since)
-        self.log_age("confirmed")
-        self.update()
+        self.on_age_changed("confirmed")
 
     def on_reached(self) -> None:
         """Discovery queued a call or began to answer it."""
-        self.age.on_reached()
-        self.log_age("reached")
+        self.age.on_reached(self.node.now)
+        self.on_age_changed("reached")
 
     def on_unreachable(self, started: float) -> None:
         """A call that began at `started` could not reach discovery, or found it down."""
         self.age.on_unreachable(started)
-        self.log_age("unreachable")
+        self.on_age_changed("unreachable")
 
     def on_watch_silent(self, last_line_at: float) -> None:
         """A watch is closed that fell silent after the time `last_line_at`."""
         self.age.on_watch_silent(last_line_at, self.node.now)
-        self.log_age("watch-silent")
+        self.on_age_changed("watch-silent")
+
+    def on_age_changed(self, event: str) -> None:
+        """Acts on a change of the age, which is logged as `event`."""
+        self.log_age(event)
+        if self.node.hot_restart.sibling:
+            self.node.hot_restart.publish(list_age=self.to_message())
+        self.update()
+
+    # The two processes of a hot restart hold the same list, so they know its age together.
+
+    def to_message(self, with_proofs: bool = False) -> dict[str, Any]:
+        """Returns the age of the list for the sibling, in times of the monotonic clock.
+
+        `with_proofs`: with the times at which servers accepted connections, which are many."""
+        node = self.node
+        message = self.age.to_message(node.anchor)
+        message["discovery"] = lines.format_address(node.discovery.address)
+        if with_proofs:
+            message["proofs"] = {
+                str(server.id_hash): server.last_accepted - node.anchor
+                for server in node.servers.values()
+                if server.last_accepted > -math.inf
+            }
+        return message
+
+    def on_sibling_age(self, message: dict[str, Any]) -> None:
+        """The sibling sent the age of its list: together with its news, ours is as old.
+
+        Raises KeyError, TypeError or ValueError if the message is malformed."""
+        node = self.node
+        if message["discovery"] != lines.format_address(node.discovery.address):
+            return
+        theirs = ListAge.from_message(message, node.anchor)
+        if not node.server_list.confirmed:
+            self.age.confirmed_at = -math.inf  # the list is the sibling's: our own start says nothing of it
+        self.age.merge(theirs)
+        for id_hash, accepted_at in message.get("proofs", {}).items():
+            if server := node.servers.get(int(id_hash)):
+                server.last_accepted = max(server.last_accepted, float(accepted_at) + node.anchor)
+        self.log_age("sibling")
         self.update()
 
     def log_age(self, event: str) -> None:
--- a/bellrack/net/shared_state.py
+++ b/bellrack/net/shared_state.py
@@ -8,6 +8,7 @@
 | --- | --- |
 | a server's entry in the list | the later by discovery's versions (`fact_versions.supersedes`); where the two processes have different discovery addresses, our own if discovery has sent us a list, else the predecessor's |
 | an operator's order to detach or attach a server | the latest, by the machine's monotonic clock |
+| the age of the list, and when servers last accepted a connection | of both, together (`ListAge.merge`); not where the two have different discovery addresses |
 | what is learned of a server, and when it started | the predecessor's, which has observed it for longer; none where its list has an earlier start of the server than ours |
 | ids of ended connections | those of both |
 | the period in which resumed connections are admitted | the earlier start; an ordinary request has been seen if either process has seen one |
@@ -39,6 +40,7 @@
             "complete": versions.complete,
             "later": {str(id_hash): version for id_hash, version in versions.newer.items()},
         },
+        "list_age": node.discovery.doubt.to_message(with_proofs=True),
         "learned": node.export_learned(),
         "out": list(node.server_list.cordoned.values()),  # for older versions, which ignore "orders"
         "orders": [order.to_row() for order in orders],
@@ -79,7 +81,7 @@
     A part that cannot be read, as another version wrote it, is skipped; the other parts are still adopted,
     above all which servers are detached."""
     predecessor = Predecessor(state)
-    for part in (adopt_clock, adopt_orders, adopt_list, adopt_learned, adopt_requests):
+    for part in (adopt_clock, adopt_orders, adopt_list, adopt_list_age, adopt_learned, adopt_requests):
         adopt_part(part, node, predecessor)
 
 
@@ -116,6 +118,12 @@
         server_list.load_known_list(news)
 
 
+def adopt_list_age(node: Any, predecessor: Predecessor) -> None:
+    """Adopt the age of the predecessor's list and the proofs of its servers; an older version sends none."""
+    if "list_age" in predecessor.state:
+        node.discovery.doubt.on_sibling_age(predecessor.state["list_age"])
+
+
 def adopt_learned(node: Any, predecessor: Predecessor) -> None:
     """Adopt what the predecessor has learned of the servers.
 
--- a/tests/simulated_discovery.py
+++ b/tests/simulated_discovery.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+from types import SimpleNamespace
 
 from helpers import settings
 
@@ -142,6 +143,7 @@
         self.sent, self.rejected_at, self.doubtful = [], [], []  # sent: times and id hashes
         self.discovery = Discovery(self, ("", 0), FakeRequest)
         self.server_list = ServerList(self)
+        self.hot_restart = SimpleNamespace(sibling=None)
         self.apply_list(False)
         tier.after(self, 0.25 * self.traffic_rng.uniform(), self.discovery.check_watch)
 
