List age: say why eight silent watches are enough

Cause: the comment named the delay of a hedged request, but a watch may also end by a reset after 2.5 s of silence. Change: the reason is that each entry took seconds of silence and the window is 6 s. Comment only.

--- a/bellrack/list_age.py
+++ b/bellrack/list_age.py
@@ -29,8 +29,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-# Watches that fell silent since the list was confirmed, of which the last are kept. A new one can fall silent
-# HEDGE_AFTER_SECONDS after the one before, so an older one has been succeeded by others that count by now.
+# Of the watches that fell silent since the list was confirmed the last are kept. Each was silent for seconds,
+# so when one is dropped a later one is due, whose end asks for newer proofs.
 MAX_SILENT_WATCHES = 8
 
 
