--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -408,6 +408,25 @@
                         self.wake(held)
 
 
+async def serve_calls(world, rejecting, placed_on):
+    """Answers calls at the servers until it is cancelled: BUSY at those whose numbers are in `rejecting`, UP
+    at the others. Appends the number of each server that is asked to `placed_on`."""
+    while True:
+        number, peer = await world.arrived.get()
+        await peer.line()
+        placed_on.append(number)
+        peer.say("BUSY" if number in rejecting else "UP 1")
+
+
+async def is_served(world):
+    """Makes a call and returns whether it is established. Limits the rate of the calls that follow."""
+    client = await world.call()
+    line = await client.line()
+    client.end("fin")
+    await asyncio.sleep(0.02)
+    return line == "UP 1"
+
+
 def async_test(test):
     """Decorates a test that is a coroutine: runs it, for 20 s at most."""
 
