--- a/tests/simulated_discovery.py
+++ b/tests/simulated_discovery.py
@@ -57,6 +57,7 @@
         self.tier, self.queue, self.watches, self.request_count, self.working = tier, [], [], 0, False
         # up, refused, lost, 503, busy (503 after a wait), silent, or cut (watches silent, requests lost)
         self.mode, self.max_open = "", 0
+        self.silenced = []  # watches that stay open and get no more data
         self.drained, self.open = False, {}
 
     def on_request(self, request):
@@ -119,11 +120,14 @@
             self.tier.after(request.node, 2.0, self.send_empty_line, request)
 
     def set_mode(self, mode):
-        """Changes the mode. Open watches and queued requests are reset, except in the modes `silent` and
-        `cut` (they stay open and get no more data) and `up`."""
+        """Changes the mode. Watches and queued requests are reset, also those that fell silent before. In the
+        modes `silent` and `cut` they stay open and get no more data; in `up` they stay as they are."""
         self.mode, self.queue, waiting = mode, [], self.queue
-        watches, self.watches = self.watches, []
-        for request in watches + waiting if mode not in ("silent", "cut", "up") else ():
+        watches, self.watches, self.silenced = self.silenced + self.watches, [], []
+        if mode in ("silent", "cut", "up"):
+            self.silenced = watches
+            return
+        for request in watches + waiting:
             self.tier.after(request.node, 0.0, request.fail, "list-rst")
 
 
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -195,10 +195,9 @@
 async def test_age_of_the_list_at_another_address_of_discovery_is_ignored(folder):  # noqa: F811
     async with World(servers=2, control=True, listen=reserved_address()) as world:
         age = world.node.discovery.doubt.age
-        message = world.node.discovery.doubt.to_message() | {
-            "silent": [[0.0, 1.0]],
-            "discovery": "127.0.0.1:1",
-        }
+        now = world.node.clock() - world.node.anchor
+        message = world.node.discovery.doubt.to_message()
+        message |= {"silent": [[now, now + 1.0]], "discovery": "127.0.0.1:1"}
         world.node.hot_restart.on_message({"list_age": message})
         assert not age.silent_watches
         world.node.hot_restart.on_message({"list_age": {"discovery": message["discovery"]}})  # malformed
@@ -208,6 +207,29 @@
         assert not age.silent_watches and not world.node.counters["faults"]
 
 
+@pytest.mark.parametrize("confirmed", [False, True])
+@async_test
+async def test_snapshot_holds_the_age_of_the_list(folder, confirmed):  # noqa: F811
+    """`confirmed`: the successor has a list of discovery's own, later than the predecessor's."""
+    async with World(servers=3, control=True, listen=reserved_address()) as world:
+        first, second = world.node, Node(parse_config(world.raw), world.node.loop)
+        host.server_list.load_known(second)
+        first.now = second.now = first.clock()
+        first.discovery.doubt.age.confirmed_at = first.now - 7.0
+        first.discovery.doubt.on_watch_silent(first.now - 7.0)
+        first.discovery.doubt.on_reached()
+        next(iter(first.servers.values())).last_accepted = first.now
+        first.discovery.doubt.update()
+        if confirmed:
+            second.discovery.on_confirmed(second.now + 0.1)
+        shared_state.adopt(second, json.loads(json.dumps(first.hot_restart.snapshot())))
+        second.discovery.doubt.update()
+        age = second.discovery.doubt.age
+        assert second.discovery.doubt.doubtful != confirmed and age.reached != confirmed
+        assert len(usable_servers(second)) == (3 if confirmed else 1)
+        assert (age.confirmed_at < second.started_at - 6.0) != confirmed
+
+
 @async_test
 async def test_malformed_part_of_a_state_does_not_prevent_adopting_the_others(folder):  # noqa: F811
     async with World(servers=2, control=True, listen=reserved_address()) as world:
--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -60,6 +60,15 @@
     assert not tier.without_change and not any(node.discovery.doubt.doubtful for node in tier.nodes)
 
 
+def test_list_is_doubtful_at_the_moment_in_which_what_the_silent_watch_missed_counts():
+    tier = Tier(10, drain_grace=GRACE_SECONDS)
+    told = fall_silent(tier, ["cut"])
+    tier.run(told - discovery_retry.SILENT_MARGIN_SECONDS - 0.01 - tier.now)
+    assert not any(node.discovery.doubt.doubtful for node in tier.nodes)
+    tier.run(0.02)
+    assert all(node.discovery.doubt.doubtful for node in tier.nodes)
+
+
 @pytest.mark.parametrize("modes", FAILURES.values(), ids=FAILURES)
 @pytest.mark.parametrize("call_interval", [0.1, 0.5])
 def test_callers_are_served_through_the_silence_where_servers_could_prove_themselves(modes, call_interval):
