Tests of silent watches: a head without a line, the watch at the previous address

Cause: two of the related paths of the silent watch had no test of their own. Change: the simulated service has a mode in which calls get a head and no line; the test on real connections is played once more with discovery moved, so that the watch falls silent at the previous address while the new one cannot be reached.

--- a/tests/simulated_discovery.py
+++ b/tests/simulated_discovery.py
@@ -55,7 +55,8 @@
 
     def __init__(self, tier):
         self.tier, self.queue, self.watches, self.request_count, self.working = tier, [], [], 0, False
-        # up, refused, lost, 503, busy (503 after a wait), silent, or cut (watches silent, requests lost)
+        # up, refused, lost, 503, busy (503 after a wait), silent, or silent for watches while requests are
+        # lost (cut) or get a response head and no line (head)
         self.mode, self.max_open = "", 0
         self.silenced = []  # watches that stay open and get no more data
         self.drained, self.open = False, {}
@@ -79,6 +80,8 @@
         request.reached, request.accepted_at = True, request.node.now
         if mode == "503":
             request.fail("status-503")
+        elif mode == "head":
+            request.awaits_response, request.last_received = False, request.node.now
         elif mode == "busy":
             self.tier.after(request.node, QUEUE_TIMEOUT_SECONDS, request.fail, "status-503")
         elif mode == "up":
@@ -121,10 +124,10 @@
 
     def set_mode(self, mode):
         """Changes the mode. Watches and queued requests are reset, also those that fell silent before. In the
-        modes `silent` and `cut` they stay open and get no more data; in `up` they stay as they are."""
+        modes `silent`, `cut` and `head` they stay open and get no more data; in `up` they stay as is."""
         self.mode, self.queue, waiting = mode, [], self.queue
         watches, self.watches, self.silenced = self.silenced + self.watches, [], []
-        if mode in ("silent", "cut", "up"):
+        if mode in ("silent", "cut", "head", "up"):
             self.silenced = watches
             return
         for request in watches + waiting:
--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -23,6 +23,7 @@
 FAILURES = {
     "calls never come up": ["cut"],
     "calls are accepted and not answered": ["silent"],
+    "calls get a head and no line": ["head"],
     "calls are queued and refused": ["silent", "busy"],
     # The watch is reset after it was silent for 4.4 s, and no call reaches discovery from then on.
     "calls are refused": ["silent", "refused"],
@@ -104,9 +105,12 @@
 # On real connections, with times reduced.
 
 
+@pytest.mark.parametrize("moved", [False, True])
 @async_test
-async def test_silent_watch_of_an_unreachable_discovery_makes_the_list_doubtful(quick, monkeypatch):  # noqa: F811
-    """Guards against review/10: the way to discovery is cut, and the list stands as long as that lasts."""
+async def test_silent_watch_of_an_unreachable_discovery_makes_the_list_doubtful(quick, monkeypatch, moved):  # noqa: F811
+    """Guards against review/10: the way to discovery is cut, and the list stands as long as that lasts.
+
+    `moved`: the watch falls silent at the previous address, while the new one cannot be reached."""
     monkeypatch.setattr(discovery_retry, "TOLD_AFTER_SECONDS", 3.0)
     monkeypatch.setattr(discovery_retry, "SILENT_MARGIN_SECONDS", 0.1)
     monkeypatch.setattr(discovery_request, "SILENCE_SECONDS", 0.4)
@@ -117,7 +121,11 @@
         watch, _ = await world.discovery_request()
         watch.writer.write(HEAD + chunk("\n"))
         await world.until(lambda: world.node.readiness.list_received)
-        world.node.discovery.address = listener.getsockname()
+        if moved:
+            world.node.queue(world.node.discovery.change_address, listener.getsockname())
+            await world.until(lambda: world.node.discovery.previous)
+        else:
+            world.node.discovery.address = listener.getsockname()
         placed_on = []
 
         # The second server rejects new connections, as if it drained; the others accept them.
