Log each state of a handed-over connection, and why the decisions move one

Change: the receiver logs a connection when it is received and when it is taken over, with its request id, the numbers of both sides, and how many have their sockets or were ordered to end meanwhile; an end before the sockets carries attached=False and is counted. A move that the decisions order carries why=late-messages, rebalanced or cordoned. Behaviour is as it was.

--- a/bellrack/choice.py
+++ b/bellrack/choice.py
@@ -362,7 +362,7 @@
                 if s.zone != self.settings.zone
                 for leg in s.local_state.established_legs
             ]
-            selection.move(away, REBALANCE_SHARE)
+            selection.move(away, REBALANCE_SHARE, model.REBALANCED)
 
     def home_servers(self) -> list[Server]:
         """Returns the usable servers of our zone."""
@@ -474,17 +474,18 @@
             # which get no more reports of the server once theirs is moved, would fill it up again together.
             held = server.local_state.open_legs / self.balancer.slow_start.warm_share(server)
             self.lower_limit(server, LIMIT_SHARE * (1 - share) * held)
-            self.move(worst_first, share)
+            self.move(worst_first, share, model.LATE_MESSAGES)
         (
             server.local_state.delay_ratio,
             server.local_state.delay_reported_at,
             server.local_state.delay_valid_for,
         ) = (delay_ratio, self.host.now, valid_for)
 
-    def move(self, legs: list[Leg], share: float) -> None:
+    def move(self, legs: list[Leg], share: float, cause: str) -> None:
         """Moves the first `share` of the legs. Their number is rounded at random, as otherwise many balancers
-        with few legs would each move a whole one."""
+        with few legs would each move a whole one. `cause`: why, for the log."""
         for leg in legs[: int(share * len(legs) + self.balancer.rng.uniform())]:
+            leg.call.move_cause = cause
             self.host.move(leg.call)
             del leg.server.local_state.established_legs[leg]
 
@@ -771,7 +772,8 @@
         if isinstance(what, Call):
             self.answer.on_deadline(what)
         elif isinstance(what, Server) and what.cordoned:
-            self.selection.move(list(what.local_state.established_legs), CORDON_MOVE_SHARE)
+            legs = list(what.local_state.established_legs)
+            self.selection.move(legs, CORDON_MOVE_SHARE, model.CORDONED)
             self.host.set_timer(self.host.now + CORDON_MOVE_INTERVAL_SECONDS, what)
         elif what == "queue":
             waiting, self.queued, self.queue_timer_set = self.queued, [], False
--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -39,6 +39,8 @@
 # Fields of a report: load over what the server can carry, seconds of work queued, errors a second, cores in
 # use, calls held.
 FULLNESS, BACKLOG, ERRORS, BUSY, HELD = "fullness", "backlog", "errors", "busy", "held"
+# Why the decisions move a connection, for the log.
+LATE_MESSAGES, REBALANCED, CORDONED = "late-messages", "rebalanced", "cordoned"
 # Up to this many balancers exchange no messages: each sees half of the load itself, and makes few set-ups.
 MAX_PEERS_WITHOUT_EXCHANGE = 2
 # Connections per unit of listed capacity, over all balancers, that overload no server.
@@ -213,6 +215,7 @@
     legs: list[Leg] = field(default_factory=list)
     done: bool = False  # answered for good, or nothing is owed any more
     refusal: str = ""  # why it was given up, for the log
+    move_cause: str = ""  # why the decisions last ordered a move of its connection, for the log
     write_by: float = math.inf  # its next attempt is written before this time or not at all
     candidates: list[Server] = field(default_factory=list)  # the servers that the chain may still choose
     scores: dict[Server, float] = field(default_factory=dict)  # rendezvous scores, until a leg is sent
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -18,6 +18,7 @@
 from bellrack.net.pairing import ServerEnd
 from bellrack.net.ring import Connection
 
+MOVE_ORDERED = "moved"  # logged as the reason if the decisions ordered the move
 MAX_TIMED_LINES = 64  # unanswered lines of a client whose send times are kept
 # Between checks whether a late first line may still come. The connection must be closed 3 s after it was
 # opened, 0.25 s after FIRST_LINE_SECONDS.
@@ -205,7 +206,8 @@
             return
         self.node.counters["moved"] += 1
         self.write(b"MOVE\r\n")
-        self.finish(reason)
+        cause = {"why": self.call.move_cause} if reason == MOVE_ORDERED and self.call.move_cause else {}
+        self.finish(reason, **cause)
         self.server_connection.end(kind, reason)
 
     def on_remote_end(self) -> None:
--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -176,6 +176,7 @@
             if len(fds) != 1 + ("line" in message):
                 raise ValueError(f"{len(fds)} descriptors")
             client = ClientConnection(self.node)
+            client.handed_over_to_us = True
             if "opened" in message:
                 client.opened = float(message["opened"]) + self.node.hot_restart.clock_ahead
             put_back(client, decode(message["in"]))
@@ -191,6 +192,13 @@
             return
         task = self.node.loop.create_task(self.connect(connections, [socket.socket(fileno=fd) for fd in fds]))
         self.tasks.add(task)
+        self.node.counters["handoffs_received"] += 1
+        log.event(
+            "handoff",
+            state="received",
+            id=client.request_id,
+            connections=",".join(str(connection.number) for connection in connections),
+        )
         task.add_done_callback(self.tasks.discard)
 
     def restore_established(self, client: ClientConnection, message: dict[str, Any]) -> ServerConnection:
@@ -212,6 +220,7 @@
         call.legs.append(leg)
         call.host_record, client.call, client.request_line = client, call, request_line
         connection = ServerConnection(node, leg, client, node.now, established=True)
+        connection.handed_over_to_us = True
         connection.unanswered.extend(float(when) + clock_offset for when in message["asked"])
         client.answered = True
         connection.announced_end = str(message["said"])
@@ -239,6 +248,14 @@
         """Lets lines pass, or moves the client if one of its two connections has been lost."""
         client = connections[0]
         self.node.counters["taken_over"] += 1
+        log.event(
+            "handoff",
+            state="taken-over",
+            id=client.request_id,
+            connections=",".join(str(connection.number) for connection in connections),
+            attached=sum(connection.transport is not None for connection in connections),
+            closed=sum(connection.closed for connection in connections),
+        )
         if client.paired and any(connection.transport is None for connection in connections):
             client.move("not-taken-over", model.RESET)
         for connection in connections:
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -16,7 +16,7 @@
 from bellrack.accounting import Accounting
 from bellrack.model import Call, Leg, Result, Server
 from bellrack.net import limits, lines, log, metrics, reload, server_list, startup, transient
-from bellrack.net.clients import ClientConnection
+from bellrack.net.clients import MOVE_ORDERED, ClientConnection
 from bellrack.net.config import Config
 from bellrack.net.control import AdminConnection
 from bellrack.net.discovery import Discovery
@@ -67,8 +67,11 @@
         self.invariants = Invariants(self.counters, config.settings)
 
     def log_end(self, connection: Any, reason: str, fields: dict) -> None:
-        """Counts and logs the end of a connection."""
+        """Counts and logs the end of a connection; one without a transport is logged as not attached."""
         self.counters[f"ended_{connection.side}"] += 1
+        if connection.handed_over_to_us and connection.transport is None:
+            self.counters["ended_before_attach"] += 1
+            fields = fields | {"attached": False}
         log.event(
             "ended",
             side=connection.side,
@@ -103,7 +106,7 @@
         if self.resumed.holds_back_move(call.legs[-1]):
             self.queue_action(self.may_move_later, call.legs[-1])
         else:
-            self.queue_action(call.host_record.move, "moved")
+            self.queue_action(call.host_record.move, MOVE_ORDERED)
 
     def watch(self, on: bool = True) -> None:
         """Keeps a watch on the list of servers open, or closes it."""
@@ -230,7 +233,7 @@
             leg.server.last_accepted = max(leg.server.last_accepted, leg.sent)
             self.leg_established(leg)
         if self.shutdown and not self.hot_restart.handoff_sender:
-            self.queue_action(leg.call.host_record.move, "moved")
+            self.queue_action(leg.call.host_record.move, MOVE_ORDERED)
 
     def on_leg_over(self, connection: ServerConnection, kind: str) -> None:
         """The leg of `connection` has ended with the result `kind`."""
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -107,6 +107,7 @@
         self.queued = self.paused = self.blocked = self.closed = False
         self.remote_end = ""  # how the remote end closed: "fin" or "rst"
         self.flush_deadline = 0.0  # until when its last lines wait to be forwarded after it closed
+        self.handed_over_to_us = False  # by the predecessor in a hot restart
         self.counted = False  # whether its descriptor is counted
         self.discarded = 0  # bytes received after we closed
         self.expiry: asyncio.TimerHandle | None = None  # see `expire_after`
--- a/tests/test_connection_log.py
+++ b/tests/test_connection_log.py
@@ -4,6 +4,7 @@
 
 import pytest
 from helpers import World, async_test
+from test_handover import reserved_address
 
 from bellrack.net import limits, log
 
@@ -49,3 +50,27 @@
         sides = {r.fields["side"]: r.fields for r in caplog.records if r.getMessage() == "ended"}
         assert sides["client"]["id"] == sides["server"]["id"] == f"{7:016x}"
         assert sides["client"]["connection"] != sides["server"]["connection"]
+
+
+@async_test
+async def test_log_tells_each_state_of_a_connection_in_a_hand_over_and_why_it_was_moved(
+    tmp_path, monkeypatch, caplog, ended_clients
+):
+    """Without these lines a move that came before the sockets looked like any other."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    async with World(servers=1, control=True, listen=reserved_address()) as world:
+        old, (client, _) = world.node, await world.establish(number=7)
+        world.node, serving = await world.start()
+        await world.until(lambda: old.hot_restart.has_successor)
+        old.begin_shutdown()
+        await world.until(lambda: world.node.counters["taken_over"])
+        assert (await world.ask("/_servers/detach", "s-0"))[0] == 200
+        assert [await client.line(), await client.line()] == ["MOVE", "fin"]
+        handoffs = [record.fields for record in caplog.records if record.getMessage() == "handoff"]
+        assert [line["state"] for line in handoffs] == ["received", "taken-over"]
+        assert {line["id"] for line in handoffs} == {f"{7:016x}"}
+        assert len({line["connections"] for line in handoffs}) == 1
+        released, moved = ended_clients()
+        assert (released["reason"], moved["reason"], moved["why"]) == ("handed-over", "moved", "cordoned")
+        assert str(moved["connection"]) in handoffs[0]["connections"].split(",")
+        await world.wait_for_first_node(serving)
