Soak: a focus on disturbed hand-offs, rules on lines and on ended connections

Change: focus handoff (servers that hang, are late, say BYE or reset, operators' orders, pauses and SIGTERM to the successor, drawn into the second before and the moment after SIGTERM); fault attach_late; servers and proxy record lines and ends; rules held_line and left_waiting. The record moved out of the oracle into a module of its own.

--- a/bellrack/lab/soak/clients.py
+++ b/bellrack/lab/soak/clients.py
@@ -20,6 +20,14 @@
 REQUEST_PIECES = 4  # parts in which the behaviour "pieces" sends its request
 
 
+@dataclass
+class LineTimes:
+    """When a line was sent, and when its echo came; None if it did not."""
+
+    sent: float
+    echoed: float | None = None
+
+
 @dataclass
 class Outcome:
     """What happened to one request. A time is None if the event did not happen."""
@@ -36,6 +44,7 @@
     reset: bool = False
     closed_at: float | None = None  # when the client closed the connection
     longest_missing_echo: float = 0.0  # longest wait for the echo of a line, in seconds
+    lines: dict[str, LineTimes] = field(default_factory=dict)  # on the established connection, by their text
 
     @property
     def answer(self) -> str:
@@ -171,6 +180,7 @@
                 number, next_line = number + 1, now + self.demand.line_interval
                 text = f"M {number}"
                 self.unechoed_lines[text] = now
+                outcome.lines[text] = LineTimes(now)
                 self.writer.write(text.encode() + b"\r\n")
             await asyncio.wait([pending], timeout=max(0.001, min(end, next_line) - now))
             if not pending.done():
@@ -182,7 +192,8 @@
                 self.update_longest_missing_echo()
                 return
             text = line.decode().strip()
-            self.unechoed_lines.pop(text, None)
+            if self.unechoed_lines.pop(text, None):
+                outcome.lines[text].echoed = time.monotonic()
             outcome.later_lines.append((time.monotonic(), text))
             pending = asyncio.ensure_future(self.reader.readline())
         self.update_longest_missing_echo()
--- a/bellrack/lab/soak/deployment.py
+++ b/bellrack/lab/soak/deployment.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from bellrack.lab.soak import oracle
+from bellrack.lab.soak.record import Limits
 from bellrack.lab.soak.servers import CAPACITY
 
 MAX_WAIT_SECONDS = 2.5  # the longest time that a client waits for an answer
@@ -61,7 +61,7 @@
     }
 
 
-LIMITS = oracle.Limits(
+LIMITS = Limits(
     EFFECTS,
     KEY_TTL_SECONDS,
     DRAIN_GRACE_SECONDS,
--- a/bellrack/lab/soak/faulty.py
+++ b/bellrack/lab/soak/faulty.py
@@ -3,9 +3,10 @@
 The environment variable `SOAK_FAULTS` names a JSON file: a list of objects with `kind`, `at` and `until`
 (seconds of the monotonic clock, which all processes of the machine share), `share` (of the calls that are
 affected) and `by` (seconds). The balancer's code is not changed: `time.time`, `socket.socket`, `os.rename`,
-`open` and the event loop's `sock_connect` are replaced before it is imported. Kinds:
+`open` and two methods of the event loop are replaced before it is imported. Kinds:
 
 - `accept`, `socket`, `connect`: errors of these calls
+- `attach_late`: sockets that were accepted or handed over are attached to the loop up to `by` seconds late
 - `connect_late`: connections to servers are established up to `by` seconds late
 - `short`: reads and writes of a socket transfer only part of the data
 - `broken`: reads from servers and discovery fail as if the connection had broken
@@ -120,9 +121,17 @@
             await asyncio.sleep(fault["by"] * schedule.rng.random())
         await real_connect(loop, sock, address)
 
+    real_attach = event_loop_class.connect_accepted_socket
+
+    async def connect_accepted_socket(loop: Any, *args: Any, **keywords: Any) -> Any:
+        if (fault := schedule.active_fault("attach_late")) and schedule.rng.random() < fault["share"]:
+            await asyncio.sleep(fault["by"] * schedule.rng.random())
+        return await real_attach(loop, *args, **keywords)
+
     socket.socket = FaultySocket
     builtins.open, os.rename = faulty_open, faulty_rename
     event_loop_class.sock_connect = sock_connect
+    event_loop_class.connect_accepted_socket = connect_accepted_socket
     time.time = lambda: REAL_TIME() + schedule.clock_offset()
 
 
--- a/bellrack/lab/soak/oracle.py
+++ b/bellrack/lab/soak/oracle.py
@@ -8,98 +8,23 @@
 
 import math
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
+from bellrack.lab.soak import line_rules
 from bellrack.lab.soak.clients import Outcome
+from bellrack.lab.soak.record import RECORDING_DELAY_SECONDS, TOLERANCE_SECONDS, Limits, Record, Violation
 
-TOLERANCE_SECONDS = 0.05  # PROTOCOL.md: "each time limit is 50 ms longer"
-RECORDING_DELAY_SECONDS = 0.1  # the recording processes may note an event this much late
 LATE_ANSWER_SECONDS = 0.5  # STANDING.md: "Up to half a second after its time it only earns nothing"
 # An attempt that begins longer than this after its client has closed counts as a lost request.
 ABANDONED_ATTEMPT_SECONDS = 0.1
 INFORMED_WITHIN_SECONDS = 6.0  # PROTOCOL.md: "counts as told 6 s later at the latest"
 INFORMED_AFTER_RELOAD_SECONDS = 4.0  # STANDING.md, where lists are pushed: "After SIGHUP it counts 4 s later"
-# A new process can ask discovery this long after its start, or when it first answers an operator, if later.
-STARTUP_SECONDS = 0.5
-READ_AFTER_PAUSE_SECONDS = 0.1  # for this long after a pause, the clients' process reads queued input
 PARTIAL_REQUEST_SECONDS = 3.0  # STANDING.md: "the 3 s that bad clients are owed"
 SILENT_SERVER_SECONDS = 7.0  # PROTOCOL.md: "one that brings nothing back from a running server within 7 s"
 # STANDING.md: an overload is a violation if more than this share of its requests came from balancers that had
 # been informed of the server's start.
 INFORMED_SHARE = 2 / 3
-SMALL_BOUND_CALLS = 30  # below this number of calls, the bound of the slow start allows 3 deviations, not 2
-
-
-@dataclass(frozen=True)
-class Limits:
-    """The limits that follow from the balancers' settings; times are in seconds."""
-
-    effects: dict[str, str]  # by traffic type: the effect, under its name in the settings
-    key_ttl: float
-    drain_grace: float
-    ramp_time: float
-    fall_time: float  # length of the window in which requests to a cold server are counted
-    cold_share: float
-    overload_factor: float
-    capacity: float  # connections that a warm server of size 1 can hold
-
-    def allowed_requests(self, age: float) -> float:
-        """Return how many requests a server may get within `fall_time`, `age` seconds after its start."""
-        warm = self.cold_share + (1 - self.cold_share) * min(1.0, age / self.ramp_time)
-        return self.overload_factor * self.capacity * warm * self.fall_time / self.ramp_time
-
-    def request_bound(self, age: float) -> float:
-        """Return the allowed number of requests plus a margin for random variation."""
-        calls = self.allowed_requests(age)
-        root = math.sqrt(calls)
-        return calls + 3 * root + 3 if calls < SMALL_BOUND_CALLS else calls + 2 * root + 2
-
-
-@dataclass(frozen=True)
-class Violation:
-    """A broken rule: its name, when it was broken, and by which request or server."""
-
-    rule: str
-    time: float  # seconds
-    subject: str
-    detail: str
-
-
-@dataclass
-class Record:
-    """Everything that was recorded during one run of the soak."""
-
-    limits: Limits
-    events: list[dict[str, Any]]
-    outcomes: list[Outcome]
-    kills: dict[int, list[float]]  # by balancer: when its processes were killed
-    starts: dict[int, list[float]]  # by balancer: starts without a predecessor that hands over
-    detached: list[tuple[int, str, float, float]]  # balancer, server, since, until
-    unreachable: list[tuple[float, float]]  # periods in which discovery was down: from, until
-    pushed: bool = False  # discovery pushes lists: a balancer counts as informed at once
-    # By balancer: periods in which faults broke its connections to servers and to discovery.
-    breaks: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
-    reloads: dict[int, list[float]] = field(default_factory=dict)  # by balancer: when SIGHUP was sent
-    # By balancer: when each of its processes first answered an operator.
-    first_answers: dict[int, list[float]] = field(default_factory=dict)
-    pauses: list[tuple[float, float]] = field(default_factory=list)  # of the process that runs the clients
-
-    def earliest_arrival(self, read: float) -> float:
-        """Return the earliest time at which input that a client read at `read` can have arrived."""
-        return min(
-            [since for since, until in self.pauses if since <= read <= until + READ_AFTER_PAUSE_SECONDS],
-            default=read,
-        )
-
-    def discovery_usable_at(self, balancer: int, started: float) -> float:
-        """Return when the process that was started at `started` can ask discovery, at the latest."""
-        answer_times = (time for time in self.first_answers.get(balancer, ()) if time >= started)
-        return max(started + STARTUP_SECONDS, min(answer_times, default=started))
-
-    def last_fresh_start(self, balancer: int, now: float) -> float:
-        """Return when the balancer last started without a predecessor that hands over; 0.0 if never."""
-        return max((start for start in self.starts[balancer] if start <= now), default=0.0)
 
 
 def find_violations(record: Record) -> list[Violation]:
@@ -117,19 +42,12 @@
         *check_effects(record, attempts),
         *check_drains(record),
         *check_slow_start(record),
+        *line_rules.check_lines(record),
+        *line_rules.check_ends(record),
     ]
     return sorted(violations, key=lambda violation: violation.time)
 
 
-def killed_between(record: Record, outcome: Outcome, until: float) -> bool:
-    """Return whether the client's balancer was killed between its connecting and `until`."""
-    kills = record.kills.get(outcome.demand.balancer, [])
-    return any(
-        outcome.connected_at - RECORDING_DELAY_SECONDS <= kill <= until + RECORDING_DELAY_SECONDS
-        for kill in kills
-    )
-
-
 def check_answers(record: Record) -> list[Violation]:
     """Each request gets one final answer in time, and no line after a refusal or an error."""
     violations = []
@@ -146,7 +64,7 @@
                     Violation("half_request", outcome.connected_at, subject, f"lasted {duration:.3f} s")
                 )
             continue
-        if killed_between(record, outcome, (outcome.ended_at or deadline) + LATE_ANSWER_SECONDS):
+        if record.killed_between(outcome, (outcome.ended_at or deadline) + LATE_ANSWER_SECONDS):
             continue
         if not outcome.answers:
             violations.append(Violation("lost", deadline, subject, f"no answer, ended {outcome.ended_at}"))
@@ -163,7 +81,7 @@
 
 def check_established(record: Record) -> list[Violation]:
     """An established connection echoes lines and ends with MOVE, or by its server or its client."""
-    server_ends = {event["id"]: event["t"] for event in record.events if event["ev"] == "server_end"}
+    server_ends = {event["id"] for event in record.events if event["ev"] in ("server_end", "bye")}
     violations = []
     for outcome in record.outcomes:
         if not outcome.up or outcome.demand.behaviour in ("pipelines", "floods"):
@@ -173,7 +91,7 @@
             violations.append(
                 Violation("silent", outcome.sent_at, subject, f"{outcome.longest_missing_echo:.1f} s")
             )
-        if outcome.ended_at is None or killed_between(record, outcome, outcome.ended_at):
+        if outcome.ended_at is None or record.killed_between(outcome, outcome.ended_at):
             continue
         moved = outcome.later_lines and outcome.later_lines[-1][1] == "MOVE"
         if not moved and outcome.id not in server_ends and not server_connections_broken(record, outcome):
--- a/bellrack/lab/soak/plan.py
+++ b/bellrack/lab/soak/plan.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from typing import Any
@@ -46,10 +47,30 @@
     "restart_in_signals",
     "end_at_start",
 )
+# What disturbs a hand-off: servers that hang, report late messages, announce the end of their connections or
+# reset them; an operator's order at either process; a pause of both; SIGTERM to the successor too.
+HANDOFF_DISTURBANCES = (
+    "hang",
+    "hang",
+    "late",
+    "late",
+    "bye",
+    "idle_reset",
+    "detach_at_successor",
+    "detach_at_predecessor",
+    "pause_both",
+    "end_successor",
+)
+DISTURBANCES_PER_HANDOFF = (1, 4)  # fewest and most
+# Seconds from SIGTERM to the predecessor until a disturbance begins: most connections go over at once.
+DISTURBANCE_OFFSETS_SECONDS = (-1.0, -0.2, -0.1, -0.05, -0.02, 0.0, 0.01, 0.02, 0.05, 0.2)
+MAX_OVERLAP_SECONDS = 1.5  # from the successor's yes to SIGTERM to the predecessor
+HANDOFF_INTERVAL_SECONDS = 0.5  # mean time between two hand-offs, if their balancer is free
 DETACHING_TROUBLES = ("detach", "detach_waiting")  # their detail is a server
 SERVER_TROUBLES = ("drain", "replace", "replace", "mode", "idle_reset")
 DISCOVERY_TROUBLES = ("down", "hang", "slow")
 FAULTS = ("accept", "socket", "connect", "connect_late", "short", "broken", "disk", "clock", "clock")
+MAX_ATTACH_DELAY_SECONDS = PROCESS_PAUSE_SECONDS
 # By kind of fault (see `faulty`): the share of the calls that it affects; 1.0 for other kinds.
 FAULT_SHARES = {
     "accept": 0.3,
@@ -83,6 +104,7 @@
     faults: tuple[str, ...] = FAULTS
     modes: tuple[str, ...] = PROXY_MODES
     trouble_interval: float = TROUBLE_INTERVAL_SECONDS  # mean, in seconds
+    mix: str = ""  # of all seeds; empty to draw it
 
     def weighted_groups(self) -> list[str]:
         """Return the groups to draw from, each as many times as its weight."""
@@ -114,6 +136,10 @@
     "leave": Focus(("pause",), ("mode",), (), ("connect_late",), ("reset", "late"), 0.05),
     # Series of signals to processes that start, serve and shut down.
     "signals": Focus(("signals", "restart_in_signals", "end_at_start", "restart"), (), (), (), (), 0.1),
+    # Standing connections that are moved, ended or used while they are handed over.
+    "handoff": Focus(
+        ("disturbed_hot_restart",), (), (), ("attach_late", "short"), (), HANDOFF_INTERVAL_SECONDS, "standing"
+    ),
     # Processes that start, shut down and replace one another, with short failures of the operating system.
     "restart": Focus(PROCESS_TROUBLES, (), (), ("accept", "socket", "short", "disk", "clock"), (), 0.2),
 }
@@ -127,15 +153,41 @@
     stay_share: float  # share of the clients that use their connection until the balancer ends it
     crowd: int  # clients that connect at the same time
     weight: int  # relative frequency of the mix
+    crowd_within: float = math.inf  # seconds after the warm-up by which the crowd connects
 
 
 MIXES = {
     "ordinary": Mix(1.0, 0.08, 0, 4),
     "room": Mix(0.3, 0.3, 0, 4),
     "crowd": Mix(0.7, 0.1, 300, 2),
+    # Hundreds of connections that stand from the beginning. Not drawn: for a focus that names it.
+    "standing": Mix(0.5, 1.0, 200, 0, crowd_within=0.8),
 }
 
 
+@dataclass(frozen=True)
+class Disturbance:
+    """Something that happens `offset` seconds after SIGTERM to the predecessor (before it if negative)."""
+
+    kind: str  # one of HANDOFF_DISTURBANCES
+    offset: float
+    server: str
+    seconds: float  # how long a server hangs, is late or is detached
+
+
+@dataclass(frozen=True)
+class Handoff:
+    """When the predecessor of a hot restart gets SIGTERM, and what disturbs the hand-off."""
+
+    overlap: float  # seconds from the successor's yes to the first of SIGTERM and the disturbances
+    disturbances: tuple[Disturbance, ...]
+
+    @property
+    def lead(self) -> float:
+        """How long before SIGTERM the first disturbance begins, in seconds."""
+        return max([0.0, *(-disturbance.offset for disturbance in self.disturbances)])
+
+
 @dataclass(frozen=True)
 class Trouble:
     """A disturbance of a balancer, a server or discovery; `troubles.Troubles` applies it by its kind."""
@@ -202,7 +254,8 @@
     while (now := now + rng.expovariate(1 / focus.trouble_interval)) < end:
         until = min(end, now + rng.uniform(*TROUBLE_DURATION_SECONDS))
         add_trouble(plan, rng, now, until, focus)
-    plan.mix = rng.choices(list(MIXES), [mix.weight for mix in MIXES.values()])[0]
+    drawn_mix = rng.choices(list(MIXES), [mix.weight for mix in MIXES.values()])[0]
+    plan.mix = focus.mix or drawn_mix
     add_demands(plan, rng, rate, kinds)
     return plan
 
@@ -214,7 +267,9 @@
         if not plan.quiet[0] <= now < plan.quiet[1]:
             plan.demands.append(draw_demand(plan, rng, now, kinds))
     if mix.crowd:
-        at = rng.uniform(max(WARM_UP_SECONDS, plan.quiet[1]), max(last, plan.quiet[1] + 1.0))
+        earliest = max(WARM_UP_SECONDS, plan.quiet[1])
+        latest = min(max(last, plan.quiet[1] + 1.0), earliest + mix.crowd_within)
+        at = rng.uniform(earliest, latest)
         plan.demands += [draw_demand(plan, rng, at, kinds) for _ in range(mix.crowd)]
 
 
@@ -241,6 +296,8 @@
         kind = rng.choice(focus.processes)
         series = tuple(rng.choices(SIGNALS, k=rng.randint(*SIGNALS_PER_SERIES)))
         detail = server if kind in DETACHING_TROUBLES else series
+        if kind == "disturbed_hot_restart":
+            detail = draw_handoff(plan, rng)
         plan.troubles.append(Trouble(now, kind, balancer, until, detail))
     elif group == "server":
         kind = rng.choice(focus.servers)
@@ -252,5 +309,21 @@
     else:
         kind = rng.choice(focus.faults)
         fault = {"kind": kind, "at": now, "until": until, "share": FAULT_SHARES.get(kind, 1.0)}
-        fault["by"] = rng.choice(CLOCK_STEPS_SECONDS) if kind == "clock" else MAX_CONNECT_DELAY_SECONDS
+        delay = MAX_ATTACH_DELAY_SECONDS if kind == "attach_late" else MAX_CONNECT_DELAY_SECONDS
+        fault["by"] = rng.choice(CLOCK_STEPS_SECONDS) if kind == "clock" else delay
         plan.faults[balancer].append(fault)
+
+
+def draw_handoff(plan: Plan, rng: random.Random) -> Handoff:
+    """Draw what disturbs one hand-off, in order of time."""
+    disturbances = [
+        Disturbance(
+            rng.choice(HANDOFF_DISTURBANCES),
+            rng.choice(DISTURBANCE_OFFSETS_SECONDS),
+            rng.choice(plan.servers),
+            rng.uniform(*TROUBLE_DURATION_SECONDS),
+        )
+        for _ in range(rng.randint(*DISTURBANCES_PER_HANDOFF))
+    ]
+    overlap = rng.choice((0.0, MAX_OVERLAP_SECONDS * rng.random()))
+    return Handoff(overlap, tuple(sorted(disturbances, key=lambda disturbance: disturbance.offset)))
--- a/bellrack/lab/soak/proxy.py
+++ b/bellrack/lab/soak/proxy.py
@@ -2,8 +2,9 @@
 
 NUMBER is the number of balancers, SERVERS a JSON object with the address of each server. There is a listener
 for each pair of balancer and server, so both are known of every attempt. An attempt is recorded when its
-first line is complete, with the time of its first byte. The command `idle_reset` resets the open connections
-to a server; `mode` sets how attempts at it are treated:
+first line is complete, with the time of its first byte. The end of an established connection is recorded as
+`balancer_end` or `server_end`. The command `idle_reset` resets the open connections to a server; `mode` sets
+how attempts at it are treated:
 
 - `pass`: forwarded unchanged
 - `hang`: the server's answer is not forwarded
@@ -89,29 +90,29 @@
         try:
             server_reader, server_writer = await asyncio.open_connection(host, int(port))
         except ConnectionError:
-            self.reset_connection(request, writer)
+            self.reset_connection(name, request, writer)
             return
         server_writer.write(line)
         try:
             if mode in ("hang", "reset", "half", "error"):
-                await self.inject_failure(mode, request, server_reader, writer, reader)
+                await self.inject_failure(name, mode, request, server_reader, writer, reader)
                 return
             if mode == "spoilt":
                 writer.write(b"XY 1\r\n")
                 await asyncio.sleep(INVALID_LINE_GAP_SECONDS)
             self.open_requests[name][writer] = request
-            to_server = asyncio.create_task(self.copy(reader, server_writer, False))
+            to_server = asyncio.create_task(self.copy_to_server(name, request, reader, server_writer))
             await self.copy(server_reader, writer, mode == "pieces")
-            self.events.write("server_end", id=request)
+            self.events.write("server_end", s=name, id=request)
             to_server.cancel()
         except ConnectionResetError:
-            self.reset_connection(request, writer)
+            self.reset_connection(name, request, writer)
         finally:
             self.open_requests[name].pop(writer, None)
             server_writer.transport.abort()
 
     async def inject_failure(
-        self, mode: str, request: str, server_reader: Any, writer: Any, reader: Any
+        self, name: str, mode: str, request: str, server_reader: Any, writer: Any, reader: Any
     ) -> None:
         """Withhold, cut or replace the answer of a request that the server may have executed."""
         if mode == "hang":
@@ -124,7 +125,7 @@
         if mode == "half":
             writer.write(answer[: len(answer) // 2])
             await asyncio.sleep(INVALID_LINE_GAP_SECONDS)
-        self.reset_connection(request, writer)
+        self.reset_connection(name, request, writer)
 
     async def copy(self, reader: Any, writer: Any, pieces: bool) -> None:
         """Copy data until the reader's end, then close the sending side of the writer.
@@ -141,9 +142,15 @@
         with contextlib.suppress(OSError):
             writer.write_eof()
 
-    def reset_connection(self, request: str, writer: Any) -> None:
+    async def copy_to_server(self, name: str, request: str, reader: Any, writer: Any) -> None:
+        """Copy data until the balancer ends its side, and record that."""
+        with contextlib.suppress(ConnectionError):
+            await self.copy(reader, writer, False)
+        self.events.write("balancer_end", s=name, id=request)
+
+    def reset_connection(self, name: str, request: str, writer: Any) -> None:
         """Reset the balancer's connection and record the end by the server's side."""
-        self.events.write("server_end", id=request)
+        self.events.write("server_end", s=name, id=request)
         writer.transport.abort()
 
     async def command(self, fields: dict[str, Any]) -> Any:
@@ -152,7 +159,7 @@
             self.modes[fields["s"]] = fields["mode"]
         elif fields["do"] == "idle_reset":
             for writer, request in list(self.open_requests[fields["s"]].items()):
-                self.reset_connection(request, writer)
+                self.reset_connection(fields["s"], request, writer)
         return None
 
 
--- a/bellrack/lab/soak/troubles.py
+++ b/bellrack/lab/soak/troubles.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from bellrack.lab.soak.deployment import RAMP_SECONDS
+from bellrack.lab.soak.disturbances import FRONT_END_DELAY_SECONDS, DisturbedHandoff
 from bellrack.lab.soak.plan import MAX_SIGNAL_GAP_SECONDS, PROCESS_PAUSE_SECONDS, Trouble
 from bellrack.lab.soak.processes import Balancer
 
@@ -23,7 +24,6 @@
 # Kinds that are applied even while another trouble of the balancer is in progress.
 UNSERIALIZED_KINDS = ("pause", "reload", "detach", "signals")
 OPERATOR_PATIENCE_SECONDS = 2.0  # an operator calls a process that does not listen yet for this long
-FRONT_END_DELAY_SECONDS = 0.3  # for this long after SIGTERM, new connections still arrive
 
 
 class Troubles:
@@ -128,6 +128,10 @@
         await self.driver.start_successor(balancer)
         await asyncio.gather(*(balancer.terminate(process) for process in predecessors))
 
+    async def disturbed_hot_restart(self, balancer: Balancer, trouble: Trouble) -> None:
+        """A hot restart whose hand-off is disturbed."""
+        await DisturbedHandoff(self, balancer, trouble.detail).play()
+
     async def hot_restart_twice(self, balancer: Balancer, trouble: Trouble) -> None:
         """A third process starts while the first is still shutting down."""
         first = list(balancer.processes)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 
 from bellrack.lab.soak import __main__ as command
 from bellrack.lab.soak import deployment, driver, oracle, plan, processes, servers
-from bellrack.lab.soak.clients import Outcome
+from bellrack.lab.soak.clients import LineTimes, Outcome
 from bellrack.lab.soak.plan import Demand
 from bellrack.lab.soak.process import EventLog
 
@@ -84,6 +84,43 @@
     assert broken_rules([outcome(**values)], [attempt(10.0), RAN]) == rules
 
 
+def line_event(name, t, server="s-0"):
+    return {"ev": name, "t": t, "s": server, "id": "a1", "text": "M 1"}
+
+
+@pytest.mark.parametrize(
+    "received, echoed, arrived, rules",
+    [
+        (10.6, 10.6, 10.7, []),
+        (11.6, 11.6, 11.7, []),
+        (11.7, 11.7, 11.8, ["held_line"]),
+        (10.6, 10.6, 11.7, []),
+        (10.6, 10.6, 11.8, ["held_line"]),
+        (10.6, None, None, []),  # the server hangs
+        (None, None, None, ["held_line"]),
+        (10.6, 10.6, None, ["held_line"]),
+    ],
+)
+def test_reports_a_line_that_is_held_back_for_over_a_second_in_either_direction(
+    received, echoed, arrived, rules
+):
+    events = [line_event("line", received)] * (received is not None)
+    events += [line_event("echo", echoed)] * (echoed is not None)
+    lines = {"M 1": LineTimes(10.5, arrived)}
+    assert broken_rules([outcome(lines=lines, closed_at=13.0)], events) == rules
+    assert broken_rules([outcome(lines=lines, closed_at=11.6)], events) == []  # the client had closed
+
+
+@pytest.mark.parametrize("event", ["bye", "server_end", "balancer_end"])
+@pytest.mark.parametrize("waited, rules", [(1.1, []), (1.2, ["left_waiting"])])
+def test_reports_a_client_that_is_left_waiting_after_its_servers_side_has_ended(event, waited, rules):
+    end = {"closed_at": None, "ended_at": 11.0 + waited, "later_lines": [(11.0 + waited, "MOVE")]}
+    assert broken_rules([outcome(**end)], [line_event(event, 11.0)]) == rules
+    assert broken_rules([outcome(**end)], [line_event(event, 11.0, "s-1")]) == []  # of an earlier attempt
+    assert broken_rules([outcome(**end)], [line_event(event, 10.1)]) == []  # before its UP
+    assert broken_rules([outcome(**end)], [line_event(event, 11.0)], kills=[11.5]) == []
+
+
 def test_excuses_what_a_killed_balancer_or_an_ended_server_explains():
     lost = outcome(answers=[], ended_at=10.4, closed_at=None)
     assert broken_rules([lost], kills=[10.4]) == [] and broken_rules([lost], kills=[12.5]) == ["lost"]
