Tests close peers only of the loop that runs; three tests with loops of their own

Cause: closed peers of loops that were closed already, where a test had called asyncio.run itself: test_descriptors failed, 2 of 5, after its tests of processes.

Change: a peer knows its loop; the three test files that run loops of their own close their peers too. Nothing that is checked changes.

Result: test_descriptors, test_readiness, test_order_relay: 100 passed.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -184,10 +184,10 @@
 class Peer:
     """The remote end of a connection, as a test plays it."""
 
-    opened = []  # all of the running test
+    opened = []  # all that were not closed by `close_peers_after` yet
 
     def __init__(self, reader, writer):
-        self.reader, self.writer = reader, writer
+        self.reader, self.writer, self.loop = reader, writer, asyncio.get_running_loop()
         self.opened.append(self)
 
     def say(self, text):
@@ -431,15 +431,18 @@
 
 
 async def close_peers_after(test):
-    """Runs a coroutine, then closes what its peers left open.
+    """Runs a coroutine and returns its result; closes what its peers left open.
 
     A writer that is collected once its loop is closed raises an error in its finalizer. The traceback of that
     is formatted with `ast.parse`, and Python 3.11 cannot run that within another `ast.parse`."""
     try:
-        await test
+        return await test
     finally:
-        while Peer.opened:
-            Peer.opened.pop().writer.transport.abort()
+        loop = asyncio.get_running_loop()
+        for peer in Peer.opened:
+            if peer.loop is loop:
+                peer.writer.transport.abort()
+        Peer.opened.clear()
 
 
 def async_test(test):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from helpers import Peer, World, async_test, raw_settings
+from helpers import Peer, World, async_test, close_peers_after, raw_settings
 from processes import bound_socket, format_address
 
 from bellrack.net import limits, listeners
@@ -237,7 +237,7 @@
             ]
         )
 
-    held_by_case = asyncio.run(asyncio.wait_for(all_of_them(), 120))
+    held_by_case = asyncio.run(asyncio.wait_for(close_peers_after(all_of_them()), 120))
     with capsys.disabled():
         for (how, limit, rlimit), most in zip(cases, held_by_case):
             print(
--- a/tests/test_order_relay.py
+++ b/tests/test_order_relay.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 import pytest
-from helpers import Peer, World, async_test, raw_settings
+from helpers import Peer, World, async_test, close_peers_after, raw_settings
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_handover import folder, reserved_address  # noqa: F401 (a fixture)
@@ -219,7 +219,7 @@
 @given(STEPS, st.sets(st.sampled_from(NAMES)))
 def test_each_confirmed_order_is_held_by_the_serving_process(steps, listed):
     """`listed`: the servers that the waiting process knows; the serving one knows both."""
-    asyncio.run(play(steps, listed))
+    asyncio.run(close_peers_after(play(steps, listed)))
 
 
 async def play(steps, listed):
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -14,7 +14,7 @@
 
 import pytest
 from docopt import docopt
-from helpers import Peer, World, async_test, configured, raw_settings
+from helpers import Peer, World, async_test, close_peers_after, configured, raw_settings
 
 from bellrack import __main__ as program
 from bellrack.lab import starts
@@ -385,7 +385,7 @@
             for listener in services.listeners:
                 listener.close()
 
-    asyncio.run(asyncio.wait_for(run_twenty(), 60))
+    asyncio.run(asyncio.wait_for(close_peers_after(run_twenty()), 60))
 
 
 # The cost of a start.
