Carry out what is ordered of a connection before its sockets are attached

Cause: a received connection is known to the decisions, operators' orders, the check of the servers and the shutdown before its sockets are attached. An order in that time marked both sides closed and wrote to no transport; a server's side was aborted once attached, a client's was left open. The class: known before it can be acted on, and an action that is dropped without a word.

Change: one table of states and events for every connection (connection_state.py). Writes and closes without a transport are kept and carried out on it, in the base class, whatever ordered them. A received client counts as the node's from the message on. The same mistake elsewhere: connections on their way to a process that ends were cut off (it takes no more, receives the rest and moves them); a message that could not be read, or a lost descriptor, cut the client off (MOVE or BUSY now); half of a message was restored before the rest proved malformed (parsed whole first, as a typed message); a ring that is full when it goes over was read into, which asyncio answers with a reset.

Why it works: an order no longer depends on the transport; a state in which it would have no effect has no entry in the table and raises.

--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -1,16 +1,18 @@
 """Hot restart: hands the connections of this process over to its successor, as they are.
 
-Defines the message that describes a connection, its sender and its receiver. Neither client nor server
-notices: no byte is lost, sent twice or reordered, and no connection is moved. A call that waits for its
-answer stays with the process that accepted it, unless its connection is a resumed one.
+The sender and the receiver of connections; their message is in `handoff_message.py`. Neither client nor
+server notices: no byte is lost, sent twice or reordered, and no connection is moved. A call that waits for
+its answer stays with the process that accepted it, unless its connection is a resumed one.
+
+A received connection is known to the decisions, to operators' orders and to the shutdown from the message on.
+What they order before its sockets are attached is carried out then (`connection_state.py`). A client whose
+connection cannot be taken over is moved, or told to come again.
 """
 
 from __future__ import annotations
 
 import asyncio
-import base64
 import contextlib
-import json
 import os
 import socket
 from typing import Any
@@ -19,11 +21,19 @@
 from bellrack.model import Leg, Result
 from bellrack.net import lines, log
 from bellrack.net.clients import ClientConnection
+from bellrack.net.connection_state import Event
+from bellrack.net.handoff_message import (
+    MAX_MESSAGE_BYTES,
+    AnnouncedEnd,
+    EstablishedPart,
+    HandoffMessage,
+    MessageError,
+)
 from bellrack.net.ring import Connection
 from bellrack.net.servers import Endpoint, ServerConnection
 
-MAX_MESSAGE_BYTES = 65536  # a request line and two full rings, in base64, are half of that
 CONNECTIONS_PER_TURN = 16  # handed over in one turn, so that the other connections do not have to pause
+NOT_TAKEN_OVER = "not-taken-over"  # logged as the reason
 
 
 def socket_pair() -> tuple[socket.socket, socket.socket]:
@@ -31,6 +41,21 @@
     return socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
 
 
+def as_sockets(fds: list[int]) -> list[socket.socket]:
+    """Returns sockets for received descriptors; none, and closes all, if one is no socket."""
+    socks = []
+    try:
+        for fd in fds:
+            socks.append(socket.socket(fileno=fd))
+    except OSError:
+        for sock in socks:
+            sock.close()
+        for fd in fds[len(socks) :]:
+            os.close(fd)
+        return []
+    return socks
+
+
 def take_unread(connection: Connection) -> bytes:
     """Removes and returns what was received and not consumed yet."""
     return connection.ring.take(connection.ring.length)
@@ -42,16 +67,6 @@
     connection.ring.commit(len(data))
 
 
-def encode(data: bytes) -> str:
-    """Encodes bytes for the message."""
-    return base64.b64encode(data).decode()
-
-
-def decode(text: str) -> bytes:
-    """Reverses `encode`. Raises ValueError."""
-    return base64.b64decode(text, validate=True)
-
-
 class HandoffEnd:
     """One end of a hand-off: its socket, which counts as a descriptor."""
 
@@ -92,22 +107,22 @@
         Returns False if that is not possible now."""
         connections = [client, client.server_connection] if client.paired else [client]
         for connection in connections:
-            ending = connection.transport is None or connection.transport.is_closing() or connection.closed
+            ending = connection.closed or connection.transport is None or connection.transport.is_closing()
             if ending or connection.remote_end or connection.transport.get_write_buffer_size():
                 return False  # it ends here, or can be sent once its write buffer is empty
         for connection in connections:
             connection.transport.pause_reading()
         unread = {connection: take_unread(connection) for connection in connections}
-        message = {"in": encode(unread[client]), "opened": client.opened}
         if client.paired:
-            message |= self.describe_established(client.server_connection) | {
-                "back": encode(unread[client.server_connection])
-            }
-        elif client.call:  # resumed and not established yet: sent as if its line were unread
-            message["in"] = encode(client.request_line.line)
+            server_side = client.server_connection
+            established = self.describe_established(server_side, unread[server_side])
+            message = HandoffMessage(unread[client], client.opened, established)
+        else:  # a resumed connection is sent as if its line were unread
+            line = client.request_line.line if client.call else unread[client]
+            message = HandoffMessage(line, client.opened)
         fds = [connection.transport.get_extra_info("socket").fileno() for connection in connections]
         try:
-            socket.send_fds(self.sock, [json.dumps(message).encode()], fds)
+            socket.send_fds(self.sock, [message.encode()], fds)
         except OSError:
             for connection, data in unread.items():  # the successor received nothing: undo
                 put_back(connection, data)
@@ -118,22 +133,24 @@
         self.release(client, connections)
         return True
 
-    def describe_established(self, connection: ServerConnection) -> dict[str, Any]:
+    def describe_established(self, connection: ServerConnection, unread: bytes) -> EstablishedPart:
         """The part of the message on an established server connection. Times are on this process's clock."""
-        return {
-            "line": connection.client.request_line.line.decode(),
-            "server": connection.endpoint.name,
-            "place": lines.format_address(connection.endpoint.address),
-            "sent": connection.leg.sent,
-            "asked": list(connection.unanswered),
-            "said": connection.announced_end,
-        }
+        end = AnnouncedEnd(connection.announced_end, connection.ends_by)
+        return EstablishedPart(
+            connection.client.request_line,
+            connection.endpoint.name,
+            connection.endpoint.address,
+            connection.leg.sent,
+            tuple(connection.unanswered),
+            end if connection.announced_end else None,
+            unread,
+        )
 
     def release(self, client: ClientConnection, connections: list[Connection]) -> None:
         """Gives up connections that were sent. The peers do not notice that our descriptors are closed."""
         self.node.counters["handed_over"] += 1
         for connection in connections:
-            connection.closed = True
+            connection.on_event(Event.RELEASE)
             connection.expire_after(None)
             self.node.log_end(connection, "handed-over", {})
             connection.transport.abort()
@@ -155,6 +172,7 @@
     def __init__(self, node: Any, sock: socket.socket):
         super().__init__(node, sock)
         self.tasks: set[asyncio.Task] = set()
+        self.unfinished = 0  # messages whose connections are not attached yet
         node.loop.add_reader(sock.fileno(), self.on_readable)
 
     def on_readable(self) -> None:
@@ -165,101 +183,140 @@
                 if not data:
                     self.close()
                     return
+                self.unfinished += 1
                 self.descriptors_passed += len(fds)
-                self.node.limits.count_descriptors(len(fds))  # until the connections count themselves
-                self.node.queue(self.receive, data, fds)
+                socks = as_sockets(fds)
+                self.node.limits.count_descriptors(len(socks))  # until the connections count themselves
+                self.node.queue(self.receive, data, socks)
 
-    def receive(self, data: bytes, fds: list[int]) -> None:
-        """Takes over the connections of one message, or closes their descriptors if it is malformed."""
-        try:
-            message = json.loads(data)
-            if len(fds) != 1 + ("line" in message):
-                raise ValueError(f"{len(fds)} descriptors")
-            client = ClientConnection(self.node)
-            client.handed_over_to_us = True
-            if "opened" in message:
-                client.opened = float(message["opened"]) + self.node.hot_restart.clock_ahead
-            put_back(client, decode(message["in"]))
-            connections = (
-                [client, self.restore_established(client, message)] if "line" in message else [client]
-            )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            # A predecessor of another version may send messages of another form.
-            log.event("handover", taken="not one connection", error=repr(error))
-            for fd in fds:
-                os.close(fd)
-            self.node.limits.count_descriptors(-len(fds))
-            return
-        task = self.node.loop.create_task(self.connect(connections, [socket.socket(fileno=fd) for fd in fds]))
-        self.tasks.add(task)
-        self.node.counters["handoffs_received"] += 1
-        log.event(
-            "handoff",
-            state="received",
-            id=client.request_id,
-            connections=",".join(str(connection.number) for connection in connections),
-        )
-        task.add_done_callback(self.tasks.discard)
+    def receive_last(self) -> int:
+        """Takes no more connections but those on their way; returns how many of them are unfinished.
 
-    def restore_established(self, client: ClientConnection, message: dict[str, Any]) -> ServerConnection:
-        """Restores the call and its one leg as in the predecessor, and returns its server connection.
+        The predecessor keeps what it cannot send any more. Without this, connections on their way would be
+        cut off with the end of this process."""
+        if self.sock.fileno() >= 0:
+            self.sock.shutdown(socket.SHUT_RD)
+            self.on_readable()
+        return self.unfinished
 
-        Raises ValueError, KeyError, TypeError or AttributeError if the message is malformed."""
-        node, request_line = self.node, lines.parse_request_line(message["line"].encode())
-        name, address = str(message["server"]), lines.parse_address(message["place"])
-        server = node.server(lines.id_hash(name))
-        server.host_record = server.host_record or Endpoint(name, address)
+    def receive(self, data: bytes, socks: list[socket.socket]) -> None:
+        """Takes over the connection of one message, or ends its client."""
+        try:
+            message = HandoffMessage.decode(data)
+            if len(socks) != message.descriptors:
+                raise MessageError(f"{len(socks)} descriptors")
+            connections = self.restore(message)
+        except MessageError as error:
+            log.event("handover", taken="not one connection", error=error)
+            connections = self.refuse(established=b'"line"' in data or len(socks) > 1) if socks else []
+        self.start_attaching(connections, socks)
+
+    def restore(self, message: HandoffMessage) -> list[Connection]:
+        """Restores the client's connection, and that to its server if established, without their sockets."""
+        client = self.new_client()
+        if message.opened is not None:
+            client.opened = message.opened + self.node.hot_restart.clock_ahead
+        put_back(client, message.unread)
+        if message.established is None:
+            return [client]
+        connections = [client, self.restore_established(client, message.established)]
+        if self.node.shutdown and not self.node.hot_restart.has_successor:
+            client.move("leaving")
+        return connections
+
+    def new_client(self) -> ClientConnection:
+        """Creates the connection of a client, which counts as one of this process from now on."""
+        client = ClientConnection(self.node)
+        client.handed_over_to_us = True
+        self.node.clients[client] = None
+        return client
+
+    def refuse(self, established: bool) -> list[Connection]:
+        """Ends a client whose message could not be read: MOVE if it is established, else BUSY."""
+        client = self.new_client()
+        if established:
+            client.write(b"MOVE\r\n")
+            client.finish(NOT_TAKEN_OVER)
+        else:
+            client.reject_unread(NOT_TAKEN_OVER)
+        return [client]
+
+    def restore_established(self, client: ClientConnection, part: EstablishedPart) -> ServerConnection:
+        """Restores the call and its one leg as in the predecessor, and returns its server connection."""
+        node, request_line, clock_offset = self.node, part.request_line, self.node.hot_restart.clock_ahead
+        server = node.server(lines.id_hash(part.server))
+        server.host_record = server.host_record or Endpoint(part.server, part.address)
         call = node.new_call(
             node.names.types.get(request_line.values.get("c", ""), 0),
             0.0,
             key=request_line.key,
             group=request_line.number("g", 16) or 0,
         )
-        clock_offset = node.hot_restart.clock_ahead
-        leg = Leg(call, server, float(message["sent"]) + clock_offset)
+        leg = Leg(call, server, part.sent + clock_offset)
         call.legs.append(leg)
         call.host_record, client.call, client.request_line = client, call, request_line
         connection = ServerConnection(node, leg, client, node.now, established=True)
         connection.handed_over_to_us = True
-        connection.unanswered.extend(float(when) + clock_offset for when in message["asked"])
+        connection.unanswered.extend(when + clock_offset for when in part.unanswered)
         client.answered = True
-        connection.announced_end = str(message["said"])
-        put_back(connection, decode(message["back"]))
-        # Neither forwards a line until both are connected; such a line would be lost.
-        client.blocked = connection.blocked = True
+        put_back(connection, part.unread)
         connection.paired, client.paired = client, connection
-        # Recorded before anything can end it; otherwise the leg would be removed before it was added.
         node.limits.open_ids[request_line.id] = client
         connection.endpoint.connections[connection] = None
         node.resume_leg(leg)
+        if end := part.announced_end:
+            connection.announced_end = end.result
         return connection
 
-    async def connect(self, connections: list[Connection], socks: list[socket.socket]) -> None:
+    def start_attaching(self, connections: list[Connection], socks: list[socket.socket]) -> None:
+        """Attaches the sockets to their connections; closes those without one."""
+        surplus, socks = socks[len(connections) :], socks[: len(connections)]
+        for sock in surplus:
+            sock.close()
+        self.node.limits.count_descriptors(-len(surplus))
+        self.node.counters["handoffs_received"] += 1
+        log.event(
+            "handoff",
+            state="received",
+            id=connections[0].request_id if connections else "",
+            connections=",".join(str(connection.number) for connection in connections),
+        )
+        task = self.node.loop.create_task(self.attach(connections, socks))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def attach(self, connections: list[Connection], socks: list[socket.socket]) -> None:
         """Attaches received sockets to their connections."""
         try:
             for connection, sock in zip(connections, socks):
-                sock.setblocking(False)
-                await self.node.loop.connect_accepted_socket(lambda connection=connection: connection, sock)
+                try:
+                    sock.setblocking(False)
+                    await self.node.loop.connect_accepted_socket(
+                        lambda connection=connection: connection, sock
+                    )
+                except (OSError, ValueError) as error:  # not a connected TCP socket, or no longer
+                    log.event("handover", taken="not one socket", error=repr(error))
+                    sock.close()
         finally:
             self.node.limits.count_descriptors(-len(socks))  # each connection counts itself by now
-            self.node.queue(self.start_forwarding, connections)
+            self.node.queue(self.on_attached, connections)
 
-    def start_forwarding(self, connections: list[Connection]) -> None:
-        """Lets lines pass, or moves the client if one of its two connections has been lost."""
-        client = connections[0]
+    def on_attached(self, connections: list[Connection]) -> None:
+        """Moves the client if one of its two sockets could not be attached."""
+        self.unfinished -= 1
+        if not connections:
+            return
+        client, lost = connections[0], [one for one in connections if one.transport is None]
         self.node.counters["taken_over"] += 1
         log.event(
             "handoff",
             state="taken-over",
             id=client.request_id,
             connections=",".join(str(connection.number) for connection in connections),
-            attached=sum(connection.transport is not None for connection in connections),
+            attached=len(connections) - len(lost),
             closed=sum(connection.closed for connection in connections),
         )
-        if client.paired and any(connection.transport is None for connection in connections):
-            client.move("not-taken-over", model.RESET)
-        for connection in connections:
-            connection.blocked = False
-            connection.wake()
-        if self.node.shutdown:  # the shutdown may have moved the established connections already
-            client.move("leaving")
+        if lost:
+            client.move(NOT_TAKEN_OVER, model.RESET)
+        for connection in lost:
+            connection.connection_lost(None)
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -114,6 +114,12 @@
         """Return the state that a successor gets with the listening socket."""
         return shared_state.snapshot(self.node)
 
+    def receive_last(self) -> int:
+        """Receive the connections that the predecessor has sent, and no more.
+
+        Returns how many of them are not attached yet."""
+        return self.handoff_receiver.receive_last() if self.handoff_receiver else 0
+
     def publish(self, **words: Any) -> None:
         """Send a message to the sibling, if there is one; the keywords are its keys."""
         if self.sibling:
--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -2,7 +2,8 @@
 
 A ring holds the bytes of one direction of a connection that were received and not yet consumed. It has a
 fixed size; reading is paused while it is full. The callbacks of asyncio only store data and queue the
-connection for the node's next turn; lines are parsed, and decisions made, in that turn.
+connection for the node's next turn; lines are parsed, and decisions made, in that turn. What is written or
+closed before a connection has its transport is carried out once it has (`connection_state.py`).
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import struct
 from typing import Any
 
+from bellrack.net.connection_state import Event, State, next_state
 from bellrack.net.lines import MAX_LINE_BYTES
 
 RING_BYTES = 8192  # a whole line and the start of the next
@@ -103,8 +105,12 @@
     def __init__(self, node: Any):
         self.node, self.ring, self.number = node, Ring(), next(CONNECTION_NUMBERS)
         self.transport: Any = None
+        self.state = State.PENDING
+        self.unsent = b""  # written before there was a transport
+        self.close_how = "fin"  # see `finish`
         self.paired: Connection | None = None  # whole lines are forwarded to it
-        self.queued = self.paused = self.blocked = self.closed = False
+        self.queued = self.paused = False
+        self.write_blocked = False  # the transport's write buffer is full
         self.remote_end = ""  # how the remote end closed: "fin" or "rst"
         self.flush_deadline = 0.0  # until when its last lines wait to be forwarded after it closed
         self.handed_over_to_us = False  # by the predecessor in a hot restart
@@ -112,7 +118,22 @@
         self.discarded = 0  # bytes received after we closed
         self.expiry: asyncio.TimerHandle | None = None  # see `expire_after`
 
-    # Callbacks of asyncio: they only store and queue.
+    @property
+    def closed(self) -> bool:
+        """Whether this process has closed the connection or handed it over."""
+        return self.state.closed
+
+    @property
+    def blocked(self) -> bool:
+        """Whether it accepts no lines: its write buffer is full, or it has no transport yet."""
+        return self.write_blocked or self.state is State.PENDING
+
+    def on_event(self, event: Event) -> None:
+        """Changes the state. Raises TransitionError."""
+        self.state = next_state(self.state, event)
+
+    # Callbacks of asyncio: they only store and queue, and carry out what was ordered before there was a
+    # transport.
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -122,9 +143,25 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         self.count_descriptor(True)
-        self.on_connected()
+        self.on_event(Event.ATTACH)
+        if self.unsent and self.state is not State.CLOSED:
+            transport.write(self.unsent)
+        self.unsent = b""
+        if self.ring.full:  # as it was when it was handed over
+            self.paused = True
+            transport.pause_reading()
+        if self.state is State.OPEN:
+            self.on_connected()
+        else:
+            self.close_late()
+        if self.paired:
+            self.paired.wake()
 
-    def on_connected(self) -> None: ...  # called once the connection has its transport
+    def on_connected(self) -> None: ...  # called once the connection has its transport, unless it is closed
+
+    def close_late(self) -> None:
+        """Called once the connection has its transport if it was closed before."""
+        self.close_transport()
 
     def count_descriptor(self, on: bool) -> None:
         """Counts this connection's descriptor, or counts it no longer."""
@@ -154,6 +191,8 @@
         return not self.closed  # False closes the transport: both ends are closed
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Called when the transport has ended, or when the connection will get none."""
+        self.on_event(Event.LOSE)
         self.count_descriptor(False)
         self.node.limits.untrack(self)
         self.expire_after(None)
@@ -161,10 +200,10 @@
         self.wake()
 
     def pause_writing(self) -> None:
-        self.blocked = True
+        self.write_blocked = True
 
     def resume_writing(self) -> None:
-        self.blocked = False
+        self.write_blocked = False
         if self.paired:
             self.paired.wake()
 
@@ -228,27 +267,33 @@
         return self.node.now >= self.flush_deadline
 
     def write(self, data: bytes) -> None:
-        """Writes, unless the connection is closed."""
-        if not self.closed and self.transport and not self.transport.is_closing():
+        """Writes, unless the connection is closed; without a transport, once it has one."""
+        if self.state is State.PENDING:
+            self.unsent += data
+        elif self.state is State.OPEN and not self.transport.is_closing():
             self.transport.write(data)
 
     def finish(self, reason: str, how: str = "fin", **fields: Any) -> None:
         """Closes the connection and logs its end with `reason` and `fields`; does nothing if already closed.
 
         `how`: "fin" sends what was written, then closes and waits for the remote end; "now" does not wait;
-        "rst" resets at once."""
+        "rst" resets at once. Without a transport, that is done once it has one."""
         if self.closed:
             return
-        self.closed = True
+        self.close_how = how
+        self.on_event(Event.CLOSE)
         self.node.log_end(self, reason, fields)
-        if self.transport is None:
-            return
-        if how == "rst":
+        if self.state is State.CLOSING:
+            self.close_transport()
+
+    def close_transport(self) -> None:
+        """Closes the transport as ordered; see `finish`."""
+        if self.close_how == "rst":
             sock = self.transport.get_extra_info("socket")
             if sock is not None and sock.fileno() >= 0:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.transport.abort()
-        elif self.remote_end or self.transport.is_closing() or how == "now":
+        elif self.remote_end or self.transport.is_closing() or self.close_how == "now":
             self.transport.close()
         else:
             # Only the write side is closed at first: close() with unread bytes sends a reset, which discards
@@ -258,7 +303,7 @@
             if self.paused:
                 self.transport.resume_reading()
             # Time for a slow peer to take the last whole lines; a peer that takes nothing is cut off.
-            self.expire_after(FLUSH_SECONDS if self.blocked else LINGER_SECONDS, self.transport.abort)
+            self.expire_after(FLUSH_SECONDS if self.write_blocked else LINGER_SECONDS, self.transport.abort)
             self.node.limits.evictable.setdefault(self, self.node.now)
 
     def log_fields(self) -> dict[str, Any]:
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -17,6 +17,7 @@
 from bellrack import model
 from bellrack.model import Leg, Result, Server
 from bellrack.net import lines, transient
+from bellrack.net.connection_state import Event
 from bellrack.net.pairing import ClientEnd
 from bellrack.net.ring import Connection
 from bellrack.net.start_times import Start
@@ -61,6 +62,7 @@
     """A connection that this process opens."""
 
     task: asyncio.Task | None = None  # connects
+    request_sent = False
     local_failure = False  # connecting failed for want of a resource of this machine
 
     def open(self, address: tuple[str, int], wait: float) -> None:
@@ -82,8 +84,10 @@
             self.local_failure = transient.is_local(error)
             self.wake()
         finally:
-            if self.transport is None and sock is not None:
-                sock.close()
+            if self.transport is None:
+                self.on_event(Event.LOSE)
+                if sock is not None:
+                    sock.close()
             self.node.limits.count_descriptors(-1)
 
     async def connect_with_retries(self, address: tuple[str, int], wait: float) -> socket.socket:
@@ -112,10 +116,15 @@
             await asyncio.sleep(transient.RETRY_INTERVAL_SECONDS)
 
     def on_connected(self) -> None:
-        if self.closed:  # given up while connecting
-            self.transport.abort()
         self.wake()
 
+    def close_late(self) -> None:
+        """Aborts a connection that was given up while connecting; nothing was sent on it."""
+        if self.request_sent:
+            super().close_late()
+        else:
+            self.transport.abort()
+
     def cancel_connect(self) -> None:
         """Stops connecting, if that is still under way."""
         if self.transport is None and self.task:
@@ -145,6 +154,7 @@
         self.unanswered: deque[float] = deque()  # when each unanswered line of the client was forwarded
         self.request_sent = established
         self.announced_end = ""  # result announced by the server's last line: completed or cancelled
+        self.ends_by = math.inf  # when both sides are ended if the server has announced its end and hangs
         leg.host_record = client.server_connection = self
         self.deadline_timer = node.at(deadline, self.on_deadline)
         if not established:
@@ -244,14 +254,20 @@
     def on_line(self, line: bytes) -> None:
         kind, rest = lines.parse_server_line(line)
         if kind in (model.COMPLETED, model.CANCELLED):
-            # The client waits for the connection to close, also if the server hangs after its last line.
-            self.announced_end = kind
-            self.node.after(ANNOUNCED_END_SECONDS, self.on_connection_ended)
+            self.announce_end(kind, self.node.now + ANNOUNCED_END_SECONDS)
         elif line.startswith(b"LOAD "):
             self.node.on_load_line(self.leg, rest)
         elif self.unanswered:
             self.endpoint.line_times.append(self.node.now - self.unanswered.popleft())
 
+    def announce_end(self, kind: str, ends_by: float) -> None:
+        """The server has sent its last line, which means the result `kind`.
+
+        Both sides end at the time `ends_by` at the latest: the client waits for that, also if the server
+        hangs."""
+        self.announced_end, self.ends_by = kind, ends_by
+        self.node.at(ends_by, self.on_connection_ended)
+
     def on_connection_ended(self) -> None:
         """The server or the network has ended the connection, or the server announced its end and hangs."""
         if self.closed:
--- a/bellrack/net/shutdown.py
+++ b/bellrack/net/shutdown.py
@@ -104,11 +104,17 @@
         """End the process if it has no connections left or its time is over; else check again later."""
         elapsed = self.node.now - self.started_at
         if elapsed >= self.time_limit - ANSWER_BEFORE_END_SECONDS:
+            self.node.hot_restart.receive_last()
             self.answer_silent()
         # Each accepted connection is owed an answer once its request is complete. So the process waits also
         # for those that sent nothing or half a line so far, those whose answer is not yet written out, and
         # those that still wait to be accepted.
-        empty = elapsed >= MIN_SECONDS and not self.node.clients and not self.node.listeners.accept_last()
+        empty = (
+            elapsed >= MIN_SECONDS
+            and not self.node.clients
+            and not self.node.hot_restart.receive_last()
+            and not self.node.listeners.accept_last()
+        )
         if empty or elapsed >= self.time_limit - EXIT_BEFORE_END_SECONDS:
             self.node.finished.set()
         else:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -274,11 +274,11 @@
         ours, theirs = handoff.socket_pair()
         handoff_receiver, up = (
             handoff.HandoffReceiver(world.node, theirs),
-            handoff.HandoffReceiver.start_forwarding,
+            handoff.HandoffReceiver.on_attached,
         )
         delayed = []
         # `up` is called below, after the server has closed the connection.
-        monkeypatch.setattr(handoff_receiver, "start_forwarding", delayed.append)
+        monkeypatch.setattr(handoff_receiver, "on_attached", delayed.append)
         socket.send_fds(ours, [json.dumps(words).encode()], [near.fileno() for near, _ in sides])
         await world.until(lambda: delayed)
         sides[1][1].close()
