Hand over an announced end with the time by which it is due

Cause: the timer of an announced end stays with the predecessor, where the connection is closed when it expires.

Change: the message says until when the end is due, on the clock that both processes convert; the successor ends both sides then, or half a second after it got the connection if an older predecessor names no time. A client whose server has sent its last line is not sent MOVE after it any more, at whatever moment the order comes: it is ended as the line said.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -201,9 +201,13 @@
     def move(self, reason: str, kind: str = model.CANCELLED) -> None:
         """Sends MOVE between two lines and closes; the client reconnects through the load balancer in front.
 
-        `kind` is the result of the leg. Does nothing unless the connection is established."""
+        `kind` is the result of the leg. Does nothing unless the connection is established. One whose server
+        has sent its last line is ended as that said."""
         if self.closed or not self.paired:
             return
+        if self.server_connection.announced_end:
+            self.server_connection.on_connection_ended()
+            return
         self.node.counters["moved"] += 1
         self.write(b"MOVE\r\n")
         cause = {"why": self.call.move_cause} if reason == MOVE_ORDERED and self.call.move_cause else {}
--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -30,7 +30,7 @@
     MessageError,
 )
 from bellrack.net.ring import Connection
-from bellrack.net.servers import Endpoint, ServerConnection
+from bellrack.net.servers import ANNOUNCED_END_SECONDS, Endpoint, ServerConnection
 
 CONNECTIONS_PER_TURN = 16  # handed over in one turn, so that the other connections do not have to pause
 NOT_TAKEN_OVER = "not-taken-over"  # logged as the reason
@@ -265,7 +265,9 @@
         connection.endpoint.connections[connection] = None
         node.resume_leg(leg)
         if end := part.announced_end:
-            connection.announced_end = end.result
+            in_full = node.now + ANNOUNCED_END_SECONDS
+            ends_by = in_full if end.ends_by is None else min(in_full, end.ends_by + clock_offset)
+            connection.announce_end(end.result, ends_by)
         return connection
 
     def start_attaching(self, connections: list[Connection], socks: list[socket.socket]) -> None:
--- a/bellrack/net/pairing.py
+++ b/bellrack/net/pairing.py
@@ -33,5 +33,8 @@
 
     leg: Leg
     request_sent: bool
+    announced_end: str  # result announced by the server's last line; empty before
+
+    def on_connection_ended(self) -> None: ...
 
     def end(self, kind: str, reason: str, how: str = ...) -> None: ...
--- a/tests/test_handoff_states.py
+++ b/tests/test_handoff_states.py
@@ -11,9 +11,9 @@
 from helpers import Peer, World, async_test
 
 from bellrack import model
-from bellrack.net import handoff, lines
+from bellrack.net import handoff, lines, servers
 from bellrack.net.connection_state import TRANSITIONS, Event, State, TransitionError, next_state
-from bellrack.net.handoff_message import EstablishedPart, HandoffMessage, MessageError
+from bellrack.net.handoff_message import AnnouncedEnd, EstablishedPart, HandoffMessage, MessageError
 
 REQUEST = b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -134,6 +134,11 @@
     received.server_end.writer.transport.abort()
 
 
+def move_after_the_last_line(received):
+    received.server.announce_end(model.COMPLETED, received.node.now + 60.0)
+    received.client.move("moved")
+
+
 MOVED = [["MOVE", "fin"], ["fin"]]
 # What is ordered, or happens, and what the client and the server get, at whatever moment.
 ORDERS = {
@@ -149,6 +154,7 @@
         lambda received: received.server.announce_end(model.COMPLETED, received.node.now),
         [["fin"], ["fin"]],
     ),
+    "moved after its server has announced its end": (move_after_the_last_line, [["fin"], ["fin"]]),
     "the server announces its end": (
         lambda received: received.server_end.say("BYE"),
         [["BYE", "fin"], ["fin"]],
@@ -179,6 +185,20 @@
             assert lines_expected is None or side == lines_expected
 
 
+@pytest.mark.parametrize("ends_in", [None, 0.2, 60.0])
+@async_test
+async def test_announced_end_goes_over_with_the_time_by_which_it_is_due(monkeypatch, ends_in):
+    """Guards against a client that waits on after BYE, as the successor set no timer (issue 74, point 4)."""
+    async with received_connection(monkeypatch) as received:
+        due = None if ends_in is None else received.node.clock() + ends_in
+        await received.send(message(announced_end=AnnouncedEnd(model.COMPLETED, due)).encode())
+        await received.attach_rest()
+        (client,) = received.node.clients
+        in_full = received.node.clock() + servers.ANNOUNCED_END_SECONDS
+        assert client.server_connection.ends_by <= min(in_full, due or in_full)
+        assert await received.both_ended() == [["fin"], ["fin"]]
+
+
 @pytest.mark.parametrize("failing", ["client", "server"])
 @async_test
 async def test_connection_whose_sockets_cannot_all_be_attached_is_ended(monkeypatch, failing):
