Hand over what a resumed connection owes: its deadline, and whether it may have run

What callers saw: nothing yet; found by the table of timers that a connection has when it is handed over. A resumed connection that was not up began its 40 s anew at each new version, and one whose request had been sent was told BUSY at the end of the second process, which calls a repeat harmless.

Cause: it goes over as an unread request line, without what the predecessor knew of it.

Change: the message says until when it is owed an answer and whether it may have run; the successor goes on from there. Keys that an older process does not know are ignored.

--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -28,6 +28,7 @@
     EstablishedPart,
     HandoffMessage,
     MessageError,
+    ResumptionPart,
 )
 from bellrack.net.ring import Connection
 from bellrack.net.servers import ANNOUNCED_END_SECONDS, Endpoint, ServerConnection
@@ -117,9 +118,11 @@
             server_side = client.server_connection
             established = self.describe_established(server_side, unread[server_side])
             message = HandoffMessage(unread[client], client.opened, established)
-        else:  # a resumed connection is sent as if its line were unread
-            line = client.request_line.line if client.call else unread[client]
-            message = HandoffMessage(line, client.opened)
+        elif client.call:  # resumed, and sent as if its line were unread
+            resumption = self.node.resumed.describe(client)
+            message = HandoffMessage(client.request_line.line, client.opened, resumption=resumption)
+        else:
+            message = HandoffMessage(unread[client], client.opened)
         fds = [connection.transport.get_extra_info("socket").fileno() for connection in connections]
         try:
             socket.send_fds(self.sock, [message.encode()], fds)
@@ -217,6 +220,9 @@
         if message.opened is not None:
             client.opened = message.opened + self.node.hot_restart.clock_ahead
         put_back(client, message.unread)
+        if part := message.resumption:
+            answer_by = part.answer_by + self.node.hot_restart.clock_ahead
+            self.node.resumed.inherit(client, ResumptionPart(answer_by, part.may_have_run))
         if message.established is None:
             return [client]
         connections = [client, self.restore_established(client, message.established)]
--- a/bellrack/net/handoff_message.py
+++ b/bellrack/net/handoff_message.py
@@ -44,6 +44,14 @@
     unread: bytes  # received from the server and not forwarded yet
 
 
+@dataclass(frozen=True)
+class ResumptionPart:
+    """What goes over of a resumed connection that is not established yet."""
+
+    answer_by: float  # when its client must have an answer
+    may_have_run: bool  # an attempt was sent, and its result does not exclude that it ran
+
+
 @dataclass(frozen=True)
 class HandoffMessage:
     """One connection; its descriptors, the client's first, go with the message."""
@@ -51,6 +59,7 @@
     unread: bytes  # received from the client and not consumed yet
     opened: float | None  # when the machine accepted it; None from an older version
     established: EstablishedPart | None = None
+    resumption: ResumptionPart | None = None
 
     @property
     def descriptors(self) -> int:
@@ -72,6 +81,8 @@
                 "ends": end.ends_by,
                 "back": encode_bytes(part.unread),
             }
+        if self.resumption:
+            message |= {"answer_by": self.resumption.answer_by, "may_have_run": self.resumption.may_have_run}
         return json.dumps(message).encode()
 
     @classmethod
@@ -84,6 +95,7 @@
                 decode_bytes(message["in"]),
                 None if opened is None else float(opened),
                 decode_established(message) if "line" in message else None,
+                decode_resumption(message) if "answer_by" in message else None,
             )
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise MessageError(repr(error)) from error
@@ -105,6 +117,11 @@
     )
 
 
+def decode_resumption(message: dict[str, Any]) -> ResumptionPart:
+    """Parse the part on a resumed connection. Raises ValueError or TypeError."""
+    return ResumptionPart(float(message["answer_by"]), bool(message.get("may_have_run")))
+
+
 def encode_bytes(data: bytes) -> str:
     """Format bytes for the message."""
     return base64.b64encode(data).decode()
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -12,6 +12,7 @@
 from bellrack import model
 from bellrack.model import Leg
 from bellrack.net import limits, lines
+from bellrack.net.handoff_message import ResumptionPart
 from bellrack.net.resumption import Attempt, Expire, Resumption, StartupWindow, Wait
 from bellrack.net.servers import ServerConnection
 
@@ -24,6 +25,7 @@
         self.node = node
         self.window = StartupWindow(started, evidence)
         self.pending: dict[Any, Resumption] = {}
+        self.inherited: dict[Any, ResumptionPart] = {}  # handed over, until the request line is read
 
     def expects_more(self) -> bool:
         """Whether further resumed connections are to be expected."""
@@ -43,10 +45,25 @@
         """A first line with `at=` has come. `client_waits`: for how many seconds the client says it waits."""
         self.window.on_resumed(self.node.now)
         resumption = Resumption(self.node.now, lines.id_hash(client.request_line.id), client_waits)
+        if part := self.inherited.pop(client, None):
+            resumption.continue_from(part.answer_by, part.may_have_run)
         self.pending[client] = resumption
         self.node.counters["resumed"] += 1
         self.proceed(client, resumption)
 
+    def describe(self, client: Any) -> ResumptionPart:
+        """What another process has to know to go on with the client's resumption."""
+        return ResumptionPart(self.pending[client].answer_by, self.may_have_run(client))
+
+    def inherit(self, client: Any, part: ResumptionPart) -> None:
+        """The client was handed over; its request line, which is unread, goes on from there."""
+        self.inherited[client] = part
+
+    def may_have_run(self, client: Any) -> bool:
+        """Whether a server may have received the client's request."""
+        connection = client.server_connection
+        return self.pending[client].may_have_run or bool(connection and connection.request_sent)
+
     def proceed(self, client: Any, resumption: Resumption) -> None:
         """Carries out the next action of a resumption, unless it is over."""
         if not resumption.pending:
@@ -90,14 +107,15 @@
 
     def discard(self, client: Any) -> None:
         """The client has its answer, has left, or was handed to another process."""
+        self.inherited.pop(client, None)
         if resumption := self.pending.pop(client, None):
             resumption.on_closed()
 
     def answer_all(self) -> None:
         """Answers all clients at shutdown. A call is rejected, which invites a retry, only if no server can
         have received it; others are released."""
-        for client, resumption in list(self.pending.items()):
-            if resumption.may_have_run or client.server_connection and client.server_connection.request_sent:
+        for client in list(self.pending):
+            if self.may_have_run(client):
                 self.node.release(client.call)
             else:
                 self.node.reject(client.call)
--- a/bellrack/net/resumption.py
+++ b/bellrack/net/resumption.py
@@ -172,6 +172,11 @@
         self.failures += 1
         self.timeouts += timed_out
 
+    def continue_from(self, answer_by: float, may_have_run: bool) -> None:
+        """Another process began it: its deadline and what may have run by then still hold."""
+        self.answer_by = min(self.answer_by, answer_by)
+        self.may_have_run = self.may_have_run or may_have_run
+
     def on_established(self) -> None:
         """The server has accepted the attempt."""
         self.state = State.UP
--- a/tests/test_handoff_states.py
+++ b/tests/test_handoff_states.py
@@ -9,11 +9,18 @@
 
 import pytest
 from helpers import Peer, World, async_test
+from test_handover import folder, reserved_address  # noqa: F401 (a fixture)
 
 from bellrack import model
 from bellrack.net import handoff, lines, servers
 from bellrack.net.connection_state import TRANSITIONS, Event, State, TransitionError, next_state
-from bellrack.net.handoff_message import AnnouncedEnd, EstablishedPart, HandoffMessage, MessageError
+from bellrack.net.handoff_message import (
+    AnnouncedEnd,
+    EstablishedPart,
+    HandoffMessage,
+    MessageError,
+    ResumptionPart,
+)
 
 REQUEST = b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -268,6 +275,58 @@
             received.sender.send(b"one more")
 
 
+RESUMED = b"OPEN 00000000000000a2 7f3a9c21e0b4d655 c=chat,t=acme,at=s-9\r\n"
+
+
+async def send_resumed(received, answer_by, may_have_run):
+    """Hand over a resumed connection whose server is not listed."""
+    part = ResumptionPart(answer_by, may_have_run)
+    await received.send(HandoffMessage(RESUMED, 1.0, resumption=part).encode(), 1)
+    await received.attach()
+    await received.world.until(lambda: received.node.resumed.pending)
+
+
+@async_test
+async def test_resumed_connection_keeps_its_deadline_over_a_hand_over(monkeypatch):
+    """Guards against a client that waits for 40 s anew at each new version."""
+    async with received_connection(monkeypatch) as received:
+        answer_by = received.node.clock() + 0.3
+        await send_resumed(received, answer_by, False)
+        assert await received.client_end.line() == "ERR"
+        assert answer_by <= received.node.clock() < answer_by + 5
+
+
+@pytest.mark.parametrize("may_have_run, answer", [(False, "BUSY"), (True, "ERR")])
+@async_test
+async def test_resumed_connection_that_may_have_run_elsewhere_is_not_rejected(
+    monkeypatch, may_have_run, answer
+):
+    """Guards against BUSY, which invites a repeat, for a request that the predecessor has sent."""
+    async with received_connection(monkeypatch) as received:
+        await send_resumed(received, received.node.clock() + 30.0, may_have_run)
+        received.node.resumed.answer_all()
+        assert await received.client_end.line() == answer
+        received.node.begin_shutdown()
+
+
+@async_test
+async def test_sent_resumed_connection_goes_over_with_its_deadline(folder):  # noqa: F811
+    async with World(control=True, listen=reserved_address()) as world:
+        first = world.node
+        client = await world.call("c=chat,t=acme,at=s-0")
+        await world.leg()  # the server has the request and does not answer
+        (resumption,) = first.resumed.pending.values()
+        second, serving = await world.start()
+        await world.until(lambda: first.hot_restart.has_successor)
+        first.begin_shutdown()
+        await world.until(lambda: second.resumed.pending)
+        (continued,) = second.resumed.pending.values()
+        assert continued.may_have_run and continued.answer_by == pytest.approx(resumption.answer_by)
+        client.end("fin")
+        await world.wait_for_first_node(serving)
+        world.node = second
+
+
 def test_each_event_of_each_state_is_in_the_table_or_an_error():
     states = {State.PENDING}
     for _ in TRANSITIONS:
@@ -283,7 +342,9 @@
 
 
 def test_message_reads_back_as_written():
-    for written in (message(b"half a", b"\x00", unanswered=(1.5, 2.5)), HandoffMessage(b"OPEN", None)):
+    established = message(b"half a", b"\x00", unanswered=(1.5, 2.5))
+    resumed = HandoffMessage(RESUMED, 2.0, resumption=ResumptionPart(3.0, True))
+    for written in (established, resumed, HandoffMessage(b"OPEN", None)):
         assert HandoffMessage.decode(written.encode()) == written
     with pytest.raises(MessageError):
         HandoffMessage.decode(b"[]")
