A hand-off stops its batch at a full socket to the successor

What callers saw: nothing yet; found as the sender was read for the same mistake. After 93 messages of 1,000 bytes without a read the socket is full, as while a successor is held up for 0.15 s. The batch then paused, packed, unpacked and resumed each connection of the process in vain: 2.6 ms for 30 connections, 5.5 ms for 60, 9.6 ms for 120, in one turn and again every 50 ms.

Cause: "could not be sent" did not say whether the next one could.

Change: a batch ends at a full socket, with a typed result, and goes on 5 ms later. A receiver whose socket fails closes it, where the error would have been raised again at each turn.

In test_two_restarts the double of send_batch returns the new type for "all tried", which was False before.

--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -15,6 +15,7 @@
 import contextlib
 import os
 import socket
+from enum import Enum
 from typing import Any
 
 from bellrack import model
@@ -85,22 +86,32 @@
             self.node.limits.count_descriptors(-1)
 
 
+class BatchResult(Enum):
+    """How far a batch of connections came."""
+
+    MORE_LEFT = "more left"
+    SOCKET_FULL = "socket full"  # the successor has to read first
+    ALL_TRIED = "all tried"
+
+
 class HandoffSender(HandoffEnd):
     """The end of the process that shuts down."""
 
-    def send_batch(self) -> bool:
-        """Sends some of the connections that are established or have sent nothing yet.
+    socket_full = False  # the last connection could not be sent since the socket was full
 
-        Returns True if more may be left."""
-        left = CONNECTIONS_PER_TURN
+    def send_batch(self) -> BatchResult:
+        """Sends some of the connections that are established or have sent nothing yet."""
+        left, self.socket_full = CONNECTIONS_PER_TURN, False
         for client in list(self.node.clients):
             # A resumed connection that sent more before it was established is malformed: it is answered here.
             resumable = client in self.node.resumed.pending and not client.ring.length
             if client.call is None or client.paired or resumable:
                 if not left:
-                    return True
+                    return BatchResult.MORE_LEFT
                 left -= self.send_connection(client)
-        return False
+                if self.socket_full:
+                    return BatchResult.SOCKET_FULL
+        return BatchResult.ALL_TRIED
 
     def send_connection(self, client: ClientConnection) -> bool:
         """Sends a client's connection, with that to its server if established.
@@ -126,7 +137,8 @@
         fds = [connection.transport.get_extra_info("socket").fileno() for connection in connections]
         try:
             socket.send_fds(self.sock, [message.encode()], fds)
-        except OSError:
+        except OSError as error:
+            self.socket_full = isinstance(error, BlockingIOError)
             for connection, data in unread.items():  # the successor received nothing: undo
                 put_back(connection, data)
                 if not connection.paused:
@@ -180,17 +192,21 @@
 
     def on_readable(self) -> None:
         """Receives some messages and queues them."""
-        with contextlib.suppress(BlockingIOError):
-            for _ in range(CONNECTIONS_PER_TURN):
+        for _ in range(CONNECTIONS_PER_TURN):
+            try:
                 data, fds, _, _ = socket.recv_fds(self.sock, MAX_MESSAGE_BYTES, 2)
-                if not data:
-                    self.close()
-                    return
-                self.unfinished += 1
-                self.descriptors_passed += len(fds)
-                socks = as_sockets(fds)
-                self.node.limits.count_descriptors(len(socks))  # until the connections count themselves
-                self.node.queue(self.receive, data, socks)
+            except BlockingIOError:
+                return
+            except OSError:
+                data = b""  # no more will come
+            if not data:
+                self.close()
+                return
+            self.unfinished += 1
+            self.descriptors_passed += len(fds)
+            socks = as_sockets(fds)
+            self.node.limits.count_descriptors(len(socks))  # until the connections count themselves
+            self.node.queue(self.receive, data, socks)
 
     def receive_last(self) -> int:
         """Takes no more connections but those on their way; returns how many of them are unfinished.
@@ -198,7 +214,8 @@
         The predecessor keeps what it cannot send any more. Without this, connections on their way would be
         cut off with the end of this process."""
         if self.sock.fileno() >= 0:
-            self.sock.shutdown(socket.SHUT_RD)
+            with contextlib.suppress(OSError):  # the predecessor has ended
+                self.sock.shutdown(socket.SHUT_RD)
             self.on_readable()
         return self.unfinished
 
--- a/bellrack/net/shutdown.py
+++ b/bellrack/net/shutdown.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from bellrack.net import log
+from bellrack.net.handoff import BatchResult
 
 # Shares of the time limit. The first connection is moved late: earlier, the front may send it here again.
 FIRST_MOVE_SHARE = 1 / 3
@@ -23,6 +24,12 @@
 ANSWER_BEFORE_END_SECONDS = 0.4
 EXIT_BEFORE_END_SECONDS = 0.2  # so long before the time limit the process ends, with or without connections
 CHECK_INTERVAL_SECONDS = 0.05  # between two checks whether the process may end
+# Until the next batch of connections is handed over.
+NEXT_BATCH_SECONDS = {
+    BatchResult.MORE_LEFT: 0.0,
+    BatchResult.SOCKET_FULL: 0.005,
+    BatchResult.ALL_TRIED: CHECK_INTERVAL_SECONDS,
+}
 
 
 class Shutdown:
@@ -94,11 +101,8 @@
         """Hand established connections to the successor, again and again until the end.
 
         Connections that are established later, or still have unsent data, go over in a later round."""
-        if self.node.hot_restart.handoff_sender:
-            self.node.after(
-                0 if self.node.hot_restart.handoff_sender.send_batch() else CHECK_INTERVAL_SECONDS,
-                self.hand_over,
-            )
+        if sender := self.node.hot_restart.handoff_sender:
+            self.node.after(NEXT_BATCH_SECONDS[sender.send_batch()], self.hand_over)
 
     def end_if_empty(self) -> None:
         """End the process if it has no connections left or its time is over; else check again later."""
--- a/tests/test_handoff_states.py
+++ b/tests/test_handoff_states.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+from unittest import mock
 
 import pytest
 from helpers import Peer, World, async_test
@@ -275,6 +276,32 @@
             received.sender.send(b"one more")
 
 
+@async_test
+async def test_a_full_socket_to_the_successor_ends_the_batch_and_not_the_service():
+    """Guards against a process that tries each of its connections in vain, and holds their lines back."""
+    async with World(control=True) as world:
+        pairs = [await world.establish() for _ in range(3)]
+        ours, theirs = handoff.socket_pair()
+        sender = handoff.HandoffSender(world.node, ours)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                ours.send(b"x")
+        with mock.patch.object(sender, "send_connection", wraps=sender.send_connection) as sending:
+            assert sender.send_batch() is handoff.BatchResult.SOCKET_FULL
+            assert sending.call_count == 1
+        for client, server in pairs:
+            client.say("line")
+            assert await server.line() == "line"
+        theirs.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while theirs.recv(1):
+                pass
+        assert sender.send_batch() is handoff.BatchResult.ALL_TRIED
+        assert world.node.counters["handed_over"] == 3
+        sender.close()
+        theirs.close()
+
+
 RESUMED = b"OPEN 00000000000000a2 7f3a9c21e0b4d655 c=chat,t=acme,at=s-9\r\n"
 
 
--- a/tests/test_two_restarts.py
+++ b/tests/test_two_restarts.py
@@ -12,7 +12,7 @@
 
 from bellrack import choice, model
 from bellrack.lab.scenario import max_cold_requests
-from bellrack.net import hot_restart, limits, lines, node, shutdown, sibling
+from bellrack.net import handoff, hot_restart, limits, lines, node, shutdown, sibling
 from bellrack.net.config import parse_config
 
 LINE = b"OPEN %016x 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
@@ -45,7 +45,8 @@
         _, server = await world.establish()
         second, serving = await world.start()
         await world.until(lambda: first.hot_restart.has_successor)
-        first.hot_restart.handoff_sender.send_batch = lambda: False  # no connection is handed over
+        # No connection is handed over.
+        first.hot_restart.handoff_sender.send_batch = lambda: handoff.BatchResult.ALL_TRIED
         first.begin_shutdown()
         second.begin_shutdown()
         await asyncio.wait_for(serving, 5)  # the successor has ended, the predecessor has not
