Connections: closed is an attribute again; ATTACH comes before the socket options

Cause: as a property it was computed at each read on the path of the lines, and a socket option that fails would have left the connection without its state.

Change: the attribute follows each transition. Behaviour is the same.

--- a/bellrack/net/ring.py
+++ b/bellrack/net/ring.py
@@ -106,6 +106,7 @@
         self.node, self.ring, self.number = node, Ring(), next(CONNECTION_NUMBERS)
         self.transport: Any = None
         self.state = State.PENDING
+        self.closed = False  # this process has closed it or handed it over; follows from `state`
         self.unsent = b""  # written before there was a transport
         self.close_how = "fin"  # see `finish`
         self.paired: Connection | None = None  # whole lines are forwarded to it
@@ -118,11 +119,6 @@
         self.discarded = 0  # bytes received after we closed
         self.expiry: asyncio.TimerHandle | None = None  # see `expire_after`
 
-    @property
-    def closed(self) -> bool:
-        """Whether this process has closed the connection or handed it over."""
-        return self.state.closed
-
     @property
     def blocked(self) -> bool:
         """Whether it accepts no lines: its write buffer is full, or it has no transport yet."""
@@ -131,19 +127,20 @@
     def on_event(self, event: Event) -> None:
         """Changes the state. Raises TransitionError."""
         self.state = next_state(self.state, event)
+        self.closed = self.state.closed
 
     # Callbacks of asyncio: they only store and queue, and carry out what was ordered before there was a
     # transport.
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        self.on_event(Event.ATTACH)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         if sock := transport.get_extra_info("socket"):
             # Without these options a connection to a peer that has vanished would never end.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         self.count_descriptor(True)
-        self.on_event(Event.ATTACH)
         if self.unsent and self.state is not State.CLOSED:
             transport.write(self.unsent)
         self.unsent = b""
