--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -14,6 +14,7 @@
 
 from bellrack.net import handoff, lines, log, shared_state, sibling
 from bellrack.net.fact_versions import CordonOrder, OrderSource
+from bellrack.net.handoff_receiver import HandoffReceiver
 from bellrack.net.order_relay import OrderOutcome, OrderRelay
 
 # A third process waits so long for the first of two to end: that one's shutdown takes 3.7 s, plus a start.
@@ -30,7 +31,7 @@
         # Hands connections to the successor; set once the successor listens in our place.
         self.handoff_sender: handoff.HandoffSender | None = None
         # Takes over connections of the predecessor.
-        self.handoff_receiver: handoff.HandoffReceiver | None = None
+        self.handoff_receiver: HandoffReceiver | None = None
         self.connecting: asyncio.Task | None = None
         self.reopening: asyncio.Task | None = None
         self.order_relay = OrderRelay(node)
@@ -90,7 +91,7 @@
         self.connect(predecessor.sock, unread=predecessor.unread)
         for message in shared_state.replies(node, state):
             self.publish(**message)
-        self.handoff_receiver = predecessor.handoff_socket and handoff.HandoffReceiver(
+        self.handoff_receiver = predecessor.handoff_socket and HandoffReceiver(
             node, predecessor.handoff_socket
         )
         await self.connecting
--- a/tests/play_mutants.py
+++ b/tests/play_mutants.py
@@ -162,7 +162,7 @@
     Mutant(
         "always BUSY at shutdown",
         "net/resumed.py",
-        "if resumption.may_have_run or client.server_connection and client.server_connection.request_sent:",
+        "if self.may_have_run(client):",
         "if False:",
     ),
     Mutant(
@@ -222,7 +222,7 @@
     Mutant(
         "moves of the shutdown are held back",
         "net/node.py",
-        'self.queue_action(leg.call.host_record.move, "moved")\n\n',
+        "self.queue_action(leg.call.host_record.move, MOVE_ORDERED)\n\n",
         "self.move(leg.call)\n\n",
     ),
     Mutant(
--- a/tests/play_soak_mutants.py
+++ b/tests/play_soak_mutants.py
@@ -19,6 +19,8 @@
 ROOT = Path(__file__).parent.parent
 SEEDS = range(601, 605)
 OPTIONS = ("--seconds", "20", "--rate", "70", "--json")
+# For the focus "handoff": hundreds of connections at each balancer.
+STANDING_OPTIONS = ("--seconds", "20", "--rate", "60", "--balancers", "2", "--servers", "30", "--json")
 CONCURRENCY = 3  # mutants that run at a time
 # Findings that come from a balancer's own log.
 SELF_REPORTED = re.compile(r"event=(fault|violation|loop)|a traceback")
@@ -36,6 +38,7 @@
     focus: str  # of the soak
     rules: tuple[str, ...]  # any of these detects it; other findings may come from a busy machine
     excuse: str = ""  # why no seed can detect it
+    options: tuple[str, ...] = ()  # of the soak, in place of OPTIONS
 
 
 MUTANTS = [
@@ -234,10 +237,30 @@
     ),
     Mutant(
         "each process restarts the time limit of a partial request",
-        (("net/handoff.py", '            if "opened" in message:\n', "            if False:\n"),),
+        (("net/handoff_receiver.py", "        if message.opened is not None:\n", "        if False:\n"),),
         "restart",
         ("half_request",),
     ),
+    Mutant(
+        "what is ordered of a connection before it has its sockets is dropped",
+        (("net/ring.py", "            self.close_late()\n", "            pass\n"),),
+        "handoff",
+        ("left_waiting", "silent"),
+        options=STANDING_OPTIONS,
+    ),
+    Mutant(
+        "an announced end stays with the predecessor",
+        (
+            (
+                "net/handoff_receiver.py",
+                "            connection.announce_end(end.result, ends_by)\n",
+                "            connection.announced_end = end.result\n",
+            ),
+        ),
+        "handoff",
+        ("left_waiting",),
+        options=STANDING_OPTIONS,
+    ),
     Mutant(
         "a process that has stopped still runs its timers",
         (("net/turns.py", "        self.stopped = True\n", "        self.stopped = False\n"),),
@@ -281,7 +304,9 @@
                 "--focus",
                 mutant.focus,
             ]
-            process = subprocess.run([*command, *OPTIONS], cwd=folder, capture_output=True, text=True)
+            process = subprocess.run(
+                [*command, *(mutant.options or OPTIONS)], cwd=folder, capture_output=True, text=True
+            )
             found = json.loads(process.stdout)["found"]
             reported = {line.split(":")[0] for line in found if not SELF_REPORTED.search(line)}
             rules = {name for name in reported if name.endswith(mutant.rules)}
--- a/tests/test_handoff_states.py
+++ b/tests/test_handoff_states.py
@@ -16,12 +16,14 @@
 from bellrack.net import handoff, lines, servers
 from bellrack.net.connection_state import TRANSITIONS, Event, State, TransitionError, next_state
 from bellrack.net.handoff_message import (
+    MAX_MESSAGE_BYTES,
     AnnouncedEnd,
     EstablishedPart,
     HandoffMessage,
     MessageError,
     ResumptionPart,
 )
+from bellrack.net.handoff_receiver import HandoffReceiver
 
 REQUEST = b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -55,7 +57,7 @@
     def __init__(self, world, monkeypatch):
         self.world, self.node, self.loop = world, world.node, world.node.loop
         self.sender, receiving = handoff.socket_pair()
-        self.receiver = handoff.HandoffReceiver(self.node, receiving)
+        self.receiver = HandoffReceiver(self.node, receiving)
         self.node.hot_restart.handoff_receiver = self.receiver
         self.turns = asyncio.Semaphore(0)
         self.attach_socket, self.failing = self.loop.connect_accepted_socket, set()
@@ -225,7 +227,7 @@
         ({"back": "%%"}, 2, ["MOVE", "fin"]),
         ({"sent": "soon"}, 2, ["MOVE", "fin"]),
         ({"line": "OPEN"}, 2, ["MOVE", "fin"]),
-        ({"in": "A" * 4 * handoff.MAX_MESSAGE_BYTES}, 2, ["MOVE", "fin"]),
+        ({"in": "A" * 4 * MAX_MESSAGE_BYTES}, 2, ["MOVE", "fin"]),
         (None, 1, ["BUSY 1500", "fin"]),
         (None, 2, ["MOVE", "fin"]),
     ],
@@ -238,7 +240,7 @@
     data = b"no json" if change is None else json.dumps(json.loads(message().encode()) | change).encode()
     async with received_connection(monkeypatch) as received:
         received.sender.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
-        await received.send(data[: handoff.MAX_MESSAGE_BYTES], descriptors)
+        await received.send(data[:MAX_MESSAGE_BYTES], descriptors)
         await received.attach_rest()
         assert [await received.client_end.line(), await received.client_end.line()] == expected
         assert await received.server_end.line() in ("fin", "rst")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,6 +15,7 @@
 
 from bellrack.net import handoff, hot_restart, lines, node, ring, sibling
 from bellrack.net.config import parse_config
+from bellrack.net.handoff_receiver import HandoffReceiver
 from bellrack.net.limits import Limits
 
 ROOT = Path(__file__).parent.parent
@@ -150,11 +151,11 @@
 async def test_receiver_ignores_malformed_hand_off_messages(folder):
     async with World(control=True) as world:
         ours, theirs = handoff.socket_pair()
-        handoff_receiver = handoff.HandoffReceiver(world.node, theirs)
+        receiver = HandoffReceiver(world.node, theirs)
         for words in (b"no json", b"[]", b"{}", b'{"in": "%%"}', b'{"in": ""}', b'{"line": "OPEN"}'):
             ours.send(words)
         await asyncio.sleep(0.02)
-        assert not world.node.clients and not world.node.counters["faults"] and not handoff_receiver.tasks
+        assert not world.node.clients and not world.node.counters["faults"] and not receiver.tasks
         ours.close()
         await world.until(lambda: theirs.fileno() < 0)
 
@@ -272,18 +273,15 @@
         }
         sides = [socket.socketpair() for _ in range(2)]
         ours, theirs = handoff.socket_pair()
-        handoff_receiver, up = (
-            handoff.HandoffReceiver(world.node, theirs),
-            handoff.HandoffReceiver.on_attached,
-        )
+        receiver, up = HandoffReceiver(world.node, theirs), HandoffReceiver.on_attached
         delayed = []
         # `up` is called below, after the server has closed the connection.
-        monkeypatch.setattr(handoff_receiver, "on_attached", delayed.append)
+        monkeypatch.setattr(receiver, "on_attached", delayed.append)
         socket.send_fds(ours, [json.dumps(words).encode()], [near.fileno() for near, _ in sides])
         await world.until(lambda: delayed)
         sides[1][1].close()
         await world.until(lambda: world.node.counters["ended_server"])
-        up(handoff_receiver, *delayed)
+        up(receiver, *delayed)
         await asyncio.sleep(0.02)
         assert world.node.balancer.open_legs == 0 and not world.node.counters["faults"]
         for sock in (ours, sides[0][0], sides[0][1], sides[1][0]):
