A hand-off stops its batch where the successor takes no more, too

Change: too many descriptors on their way and lacking buffers count as a full socket, other errors as refused: the batch ends, and goes on at the next check. A message that is too long does not end it.

--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from enum import Enum
 from typing import Any
@@ -59,22 +60,27 @@
             self.node.limits.count_descriptors(-1)
 
 
+# Of a send: no room for the message, or too many descriptors on their way.
+SOCKET_FULL_ERRNOS = (errno.EAGAIN, errno.ENOBUFS, errno.ETOOMANYREFS)
+
+
 class BatchResult(Enum):
     """How far a batch of connections came."""
 
     MORE_LEFT = "more left"
     SOCKET_FULL = "socket full"  # the successor has to read first
+    REFUSED = "refused"  # the successor takes no more, or has ended
     ALL_TRIED = "all tried"
 
 
 class HandoffSender(HandoffEnd):
     """The end of the process that shuts down."""
 
-    socket_full = False  # the last connection could not be sent since the socket was full
+    failure: BatchResult | None = None  # why no further connection can be sent now
 
     def send_batch(self) -> BatchResult:
         """Sends some of the connections that are established or have sent nothing yet."""
-        left, self.socket_full = CONNECTIONS_PER_TURN, False
+        left, self.failure = CONNECTIONS_PER_TURN, None
         for client in list(self.node.clients):
             # A resumed connection that sent more before it was established is malformed: it is answered here.
             resumable = client in self.node.resumed.pending and not client.ring.length
@@ -82,8 +88,8 @@
                 if not left:
                     return BatchResult.MORE_LEFT
                 left -= self.send_connection(client)
-                if self.socket_full:
-                    return BatchResult.SOCKET_FULL
+                if self.failure:
+                    return self.failure
         return BatchResult.ALL_TRIED
 
     def send_connection(self, client: ClientConnection) -> bool:
@@ -111,7 +117,9 @@
         try:
             socket.send_fds(self.sock, [message.encode()], fds)
         except OSError as error:
-            self.socket_full = isinstance(error, BlockingIOError)
+            if error.errno != errno.EMSGSIZE:  # that one concerns this connection alone
+                full = error.errno in SOCKET_FULL_ERRNOS
+                self.failure = BatchResult.SOCKET_FULL if full else BatchResult.REFUSED
             for connection, data in unread.items():  # the successor received nothing: undo
                 put_back(connection, data)
                 if not connection.paused:
--- a/bellrack/net/shutdown.py
+++ b/bellrack/net/shutdown.py
@@ -28,6 +28,7 @@
 NEXT_BATCH_SECONDS = {
     BatchResult.MORE_LEFT: 0.0,
     BatchResult.SOCKET_FULL: 0.005,
+    BatchResult.REFUSED: CHECK_INTERVAL_SECONDS,
     BatchResult.ALL_TRIED: CHECK_INTERVAL_SECONDS,
 }
 
--- a/tests/test_handoff_states.py
+++ b/tests/test_handoff_states.py
@@ -304,6 +304,23 @@
         theirs.close()
 
 
+@async_test
+async def test_a_successor_that_takes_no_more_ends_the_batch_and_not_the_service():
+    async with World(control=True) as world:
+        pairs = [await world.establish() for _ in range(3)]
+        ours, theirs = handoff.socket_pair()
+        sender = handoff.HandoffSender(world.node, ours)
+        theirs.shutdown(socket.SHUT_RD)
+        with mock.patch.object(sender, "send_connection", wraps=sender.send_connection) as sending:
+            assert sender.send_batch() is handoff.BatchResult.REFUSED
+            assert sending.call_count == 1
+        for client, server in pairs:
+            client.say("line")
+            assert await server.line() == "line"
+        sender.close()
+        theirs.close()
+
+
 RESUMED = b"OPEN 00000000000000a2 7f3a9c21e0b4d655 c=chat,t=acme,at=s-9\r\n"
 
 
