--- a/tests/play_soak_mutants.py
+++ b/tests/play_soak_mutants.py
@@ -243,7 +243,14 @@
     ),
     Mutant(
         "what is ordered of a connection before it has its sockets is dropped",
-        (("net/ring.py", "            self.close_late()\n", "            pass\n"),),
+        (
+            ("net/ring.py", "            self.unsent += data\n", "            pass\n"),
+            (
+                "net/ring.py",
+                'if it was closed before."""\n        self.close_transport()\n',
+                'if it was closed before."""\n        self.side == "client" or self.close_transport()\n',
+            ),
+        ),
         "handoff",
         ("left_waiting", "silent"),
         options=STANDING_OPTIONS,
