An exchange of orders that is aborted before it is attached ends once it is

Callers saw nothing.

Change: the abort is kept and carried out. The other protocols were read: Sibling keeps what is sent before its transport; PeerSocket has its transport from its start on.

Result: the new test fails before (transport.abort not called) and passes now; test_order_relay passes.

--- a/bellrack/net/order_channel.py
+++ b/bellrack/net/order_channel.py
@@ -99,6 +99,7 @@
         self.node, self.on_closed = node, on_closed
         self.received = b""
         self.answered = False
+        self.aborted = False  # also before there is a transport
         self.transport: Any = None
         self.expiry: asyncio.TimerHandle | None = None
 
@@ -113,6 +114,9 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        if self.aborted:
+            transport.abort()
+            return
         self.expiry = self.node.loop.call_later(EXCHANGE_SECONDS, transport.abort)
         orders = [order.to_row() for order in self.node.server_list.orders.values()]
         transport.write(encode_line({"busy": True, "orders": orders}))
@@ -150,6 +154,7 @@
         self.on_closed(self)
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Close the connection at once, or as soon as it has its transport."""
+        self.aborted = True
         if self.transport:
             self.transport.abort()
--- a/tests/test_order_relay.py
+++ b/tests/test_order_relay.py
@@ -271,3 +271,13 @@
         await asyncio.to_thread(sibling.connect_to_predecessor, path)
     assert raised.value.channel is None
     server.close()
+
+
+def test_exchange_that_is_aborted_before_it_is_attached_ends_once_it_is():
+    """Guards against an exchange that outlasts the process's part in it, as its end came too early."""
+    waiting = order_channel.WaitingSuccessor(mock.Mock(), lambda _: None)
+    waiting.abort()
+    transport = mock.Mock()
+    waiting.connection_made(transport)
+    transport.abort.assert_called_once_with()
+    transport.write.assert_not_called()
