--- a/bellrack/lab/soak/disturbances.py
+++ b/bellrack/lab/soak/disturbances.py
@@ -8,13 +8,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from bellrack.lab.soak.plan import PROCESS_PAUSE_SECONDS, Disturbance, Handoff
+from bellrack.lab.soak.plan import PROCESS_PAUSE_SECONDS, SIGNALS, Disturbance, Handoff
 from bellrack.lab.soak.processes import Balancer
 
 if TYPE_CHECKING:
     from bellrack.lab.soak.troubles import Troubles
 
 FRONT_END_DELAY_SECONDS = 0.3  # for this long after SIGTERM, new connections still arrive
+SIGNAL_ROUNDS = 3  # each with one of each signal
+SIGNAL_GAP_SECONDS = 0.02  # between two signals
 REPORTED_DELAY_MS = 500  # by a server with late messages; the settings aim at 200
 
 
@@ -107,6 +109,14 @@
             if number is signal.SIGSTOP:
                 await asyncio.sleep(PROCESS_PAUSE_SECONDS)
 
+    async def signals_to_both(self, disturbance: Disturbance) -> None:
+        """Both processes get a series of signals that are not to end them."""
+        for name in SIGNALS * SIGNAL_ROUNDS:
+            for process in (*self.predecessors, self.successor):
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.Signals[name])
+            await asyncio.sleep(SIGNAL_GAP_SECONDS)
+
     async def end_successor(self, disturbance: Disturbance) -> None:
         """The successor gets SIGTERM too."""
         await self.balancer.terminate(self.successor)
--- a/bellrack/lab/soak/plan.py
+++ b/bellrack/lab/soak/plan.py
@@ -48,7 +48,8 @@
     "end_at_start",
 )
 # What disturbs a hand-off: servers that hang, report late messages, announce the end of their connections or
-# reset them; an operator's order at either process; a pause of both; SIGTERM to the successor too.
+# reset them; an operator's order at either process; a pause of both; SIGTERM to the successor too; other signals
+# to both in series.
 HANDOFF_DISTURBANCES = (
     "hang",
     "hang",
@@ -60,6 +61,7 @@
     "detach_at_predecessor",
     "pause_both",
     "end_successor",
+    "signals_to_both",
 )
 DISTURBANCES_PER_HANDOFF = (1, 4)  # fewest and most
 # Seconds from SIGTERM to the predecessor until a disturbance begins: most connections go over at once.
