--- a/bellrack/lab/soak/plan.py
+++ b/bellrack/lab/soak/plan.py
@@ -48,8 +48,8 @@
     "end_at_start",
 )
 # What disturbs a hand-off: servers that hang, report late messages, announce the end of their connections or
-# reset them; an operator's order at either process; a pause of both; SIGTERM to the successor too; other signals
-# to both in series.
+# reset them; an operator's order at either process; a pause of both; SIGTERM to the successor too;
+# other signals to both in series.
 HANDOFF_DISTURBANCES = (
     "hang",
     "hang",
