Versions of the list hold the address that gave them: no older list wins in an upgrade

Cause: a version of the list was a bare number, which a move of discovery set to 0. The number of the list in the successor's configuration (41) then won over what the predecessor had read, and was sent back to it. In the log of the old process the entry goes back from draining to ready in the hand-over, while discovery answers nothing: only the successor can have told it. The log line now says who told an entry (told_by, version).

Change: EntryVersion holds number, address and times of request and read, with one comparison: by number within an address, by the time of the read across addresses; a list that was never read loses to any that was. A move keeps the versions of what is held. News of another address than our own is no longer dropped but compared.

--- a/bellrack/lab/scale/hollow.py
+++ b/bellrack/lab/scale/hollow.py
@@ -60,9 +60,9 @@
 class CountedServerList(ServerList):
     """A list of servers that counts the lines received from discovery."""
 
-    def on_list(self, listing: lines.Listing, fetched: bool = False, at_current_address: bool = True) -> None:
+    def on_list(self, listing: lines.Listing, *args: Any, **fields: Any) -> None:
         self.node.measurements.list_lines += 1
-        super().on_list(listing, fetched, at_current_address)
+        super().on_list(listing, *args, **fields)
 
 
 class HollowBalancer(Node):
--- a/bellrack/net/discovery.py
+++ b/bellrack/net/discovery.py
@@ -77,7 +77,8 @@
     def change_address(self, address: tuple[str, int]) -> None:
         """Uses another address from now on. Each address has its own versions, so the first list is
         requested whole. Until it has come, changes from the watch at the old address are still applied."""
-        self.address, self.node.server_list.version = address, 0
+        self.address = address
+        self.node.server_list.versions.on_address_changed()
         self.node.balancer.discovery_retry.reset()
         if self.current and not self.current.awaits_response:
             self.previous, self.current = self.current, self.previous
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from bellrack.net import handoff, lines, log, shared_state, sibling
-from bellrack.net.fact_versions import CordonOrder, OrderSource
+from bellrack.net.fact_versions import CordonOrder, EntryVersion, OrderSource
 from bellrack.net.handoff_receiver import HandoffReceiver
 from bellrack.net.order_relay import OrderOutcome, OrderRelay
 
@@ -148,14 +148,10 @@
         """Send the sibling an order to detach or attach a server."""
         self.publish(**shared_state.order_message(order))
 
-    def publish_news(self, news: lines.Listing, of_current: bool) -> None:
-        """Pass news of discovery on to the sibling: the two processes act as one balancer.
-
-        `of_current`: the versions are those of discovery's current address, not of the previous one."""
+    def publish_news(self, news: lines.Listing, version: EntryVersion) -> None:
+        """Pass news of discovery on to the sibling: the two processes act as one balancer."""
         if self.sibling:
-            discovery = self.node.discovery
-            address = discovery.address if of_current else discovery.previous.address
-            self.publish(news=lines.update_message(news), discovery=lines.format_address(address))
+            self.publish(**shared_state.news_message(lines.update_message(news), version))
 
     def on_message(self, message: dict[str, Any]) -> None:
         """Handle a message of the sibling. Unknown keys are ignored: it may be of another version."""
@@ -169,8 +165,9 @@
             )
             node.limits.sibling_descriptors = int(message["held"]) + max(0, in_transit)
             node.limits.make_room(node.now)
-        if "news" in message and message.get("discovery") == lines.format_address(node.discovery.address):
-            node.server_list.on_sibling_list(lines.parse_list(message["news"]))
+        if "news" in message:
+            news = lines.parse_list(message["news"])
+            node.server_list.apply_from_elsewhere(news, shared_state.news_version(message, news))
         if "list_age" in message:
             shared_state.adopt_part(shared_state.adopt_list_age, node, shared_state.Predecessor(message))
         if "out" in message or "back" in message:
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -7,13 +7,20 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Container, Iterable, Iterator
 from typing import Any
 
 from bellrack import model
 from bellrack.model import Server
 from bellrack.net import lines, log, start_times
-from bellrack.net.fact_versions import CordonOrder, ListVersions, OrderSource, supersedes
+from bellrack.net.fact_versions import (
+    CordonOrder,
+    EntryVersion,
+    ListVersions,
+    OrderSource,
+    supersedes,
+)
 from bellrack.net.servers import Endpoint
 
 
@@ -22,7 +29,7 @@
 
     def __init__(self, node: Any):
         self.node = node
-        self.versions = ListVersions()  # of the list at discovery's current address
+        self.versions = ListVersions()
         self.machine_types: dict[str, int] = {}  # numbers by name, in the order in which lists name them
         self.confirmed = False  # discovery has sent a list since the start
         self.known_list_loaded = False  # a list from before the start names servers
@@ -30,55 +37,71 @@
 
     @property
     def version(self) -> int:
-        """The version of the list in use."""
-        return self.versions.watched
-
-    @version.setter
-    def version(self, version: int) -> None:
-        """Starts a new sequence of versions: earlier ones are no longer comparable."""
-        self.versions = ListVersions(version)
+        """The number of the version after which a watch at discovery's current address is requested; 0 if
+        that has sent no list."""
+        return self.versions.watched.number
 
     @property
     def cordoned(self) -> dict[int, str]:
         """Names, by id hash, of the servers that operators cordoned."""
         return {id_hash: order.name for id_hash, order in self.orders.items() if order.cordon}
 
-    def on_list(self, listing: lines.Listing, fetched: bool = False, at_current_address: bool = True) -> None:
+    def on_list(
+        self,
+        listing: lines.Listing,
+        fetched: bool = False,
+        at_current_address: bool = True,
+        requested_at: float = -math.inf,
+    ) -> None:
         """Applies a list, or changes of one, from discovery.
 
-        `fetched`: it is the response to a request for a single list. `at_current_address`: its version
-        belongs to the sequence of discovery's current address."""
-        if fetched and listing.version < self.version:
+        `fetched`: it is the response to a request for a single list. `at_current_address`: it comes from
+        discovery's current address, not from the previous one. `requested_at`: when the whole list was
+        requested that it is, or on which it builds; -inf if that was requested earlier on another watch."""
+        discovery, anchor = self.node.discovery, self.node.anchor
+        address = discovery.address if at_current_address else discovery.previous.address
+        version = EntryVersion(
+            lines.format_address(address), listing.version, requested_at - anchor, self.node.now - anchor
+        )
+        if fetched and not supersedes(version, self.versions.watched):
             return  # a watch has delivered a newer version since the request
         if at_current_address:
-            if listing.whole and listing.version < self.version:
-                self.version = listing.version  # discovery has restarted its versions
-            self.merge_newer(listing)
-            self.versions.on_watch(max(self.version, listing.version))
+            self.apply_watched(listing, version)
         else:
-            self.merge(listing)
-        self.node.hot_restart.publish_news(listing, at_current_address)
+            self.apply_from_elsewhere(listing, version)
+        self.node.hot_restart.publish_news(listing, version)
         self.node.readiness.on_list(listing.whole or bool(self.node.servers))
         self.node.readiness_changed.set()
 
-    def on_sibling_list(self, listing: lines.Listing) -> None:
-        """Applies a list, or changes of one, that the sibling process received. The watch of this process
+    def apply_watched(self, listing: lines.Listing, version: EntryVersion) -> None:
+        """Applies what our own watch delivered. It delivers everything after that."""
+        if listing.whole and not supersedes(version, self.versions.watched):
+            self.versions = ListVersions()  # discovery has restarted its versions
+        self.merge_newer(listing, ListVersions(version))
+        if supersedes(version, self.versions.watched):
+            self.versions.on_watch(version)
+
+    def apply_from_elsewhere(self, listing: lines.Listing, version: EntryVersion) -> None:
+        """Applies what the sibling received, or the watch at discovery's previous address. Our own watch
         still delivers everything after its own version."""
-        if listing.version > self.version:
-            self.merge_newer(listing)
-            self.versions.on_sibling(
-                listing.version, listing.whole, [lines.id_hash(e.name) for e in listing.entries]
+        if not supersedes(self.versions.watched, version):
+            self.merge_newer(listing, ListVersions(version))
+            self.versions.on_elsewhere(
+                version, listing.whole, [lines.id_hash(e.name) for e in listing.entries]
             )
 
     def on_predecessor_list(self, listing: lines.Listing, versions: ListVersions) -> None:
-        """Applies the whole list of the predecessor, which uses the same address of discovery. `versions`:
-        how recent its entries are."""
+        """Applies the whole list of the predecessor. `versions`: how recent its entries are."""
         self.merge_newer(listing, versions)
         self.versions.merge(versions)
         self.note_known_list()
 
     def on_unchanged(self) -> None:
         """A watch is open and reports no change: the list in use is current."""
+        if self.version:
+            address = lines.format_address(self.node.discovery.address)
+            read_at = self.node.now - self.node.anchor
+            self.versions.on_watch(EntryVersion(address, self.version, read_at=read_at))
         self.node.readiness.on_list(bool(self.node.servers))
         self.node.readiness_changed.set()
         self.node.balancer.on_servers_listed([])
@@ -92,8 +115,12 @@
 
     def load_known_list(self, listing: lines.Listing) -> None:
         """Loads a list from before the start, which may be out of date."""
-        self.merge(listing)
+        known = EntryVersion(number=listing.version)
+        self.merge(listing, ListVersions(known))
         self.note_known_list()
+        # If no server is known, the version stays 0. Otherwise discovery would never send the whole list.
+        if self.node.servers:
+            self.versions.on_watch(known)
 
     def note_known_list(self) -> None:
         """Records whether a list from before the start names servers, and whether one of them is ready."""
@@ -101,23 +128,23 @@
         self.known_list_loaded = self.known_list_loaded or bool(servers)
         self.node.readiness.on_known(any(server.state == model.READY for server in servers))
 
-    def merge_newer(self, listing: lines.Listing, versions: ListVersions | None = None) -> None:
-        """Merges the entries that are not older than those held. `versions`: those of a whole list some of
-        whose entries are newer than the list itself."""
-        versions = versions or ListVersions(listing.version)
+    def merge_newer(self, listing: lines.Listing, versions: ListVersions) -> None:
+        """Merges the entries that are not older than those held. `versions`: those of the list; some entries
+        of a whole list may be newer than the list itself."""
 
         def accepts(id_hash: int) -> bool:
             return self.versions.accepts(id_hash, versions.version_of(id_hash))
 
         entries = [entry for entry in listing.entries if accepts(lines.id_hash(entry.name))]
         retained = {id_hash for id_hash in self.node.servers if not accepts(id_hash)} if listing.whole else ()
-        self.merge(lines.Listing(listing.version, listing.whole, entries), retained)
+        self.merge(lines.Listing(listing.version, listing.whole, entries), versions, retained)
 
-    def merge(self, listing: lines.Listing, retained: Container[int] = ()) -> None:
-        """Merges all entries. `retained`: id hashes of servers that stay although a whole list lacks them."""
+    def merge(self, listing: lines.Listing, versions: ListVersions, retained: Container[int] = ()) -> None:
+        """Merges all entries. `versions`: those of the list, for the log. `retained`: id hashes of servers
+        that stay although a whole list lacks them."""
         self.node.counters["list_lines"] += 1
         newest = start_times.newest(entry.row[3] for entry in listing.entries)
-        rows = [row for entry in listing.entries if (row := self.record_entry(entry, newest))]
+        rows = [row for entry in listing.entries if (row := self.record_entry(entry, newest, versions))]
         self.node.apply_entries(rows, listing.whole, retained)
         for server in map(self.node.servers.get, self.cordoned):
             # The record is new, or the sibling has set the cordon: it holds all the same.
@@ -125,11 +152,12 @@
                 self.node.balancer.on_cordoned(server, True)
 
     def record_entry(
-        self, entry: lines.Entry, newest: float
+        self, entry: lines.Entry, newest: float, versions: ListVersions
     ) -> tuple[int, str, int, int, float, float, int] | None:
         """Updates the record of an entry's server and returns the row that the decisions read: id hash,
         state, cell, zone, weight, start time and machine type; None for a server that is gone and was never
-        known. `newest`: the newest start stamp among the entries that came with this one."""
+        known. `newest`: the newest start stamp among the entries that came with this one. `versions`: those
+        of the list."""
         state, cell, weight, stamp = entry.row
         self.node.counters["bad_weights"] += weight is None
         id_hash = lines.id_hash(entry.name)
@@ -140,7 +168,16 @@
         server.host_record.address = entry.address or server.host_record.address
         started = self.start_time(server.host_record, stamp, newest)
         if server.local_state and (state != server.state or started != server.started_at):
-            log.event("server", name=entry.name, state=state, was=server.state, started=started)
+            version = versions.version_of(id_hash)
+            log.event(
+                "server",
+                name=entry.name,
+                state=state,
+                was=server.state,
+                started=started,
+                told_by=version.address or "configuration",
+                version=version.number,
+            )
         zones, zone = self.node.names.zones, server.zone
         if entry.zone:
             zone = zones.setdefault(entry.zone, len(zones))
@@ -176,21 +213,21 @@
                 machines.get(server.machine_type, ""),
             )
 
-    def messages_after(self, versions: ListVersions) -> Iterator[dict[str, Any]]:
+    def messages_after(self, versions: ListVersions) -> Iterator[tuple[dict[str, Any], EntryVersion]]:
         """The entries that a process with these versions of the list lacks, as messages in the form of
-        discovery's."""
+        discovery's, each with its version."""
         ours = self.versions
-        if ours.complete > versions.complete:
-            yield self.to_message() | {"generation": ours.complete}
-        for version in sorted(set(ours.newer.values())):
+        if not supersedes(versions.complete, ours.complete):
+            yield self.to_message() | {"generation": ours.complete.number}, ours.complete
+        for version in sorted(set(ours.newer.values()), key=lambda version: version.read_at):
             id_hashes = [
                 id_hash
                 for id_hash, later in ours.newer.items()
-                if later == version > versions.version_of(id_hash)
+                if later == version and not supersedes(versions.version_of(id_hash), version)
             ]
             servers = [s for s in map(self.node.servers.get, id_hashes) if s and s.host_record]
             if servers:
-                yield lines.list_message(self.entry_rows(servers), version, whole=False)
+                yield lines.list_message(self.entry_rows(servers), version.number, whole=False), version
 
     def forget_order(self, id_hash: int) -> None:
         """Drops the order of a server whose record is dropped, unless it is a cordon. Otherwise one record
@@ -254,6 +291,3 @@
         log.event("known", taken="nothing", error=node.config.known_error)
     if node.config.known:
         node.server_list.load_known_list(node.config.known)
-        # If no server is known the version stays 0. Otherwise discovery would never send the whole list.
-        if node.servers:
-            node.server_list.version = node.config.known.version
--- a/bellrack/net/shared_state.py
+++ b/bellrack/net/shared_state.py
@@ -6,7 +6,7 @@
 
 | fact | version that is kept |
 | --- | --- |
-| a server's entry in the list | the later by discovery's versions (`fact_versions.supersedes`); where the two processes have different discovery addresses, our own if discovery has sent us a list, else the predecessor's |
+| a server's entry in the list | the later by discovery's versions, across its addresses the one that was read later (`fact_versions.EntryVersion`); one that was read from discovery rather than one of the configuration's list |
 | an operator's order to detach or attach a server | the latest, by the machine's monotonic clock |
 | the age of the list, and when servers last accepted a connection | of both, together (`ListAge.merge`); not where the two have different discovery addresses |
 | what is learned of a server, and when it started | the predecessor's, which has observed it for longer; none where its list has an earlier start of the server than ours |
@@ -23,7 +23,13 @@
 from typing import Any
 
 from bellrack.net import lines, log, sibling
-from bellrack.net.fact_versions import CordonOrder, ListVersions, OrderSource
+from bellrack.net.fact_versions import (
+    READ_AT_UNKNOWN,
+    CordonOrder,
+    EntryVersion,
+    ListVersions,
+    OrderSource,
+)
 
 # Two processes that read the offset of the wall clock get values that differ by less, unless it was stepped.
 SAME_CLOCK_SECONDS = 1e-3
@@ -35,10 +41,10 @@
     return {
         "version": sibling.VERSION,
         "list": node.server_list.to_message(),
-        "list_versions": {
-            "discovery": lines.format_address(node.discovery.address),
-            "complete": versions.complete,
-            "later": {str(id_hash): version for id_hash, version in versions.newer.items()},
+        "list_versions": older_form(versions, lines.format_address(node.discovery.address)),
+        "entry_versions": {
+            "complete": versions.complete.to_row(),
+            "newer": {str(id_hash): version.to_row() for id_hash, version in versions.newer.items()},
         },
         "list_age": node.discovery.doubt.to_message(with_proofs=True),
         "learned": node.export_learned(),
@@ -51,6 +57,28 @@
     }
 
 
+def older_form(versions: ListVersions, discovery: str) -> dict[str, Any] | None:
+    """Return the versions in the form of older releases, which know one address of discovery; None if they
+    are those of another address."""
+    addresses = {versions.complete.address, *(version.address for version in versions.newer.values())}
+    if not addresses <= {discovery, ""}:
+        return None
+    newer = {str(id_hash): version.number for id_hash, version in versions.newer.items()}
+    return {"discovery": discovery, "complete": versions.complete.number, "later": newer}
+
+
+def news_message(news: dict[str, Any], version: EntryVersion) -> dict[str, Any]:
+    """Return the message for the other process about an update of the list, in the form of discovery's."""
+    return {"news": news, "discovery": version.address, "entry_version": version.to_row()}
+
+
+def news_version(message: dict[str, Any], news: lines.Listing) -> EntryVersion:
+    """Return the version of an update that the other process sent. Raises ValueError or TypeError."""
+    if "entry_version" in message:
+        return EntryVersion.from_row(message["entry_version"])
+    return EntryVersion(str(message.get("discovery")), news.version, read_at=READ_AT_UNKNOWN)
+
+
 @dataclass
 class Predecessor:
     """Reads a snapshot of the predecessor."""
@@ -65,14 +93,25 @@
             return [CordonOrder.from_row(row) for row in self.state["orders"]]
         return [CordonOrder(str(name), True, 0.0) for name in self.state.get("out", ())]
 
-    def list_versions(self, discovery: tuple[str, int]) -> ListVersions | None:
-        """Return the versions of its list; None if absent, or if they are those of another discovery
-        address."""
-        sent = self.state.get("list_versions")
-        if sent is None or sent["discovery"] != lines.format_address(discovery):
+    def list_versions(self) -> ListVersions | None:
+        """Return the versions of its list; None if absent, from an older release."""
+        if "entry_versions" in self.state:
+            sent = self.state["entry_versions"]
+            newer = {int(id_hash): EntryVersion.from_row(row) for id_hash, row in sent["newer"].items()}
+            return ListVersions(EntryVersion.from_row(sent["complete"]), newer=newer)
+        if self.state.get("list_versions") is None:
             return None
-        newer = {int(id_hash): int(version) for id_hash, version in sent["later"].items()}
-        return ListVersions(int(sent["complete"]), newer=newer)
+        return self.older_list_versions(self.state["list_versions"])
+
+    @staticmethod
+    def older_list_versions(sent: dict[str, Any]) -> ListVersions:
+        """Return the versions that an older release sends: numbers of one address, without times."""
+
+        def version(number: Any) -> EntryVersion:
+            return EntryVersion(sent["discovery"], int(number), read_at=READ_AT_UNKNOWN)
+
+        newer = {int(id_hash): version(number) for id_hash, number in sent["later"].items()}
+        return ListVersions(version(sent["complete"]), newer=newer)
 
 
 def adopt(node: Any, state: dict[str, Any]) -> None:
@@ -109,13 +148,14 @@
 
 
 def adopt_list(node: Any, predecessor: Predecessor) -> None:
-    """Merge the server list. One without comparable versions is used only if discovery has sent us none."""
+    """Merge the server list. One without versions is used only if discovery has sent us none."""
     news, server_list = lines.parse_list(predecessor.state.get("list")), node.server_list
-    theirs = predecessor.list_versions(node.discovery.address)
+    theirs = predecessor.list_versions()
     if theirs is not None:
         server_list.on_predecessor_list(news, theirs)
     elif not server_list.confirmed:
-        server_list.load_known_list(news)
+        server_list.merge(news, ListVersions(EntryVersion(read_at=READ_AT_UNKNOWN)))
+        server_list.note_known_list()
 
 
 def adopt_list_age(node: Any, predecessor: Predecessor) -> None:
@@ -158,10 +198,10 @@
     """Yield messages with what the predecessor lacks, judging by its state: we may have received more."""
     predecessor = Predecessor(state)
     yield from order_replies(node, predecessor)
-    theirs = predecessor.list_versions(node.discovery.address)
+    theirs = predecessor.list_versions()
     if theirs is not None:
-        for news in node.server_list.messages_after(theirs):
-            yield {"news": news, "discovery": lines.format_address(node.discovery.address)}
+        for news, version in node.server_list.messages_after(theirs):
+            yield news_message(news, version)
 
 
 def order_replies(node: Any, predecessor: Predecessor) -> Iterator[dict[str, Any]]:
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -17,6 +17,7 @@
 from bellrack.net import fact_versions, hot_restart, lines, shared_state
 from bellrack.net import node as host
 from bellrack.net.config import parse_config
+from bellrack.net.fact_versions import EntryVersion
 from bellrack.net.node import Node
 
 STARTED = 1_760_000_000_000  # milliseconds: the time of a start that no list contained before
@@ -246,7 +247,7 @@
     async with World(servers=2, control=True, listen=reserved_address()) as world:
         assert world.node.server_list.cordon("s-1", True)
         state = json.loads(json.dumps(world.node.hot_restart.snapshot()))
-        del state["list_versions"], state["orders"]
+        del state["list_versions"], state["entry_versions"], state["orders"]
         state["list"]["instances"][0]["lifecycle"] = "terminating"
         for confirmed, expected in ((False, model.DRAINING), (True, model.READY)):
             second = Node(parse_config(world.raw), world.node.loop)
@@ -415,13 +416,15 @@
 
 
 def test_merge_keeps_the_later_version_of_each_entry():
-    ours, theirs = (fact_versions.ListVersions(version) for version in (41, 43))
-    ours.on_sibling(60, False, [1])
-    theirs.on_sibling(50, False, [1, 2])
+    versions = {number: EntryVersion("127.0.0.1:1", number, read_at=1.0) for number in (41, 43, 50, 55, 60)}
+    ours, theirs = (fact_versions.ListVersions(versions[number]) for number in (41, 43))
+    ours.on_elsewhere(versions[60], False, [1])
+    theirs.on_elsewhere(versions[50], False, [1, 2])
     ours.merge(theirs)
-    assert [ours.version_of(id_hash) for id_hash in (1, 2, 3)] == [60, 50, 43] and ours.watched == 41
-    ours.on_watch(55)
-    assert [ours.version_of(id_hash) for id_hash in (1, 2, 3)] == [60, 55, 55]
+    assert [ours.version_of(id_hash).number for id_hash in (1, 2, 3)] == [60, 50, 43]
+    assert ours.watched == versions[41]
+    ours.on_watch(versions[55])
+    assert [ours.version_of(id_hash).number for id_hash in (1, 2, 3)] == [60, 55, 55]
 
 
 def test_detach_supersedes_an_attach_order_of_the_same_time():
--- a/tests/test_two_restarts.py
+++ b/tests/test_two_restarts.py
@@ -14,6 +14,7 @@
 from bellrack.lab.scenario import max_cold_requests
 from bellrack.net import handoff, hot_restart, limits, lines, node, shutdown, sibling
 from bellrack.net.config import parse_config
+from bellrack.net.fact_versions import EntryVersion
 
 LINE = b"OPEN %016x 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n"
 
@@ -164,7 +165,8 @@
         await world.until(lambda: other.servers[id_hashes[0]].state == model.DRAINING)
         assert other.servers[id_hashes[1]].state == model.GONE and other.servers[id_hashes[2]].usable
         assert other.server_list.version == 41  # its own watch will deliver all later versions
-        other.server_list.version = 61
+        address, read_at = lines.format_address(other.discovery.address), other.clock() - other.anchor
+        other.server_list.versions.on_watch(EntryVersion(address, 61, read_at=read_at))
         old = {
             "generation": 60,
             "reset": False,
