Timers end with what they are for: requests that are over left up to a minute of memory

Seen by callers: while one client sent small requests with ever new ids at full speed, the process grew until it was killed, and others waited for longer.

Cause: the timer of a call's last answer was never cancelled. It holds call, client, both connections and their buffers until the client's whole wait is over, whatever became of the call. Evidence: weak references to the connections of one request live on after a full collection, and go with the timer. Of the same class: each repeated BYE line of a server set one more timer of half a second; the next step of a resumed connection whose client has left (2 s); the timeout of a probe that was answered (0.25 s).

Change: the timer is dropped with the final answer or the end of the connection, the others with their connections.

--- a/bellrack/model.py
+++ b/bellrack/model.py
@@ -299,7 +299,7 @@
         ...
 
     def set_timer(self, when: float, what: Any) -> None:
-        """Has `on_timer(what)` called at `when`."""
+        """Has `on_timer(what)` called at `when`. The timer of a call may be dropped once that is done."""
         ...
 
     def log(self, text: str) -> None:
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from bellrack import model
@@ -38,6 +39,7 @@
         self.server_connection: ServerEnd | None = None  # of the current attempt, or established
         self.pings = 0
         self.answered = False  # the final answer has been written
+        self.answer_timer: asyncio.TimerHandle | None = None  # of the last possible answer to the request
         self.opened: float | None = None  # when the machine accepted the connection, on the node's clock
 
     @property
@@ -83,8 +85,16 @@
             # Also after PING: a request may be under way, and closing without an answer would lose it.
             self.reject_unread("no-first-line")
 
+    def cancel_answer_timer(self) -> None:
+        """Drops the timer of the last possible answer. It would hold the connection, its call and its buffers
+        for as long as the client had announced to wait."""
+        if self.answer_timer:
+            self.answer_timer.cancel()
+            self.answer_timer = None
+
     def finish(self, reason: str, how: str = "fin", **fields: Any) -> None:
         """Closes the connection (see `Connection.finish`) and ends its resumption, if one is pending."""
+        self.cancel_answer_timer()
         if not self.closed:
             self.node.resumed.discard(self)
             self.node.invariants.check_close(self)
@@ -196,6 +206,7 @@
         if self.answered:
             self.node.invariants.violated(Invariant.ANSWERED_TWICE, self.request_id, line=line.strip())
         self.answered = True
+        self.cancel_answer_timer()
         self.write(line)
 
     def move(self, reason: str, kind: str = model.CANCELLED) -> None:
--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -150,7 +150,9 @@
             connection.expire_after(None)
             self.node.log_end(connection, "handed-over", {})
             connection.transport.abort()
+        client.cancel_answer_timer()
         if client.paired:
+            client.server_connection.cancel_timers()
             leg = client.server_connection.leg
             client.server_connection.endpoint.connections.pop(client.server_connection, None)
             client.server_connection = None
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -126,8 +126,11 @@
             self.queue_action(self.peers.send, peer, data)
 
     def set_timer(self, when: float, token: Any) -> None:
-        """Calls `on_timer(token)` of the decisions at the time `when`."""
-        self.at(when, self.on_timer, token)
+        """Calls `on_timer(token)` of the decisions at the time `when`, unless the token is a call that has
+        its final answer by then."""
+        timer = self.at(when, self.on_timer, token)
+        if isinstance(token, Call):
+            token.host_record.answer_timer = timer
 
     def log(self, text: str) -> None:
         """Logs a change of mode of the decisions."""
--- a/bellrack/net/resumed.py
+++ b/bellrack/net/resumed.py
@@ -78,7 +78,7 @@
                 leg = Leg(client.call, server, self.node.now)
                 ServerConnection(self.node, leg, client, give_up_at, resumed=True)
             case Wait(until):
-                self.node.at(until, self.proceed, client, resumption)
+                client.expire_after(until - self.node.clock(), self.proceed, client, resumption)
             case Expire():
                 self.node.release(client.call)
 
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -155,6 +155,7 @@
         self.request_sent = established
         self.announced_end = ""  # result announced by the server's last line: completed or cancelled
         self.ends_by = math.inf  # when both sides are ended if the server has announced its end and hangs
+        self.end_timer: asyncio.TimerHandle | None = None
         leg.host_record = client.server_connection = self
         self.deadline_timer = node.at(deadline, self.on_deadline)
         if not established:
@@ -265,8 +266,10 @@
 
         Both sides end at the time `ends_by` at the latest: the client waits for that, also if the server
         hangs."""
-        self.announced_end, self.ends_by = kind, ends_by
-        self.node.at(ends_by, self.on_connection_ended)
+        if self.end_timer is None:  # a server may repeat the line
+            self.ends_by = ends_by
+            self.end_timer = self.node.at(ends_by, self.on_connection_ended)
+        self.announced_end = kind
 
     def on_connection_ended(self) -> None:
         """The server or the network has ended the connection, or the server announced its end and hangs."""
@@ -300,11 +303,17 @@
             and not self.client.blocked
         )
 
+    def cancel_timers(self) -> None:
+        """Drops the timers of the leg. They would hold its connections and buffers until they expire."""
+        self.deadline_timer.cancel()
+        if self.end_timer:
+            self.end_timer.cancel()
+
     def end(self, kind: str, reason: str, how: str = "fin") -> None:
         """Ends the leg with its one result, `kind`, and closes the connection; see `Connection.finish`."""
         if self.closed:
             return
-        self.deadline_timer.cancel()
+        self.cancel_timers()
         self.cancel_connect()
         self.endpoint.connections.pop(self, None)
         attempt = len(self.leg.call.legs)
@@ -323,7 +332,7 @@
         self.server, self.started_at, self.request_sent = server, node.now, False
         self.report_fields = len(node.settings.report)
         node.limits.probes_in_flight += 1
-        self.node.after(PROBE_TIMEOUT_SECONDS, self.complete, model.TIMEOUT)
+        self.expire_after(PROBE_TIMEOUT_SECONDS, self.complete, model.TIMEOUT)
         self.open(server.host_record.address, PROBE_TIMEOUT_SECONDS)
 
     def ready(self) -> None:
@@ -347,6 +356,7 @@
         """Closes the probe and tells the balancer its result, `kind`, with the values of the report."""
         if not self.closed:
             self.cancel_connect()
+            self.expire_after(None)
             self.node.limits.probes_in_flight -= 1
             self.node.counters[f"probe_{kind.replace(' ', '_')}"] += 1
             self.finish(kind, server=self.server.host_record.name)
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,110 @@
+"""What is over is held by nothing: timers, tables and buffers end with what they are for."""
+
+import gc
+import weakref
+
+import pytest
+from helpers import World, async_test
+from test_net import begin_run
+
+from bellrack.net import limits
+from bellrack.net.clients import ClientConnection
+from bellrack.net.servers import ServerConnection
+
+LONG_WAIT = "c=chat,t=acme,d=60000"
+
+
+class Witness:
+    """Weak references to all connections that are made while it is in use."""
+
+    def __init__(self, monkeypatch):
+        self.references = []
+        for kind in (ClientConnection, ServerConnection):
+            monkeypatch.setattr(kind, "__init__", self.noting(kind.__init__))
+
+    def noting(self, construct):
+        def construct_and_note(connection, *args, **named):
+            self.references.append(weakref.ref(connection))
+            construct(connection, *args, **named)
+
+        return construct_and_note
+
+    def alive(self):
+        """Return the connections that something holds still."""
+        gc.collect()
+        return [reference() for reference in self.references if reference()]
+
+
+@pytest.mark.parametrize(
+    "end", ["served", "rejected", "failed", "left-waiting", "left-resuming", "bye", "moved"]
+)
+@async_test
+async def test_ended_connection_is_not_held_for_as_long_as_its_client_would_have_waited(monkeypatch, end):
+    """Requests that were over stayed in memory until `d` had passed: up to a minute each."""
+    async with World(servers=1) as world:
+        await begin_run(world)
+        witness = Witness(monkeypatch)
+        client = await world.call(LONG_WAIT + (",at=s-9" if end == "left-resuming" else ""))
+        if end == "left-resuming":
+            await world.until(lambda: world.node.resumed.pending)
+            client.end("rst")
+        else:
+            _, server, _ = await world.leg()
+        if end == "left-waiting":
+            client.end("rst")
+            await server.line()
+        elif end in ("rejected", "failed"):
+            for number in range(3):
+                server.say("BUSY" if end == "rejected" else "ERR")
+                server = (await world.leg())[1] if number < 2 else server
+            await client.line()
+        elif end != "left-resuming":
+            server.say("UP 1")
+            await client.line()
+        if end == "bye":
+            server.say("BYE")
+        elif end == "moved":
+            world.node.queue(next(one for one in world.node.clients if one.paired).move, "test")
+        client.end("fin")
+        if end != "left-resuming":
+            server.end("fin")
+        await world.until(lambda: not world.node.clients and not world.node.resumed.pending)
+        await world.until(lambda: not witness.alive())
+
+
+@async_test
+async def test_repeated_last_line_of_a_server_sets_one_timer(monkeypatch):
+    """Each BYE of a server that repeated it at full speed set a further timer of half a second."""
+    async with World(servers=1) as world:
+        await begin_run(world)
+        client, server = await world.establish()
+        timers, at = [], world.node.at
+        monkeypatch.setattr(world.node, "at", lambda *args: timers.append(args) or at(*args))
+        for _ in range(50):
+            server.say("BYE")
+        for _ in range(50):
+            assert await client.line() == "BYE"
+        assert len(timers) == 1
+        assert await client.line() == "fin"
+
+
+@async_test
+async def test_timers_of_requests_that_are_over_do_not_add_up(monkeypatch):
+    """The event loop held one timer for each request of the last minute."""
+    async with World(servers=1) as world:
+        await begin_run(world)
+        live = []
+        at = world.node.at
+
+        def note(*args):
+            live.append(at(*args))
+            return live[-1]
+
+        monkeypatch.setattr(world.node, "at", note)
+        for _ in range(5):
+            client, server = await world.establish(LONG_WAIT)
+            client.end("fin")
+            server.end("fin")
+        await world.until(lambda: not world.node.clients)
+        far = world.node.loop.time() + limits.MAX_WAIT_SECONDS / 2
+        assert not [timer for timer in live if not timer.cancelled() and timer.when() > far]
