Rename: connection.py and receive_buffer.py in place of ring.py

Cause: ring.py held two things, the buffer and the base class of connections, and was named after how the one is built. Behaviour is as it was.

--- a/bellrack/lab/scale/roles/hosts.py
+++ b/bellrack/lab/scale/roles/hosts.py
@@ -75,7 +75,7 @@
 
 
 class FedDiscoveryRequest(DiscoveryRequest):
-    """A discovery request without a connection: `feed` writes the response into its receive ring."""
+    """A discovery request without a connection: `feed` writes the response into its receive buffer."""
 
     def open(self, address: tuple[str, int], wait: float) -> None: ...
 
@@ -83,10 +83,10 @@
         """Processes `data` as if it had been received."""
         view = memoryview(data)
         while view:
-            space = self.ring.writable_space()
+            space = self.received.writable_space()
             count = min(len(space), len(view))
             space[:count] = view[:count]
-            self.ring.commit(count)
+            self.received.commit(count)
             self.ready()
             view = view[count:]
 
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -15,9 +15,9 @@
 from bellrack import model
 from bellrack.model import Call
 from bellrack.net import first_line, limits, lines
+from bellrack.net.connection import Connection
 from bellrack.net.invariants import Invariant
 from bellrack.net.pairing import ServerEnd
-from bellrack.net.ring import Connection
 
 MOVE_ORDERED = "moved"  # logged as the reason if the decisions ordered the move
 MAX_TIMED_LINES = 64  # unanswered lines of a client whose send times are kept
@@ -78,7 +78,7 @@
         before it is closed, since the end of its line may arrive while we close."""
         # A process that shuts down serves no client that writes late.
         may_precede_run = self.node.resumed.may_precede_run() and not self.node.shutdown
-        if self.call is None and first_line.should_wait(self.ring.peek(), may_precede_run):
+        if self.call is None and first_line.should_wait(self.received.peek(), may_precede_run):
             # A resumed connection whose client is slow to write must not be told BUSY.
             self.expire_after(FIRST_LINE_RECHECK_SECONDS, self.on_expired)
         elif self.call is None:
@@ -111,18 +111,18 @@
     def ready(self) -> None:
         if self.call is None and not self.node.limits.make_room(self.node.now, 2):
             self.refuse_for_descriptors()
-        while not self.closed and self.call is None and (line := self.ring.take_line()):
+        while not self.closed and self.call is None and (line := self.received.take_line()):
             self.on_first_line(line)
         if self.closed:
             return
-        if self.call is None and self.ring.length and not self.remote_end:
+        if self.call is None and self.received.length and not self.remote_end:
             self.node.limits.on_partial_line(self, self.node.now)
         if self.paired:
             self.forward_lines()
-        if self.call and not self.paired and self.ring.length:
+        if self.call and not self.paired and self.received.length:
             # The protocol lets a client send nothing before UP. Hundreds of commands in one go are refused.
             self.reject_malformed("not-awaited")
-        elif self.ring.line_too_long:
+        elif self.received.line_too_long:
             self.reject_malformed("line-too-long")
         elif self.has_ended():
             self.on_remote_end()
@@ -132,7 +132,7 @@
 
         A resumed connection is not rejected: it waits for a free descriptor."""
         expected = self.node.resumed.window.admits(self.node.now) and lines.is_resumed_request(
-            self.ring.peek()
+            self.received.peek()
         )
         if not expected and not self.node.resumed.expects_more():
             self.reject_crowded()
@@ -145,7 +145,7 @@
         """Handles a line that comes before a request was accepted: PING, or the request line."""
         if line.strip() == b"PING":
             if not self.node.takes_requests:
-                if self.ring.length:
+                if self.received.length:
                     return  # the request that follows gets the answer
                 self.finish("not-ready")  # closed without PONG, as if nothing listened yet
                 return
--- a/bellrack/net/ring.py
+++ b/bellrack/net/connection.py
@@ -1,9 +1,9 @@
-"""Ring buffers, and the base class of all TCP connections, which read into one.
+"""The base class of all TCP connections.
 
-A ring holds the bytes of one direction of a connection that were received and not yet consumed. It has a
-fixed size; reading is paused while it is full. The callbacks of asyncio only store data and queue the
-connection for the node's next turn; lines are parsed, and decisions made, in that turn. What is written or
-closed before a connection has its transport is carried out once it has (`connection_state.py`).
+What is received waits in a buffer of bounded size (`receive_buffer.py`); reading is paused while it is full.
+The callbacks of asyncio only store data and queue the connection for the node's next turn; lines are parsed,
+and decisions made, in that turn. What is written or closed before a connection has its transport is carried
+out once it has (`connection_state.py`).
 """
 
 from __future__ import annotations
@@ -17,9 +17,8 @@
 from typing import Any
 
 from bellrack.net.connection_state import Event, State, next_state
-from bellrack.net.lines import MAX_LINE_BYTES
+from bellrack.net.receive_buffer import RECEIVE_BUFFER_BYTES, ReceiveBuffer
 
-RING_BYTES = 8192  # a whole line and the start of the next
 WRITE_BUFFER_BYTES = 16384  # with more unsent bytes in a transport, its paired connection pauses reading
 FLUSH_SECONDS = 0.5  # how long the last lines of a closed side wait while the other side accepts no data
 LINGER_SECONDS = 1.0  # how long the remote end may take to close after our close
@@ -27,83 +26,18 @@
 TCP_USER_TIMEOUT_MS = 15000  # the kernel drops a connection whose data is not acknowledged for so long
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0: close() sends a reset
 CONNECTION_NUMBERS = itertools.count(1)  # numbers the connections of this process in order of creation
-DISCARD_BUFFER = memoryview(bytearray(RING_BYTES))  # for data that is read after our close and dropped
-
-
-class Ring:
-    """A byte queue of fixed size."""
-
-    __slots__ = ("size", "data", "view", "start", "length")
-
-    def __init__(self, size: int = RING_BYTES):
-        self.size, self.data = size, bytearray()
-        self.start = self.length = 0
-
-    def writable_space(self) -> memoryview:
-        """Returns free space in one piece, to be filled before `commit`; empty only if the ring is full."""
-        if not self.data:  # allocated at first use: hundreds of idle connections need no buffer
-            self.data = bytearray(self.size)
-            self.view = memoryview(self.data)
-        if not self.length:
-            self.start = 0
-        end, size = self.start + self.length, self.size
-        return self.view[end - size : self.start] if end >= size else self.view[end:]
-
-    def commit(self, count: int) -> None:
-        """Adds the first `count` bytes of the writable space to the queue."""
-        self.length += count
-
-    @property
-    def full(self) -> bool:
-        return self.length == self.size
-
-    def take_line(self) -> bytes | None:
-        """Removes and returns the first whole line with its line end; None if there is none."""
-        length = self._line_length()
-        return self.take(length) if length else None
-
-    @property
-    def line_too_long(self) -> bool:
-        """Whether more than MAX_LINE_BYTES are buffered without a line end."""
-        return self.length > MAX_LINE_BYTES and not self._line_length()
-
-    def _line_length(self) -> int:
-        """Length of the first whole line; 0 if there is none."""
-        size = self.size
-        wrapped = self.start + self.length - size
-        at = self.data.find(b"\n", self.start, min(self.start + self.length, size))
-        if at < 0 < wrapped:
-            at = self.data.find(b"\n", 0, wrapped)
-            return size - self.start + at + 1 if at >= 0 else 0
-        return at + 1 - self.start if at >= 0 else 0
-
-    def peek(self, count: int | None = None) -> bytes:
-        """Returns the first `count` bytes, or all, without removing them."""
-        count = self.length if count is None else count
-        if not count:
-            return b""
-        size, end = self.size, self.start + count
-        data = bytes(self.view[self.start : end])
-        if end > size:
-            data += bytes(self.view[: end - size])
-        return data
-
-    def take(self, count: int) -> bytes:
-        """Removes and returns the first `count` bytes."""
-        data = self.peek(count)
-        self.start, self.length = (self.start + count) % self.size, self.length - count
-        return data
+DISCARD_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))  # for data that is read after our close
 
 
 class Connection(asyncio.BufferedProtocol):
-    """A TCP connection. Received bytes wait in its ring until the node's turn calls `ready`."""
+    """A TCP connection. Received bytes wait in its buffer until the node's turn calls `ready`."""
 
     side = "link"
     forwarded_counter = ""  # the counter of the lines that are forwarded to the paired connection
     has_priority = False  # processed before the other connections of a turn
 
     def __init__(self, node: Any):
-        self.node, self.ring, self.number = node, Ring(), next(CONNECTION_NUMBERS)
+        self.node, self.received, self.number = node, ReceiveBuffer(), next(CONNECTION_NUMBERS)
         self.transport: Any = None
         self.state = State.PENDING
         self.closed = False  # this process has closed it or handed it over; follows from `state`
@@ -144,7 +78,7 @@
         if self.unsent and self.state is not State.CLOSED:
             transport.write(self.unsent)
         self.unsent = b""
-        if self.ring.full:  # as it was when it was handed over
+        if self.received.full:  # as it was when it was handed over
             self.paused = True
             transport.pause_reading()
         if self.state is State.OPEN:
@@ -167,7 +101,7 @@
             self.node.limits.count_descriptors(1 if on else -1)
 
     def get_buffer(self, hint: int) -> memoryview:
-        return DISCARD_BUFFER if self.closed else self.ring.writable_space()
+        return DISCARD_BUFFER if self.closed else self.received.writable_space()
 
     def buffer_updated(self, count: int) -> None:
         if self.closed:
@@ -176,8 +110,8 @@
             if self.discarded > MAX_DISCARDED_BYTES:
                 self.transport.abort()
             return
-        self.ring.commit(count)
-        if self.ring.full:
+        self.received.commit(count)
+        if self.received.full:
             self.paused = True
             self.transport.pause_reading()
         self.wake()
@@ -227,11 +161,11 @@
     # Run in the node's turn.
 
     def process(self) -> None:
-        """Handles what was received, and resumes reading once the ring has space."""
+        """Handles what was received, and resumes reading once the buffer has space."""
         self.queued = False
         if not self.closed:
             self.ready()
-        if self.paused and not self.ring.full and not self.closed:
+        if self.paused and not self.received.full and not self.closed:
             self.paused = False
             self.transport.resume_reading()
 
@@ -242,7 +176,7 @@
     def forward_lines(self) -> None:
         """Forwards whole lines to the paired connection, unchanged, until that is blocked."""
         out = []
-        while not self.paired.blocked and (line := self.ring.take_line()):
+        while not self.paired.blocked and (line := self.received.take_line()):
             out.append(line)
             self.on_line(line)
         if out:
--- a/bellrack/net/control.py
+++ b/bellrack/net/control.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 from bellrack.net import limits, metrics
+from bellrack.net.connection import Connection
 from bellrack.net.http import CONTINUE, HttpError, Request, response
 from bellrack.net.order_relay import OrderOutcome
-from bellrack.net.ring import Connection
 
 
 class AdminConnection(Connection):
@@ -44,7 +44,7 @@
             return  # its outcome is awaited
         try:
             had_head = self.request.method
-            self.request.feed(self.ring.take(self.ring.length) if self.ring.length else b"")
+            self.request.feed(self.received.take(self.received.length) if self.received.length else b"")
             if self.request.done:
                 self.handle_request()
             elif self.request.awaits_continue and not had_head:
--- a/bellrack/net/discovery_request.py
+++ b/bellrack/net/discovery_request.py
@@ -63,8 +63,8 @@
             )
         status_before = self.response.status
         try:
-            while self.ring.length and not self.closed:
-                self.body += self.response.feed(self.ring.take(self.ring.length))
+            while self.received.length and not self.closed:
+                self.body += self.response.feed(self.received.take(self.received.length))
                 if len(self.body) > lines.MAX_DISCOVERY_BYTES:
                     raise lines.LineError("too-long")
             if self.response.status != status_before:
--- a/bellrack/net/handoff.py
+++ b/bellrack/net/handoff.py
@@ -15,13 +15,13 @@
 from bellrack import model
 from bellrack.model import Result
 from bellrack.net.clients import ClientConnection
+from bellrack.net.connection import Connection
 from bellrack.net.connection_state import Event
 from bellrack.net.handoff_message import (
     AnnouncedEnd,
     EstablishedPart,
     HandoffMessage,
 )
-from bellrack.net.ring import Connection
 from bellrack.net.servers import ServerConnection
 
 CONNECTIONS_PER_TURN = 16  # handed over in one turn, so that the other connections do not have to pause
@@ -34,13 +34,13 @@
 
 def take_unread(connection: Connection) -> bytes:
     """Removes and returns what was received and not consumed yet."""
-    return connection.ring.take(connection.ring.length)
+    return connection.received.take(connection.received.length)
 
 
 def put_back(connection: Connection, data: bytes) -> None:
-    """Puts received bytes into the empty ring of a connection."""
-    connection.ring.writable_space()[: len(data)] = data
-    connection.ring.commit(len(data))
+    """Puts received bytes into the empty receive buffer of a connection."""
+    connection.received.writable_space()[: len(data)] = data
+    connection.received.commit(len(data))
 
 
 class HandoffEnd:
@@ -83,7 +83,7 @@
         left, self.failure = CONNECTIONS_PER_TURN, None
         for client in list(self.node.clients):
             # A resumed connection that sent more before it was established is malformed: it is answered here.
-            resumable = client in self.node.resumed.pending and not client.ring.length
+            resumable = client in self.node.resumed.pending and not client.received.length
             if client.call is None or client.paired or resumable:
                 if not left:
                     return BatchResult.MORE_LEFT
--- a/bellrack/net/handoff_message.py
+++ b/bellrack/net/handoff_message.py
@@ -13,9 +13,9 @@
 
 from bellrack.net import lines
 from bellrack.net.lines import RequestLine
-from bellrack.net.ring import RING_BYTES
+from bellrack.net.receive_buffer import RECEIVE_BUFFER_BYTES
 
-# A request line, two full rings in base64 and the times of unanswered lines take less than half of it.
+# A request line, two full receive buffers in base64 and the times of unanswered lines take less than half.
 MAX_MESSAGE_BYTES = 65536
 
 
@@ -128,8 +128,8 @@
 
 
 def decode_bytes(text: str) -> bytes:
-    """Reverse `encode_bytes`. Raises ValueError, also for more bytes than a ring holds."""
+    """Reverse `encode_bytes`. Raises ValueError, also for more bytes than a receive buffer holds."""
     data = base64.b64decode(text, validate=True)
-    if len(data) > RING_BYTES:
+    if len(data) > RECEIVE_BUFFER_BYTES:
         raise ValueError(f"{len(data)} unread bytes")
     return data
--- a/bellrack/net/handoff_receiver.py
+++ b/bellrack/net/handoff_receiver.py
@@ -17,6 +17,7 @@
 from bellrack.model import Leg
 from bellrack.net import lines, log
 from bellrack.net.clients import ClientConnection
+from bellrack.net.connection import Connection
 from bellrack.net.handoff import HandoffEnd, put_back
 from bellrack.net.handoff_message import (
     MAX_MESSAGE_BYTES,
@@ -25,7 +26,6 @@
     MessageError,
     ResumptionPart,
 )
-from bellrack.net.ring import Connection
 from bellrack.net.servers import ANNOUNCED_END_SECONDS, Endpoint, ServerConnection
 
 MESSAGES_PER_READ = 16  # so that the other connections do not have to pause
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -17,9 +17,9 @@
 from bellrack import model
 from bellrack.model import Leg, Result, Server
 from bellrack.net import lines, transient
+from bellrack.net.connection import Connection
 from bellrack.net.connection_state import Event
 from bellrack.net.pairing import ClientEnd
-from bellrack.net.ring import Connection
 from bellrack.net.start_times import Start
 
 COLD_BUDGET = "cold-budget"  # reason not to send: the slow start of the server allows no request at present
@@ -180,15 +180,15 @@
             self.client.abandon_if_closed()
         if not self.closed and not self.request_sent and not self.remote_end:
             self.send_request_line()
-        while not self.closed and not self.leg.established and (line := self.ring.take_line()):
+        while not self.closed and not self.leg.established and (line := self.received.take_line()):
             self.on_answer(line)
         if self.closed:
             return
         if self.leg.established:
             self.forward_lines()
-        if self.ring.line_too_long and self.leg.established:
+        if self.received.line_too_long and self.leg.established:
             self.client.move("line-too-long", model.RESET)
-        elif self.ring.line_too_long:
+        elif self.received.line_too_long:
             self.end(model.ERROR, "line-too-long", "rst")
         elif self.has_ended():
             self.on_connection_ended()
@@ -339,9 +339,9 @@
         if not self.request_sent and not self.remote_end:
             self.request_sent = True
             self.write(b"STATS\r\n" if self.report_fields else b"PING\r\n")
-        line = (self.ring.take_line() or b"").strip()
+        line = (self.received.take_line() or b"").strip()
         if line == b"PONG" and self.report_fields:
-            line = (self.ring.take_line() or b"").strip()  # the report may follow on a line of its own
+            line = (self.received.take_line() or b"").strip()  # the report may follow on a line of its own
         if line == b"PONG" and not self.report_fields:
             self.complete(model.COMPLETED)
         elif self.report_fields and (values := lines.parse_report(line, self.report_fields)):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,8 +15,8 @@
 from bellrack.model import Call, Leg, Result, Server, Settings, TrafficType
 from bellrack.net import node as host
 from bellrack.net.config import parse_config
+from bellrack.net.connection import Connection
 from bellrack.net.node import Node
-from bellrack.net.ring import Connection
 
 
 def settings(**changes) -> Settings:
--- a/tests/play_mutants.py
+++ b/tests/play_mutants.py
@@ -54,13 +54,13 @@
     Mutant(
         "silent connections are closed before the run",
         "net/clients.py",
-        "if self.call is None and first_line.should_wait(self.ring.peek(), may_precede_run):",
+        "if self.call is None and first_line.should_wait(self.received.peek(), may_precede_run):",
         "if False:",
     ),
     Mutant(
         "silent connections are never closed",
         "net/clients.py",
-        "if self.call is None and first_line.should_wait(self.ring.peek(), may_precede_run):",
+        "if self.call is None and first_line.should_wait(self.received.peek(), may_precede_run):",
         "if self.call is None:",
     ),
     Mutant(
--- a/tests/play_soak_mutants.py
+++ b/tests/play_soak_mutants.py
@@ -244,9 +244,9 @@
     Mutant(
         "what is ordered of a connection before it has its sockets is dropped",
         (
-            ("net/ring.py", "            self.unsent += data\n", "            pass\n"),
+            ("net/connection.py", "            self.unsent += data\n", "            pass\n"),
             (
-                "net/ring.py",
+                "net/connection.py",
                 'if it was closed before."""\n        self.close_transport()\n',
                 'if it was closed before."""\n        self.side == "client" or self.close_transport()\n',
             ),
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -35,8 +35,8 @@
 @pytest.mark.parametrize("part", ["half a ", "x" * 3000])
 @async_test
 async def test_moves_the_client_of_a_server_that_hangs_in_the_middle_of_a_line(monkeypatch, part):
-    # Fault seen in the scenario roll+brink: 17 bytes of a line in the ring, the client's lines unanswered for
-    # 7 s, and no MOVE.
+    # Fault seen in the scenario roll+brink: 17 bytes of a line in the buffer, the client's lines unanswered
+    # for 7 s, and no MOVE.
     monkeypatch.setattr(servers, "SILENCE_SECONDS", 0.2)
     monkeypatch.setattr(server_watch, "CHECK_INTERVAL_SECONDS", 0.05)
     quiet = {"messageAimUs": [1e9], "tellsDelay": False}  # late messages alone move no connection
@@ -188,7 +188,9 @@
     async with World() as world:
         slow, silent = await world.dial(), await world.dial()
         slow.writer.write(b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=ch")
-        await world.until(lambda: [c.ring.length for c in world.node.clients if c.ring.length] == [43])
+        await world.until(
+            lambda: [c.received.length for c in world.node.clients if c.received.length] == [43]
+        )
         world.node.queue(world.node.begin_shutdown)
         await world.until(
             lambda: world.node.shutdown and world.node.clock() - world.node.shutdown.started_at > 0.3
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -147,7 +147,7 @@
 @pytest.mark.parametrize("rest", [b"M 1\r\n", b"M 1\r\n" * 2000, b"x" * 9000])
 @async_test
 async def test_makes_no_attempt_for_a_request_that_is_followed_by_more_bytes_and_the_end(rest):
-    # The last two fill the ring, so that the end cannot be read.
+    # The last two fill the buffer, so that the end cannot be read.
     async with World(servers=2) as world:
         client = send_request(world, more=rest)
         close(client, "half-close")
--- a/tests/test_handoff_states.py
+++ b/tests/test_handoff_states.py
@@ -251,7 +251,7 @@
 
 @async_test
 async def test_lines_that_filled_a_ring_are_forwarded_by_the_receiver(monkeypatch):
-    """Guards against a reader that is started on a full ring: asyncio resets such a connection."""
+    """Guards against a reader that is started on a full buffer: asyncio resets such a connection."""
     line = b"x" * (lines.MAX_LINE_BYTES - 2) + b"\r\n"
     async with received_connection(monkeypatch, message(2 * line, 2 * line).encode()) as received:
         for peer in (received.client_end, received.server_end):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 import pytest
 from helpers import Peer, World, async_test
 
-from bellrack.net import handoff, hot_restart, lines, node, ring, sibling
+from bellrack.net import connection, handoff, hot_restart, lines, node, sibling
 from bellrack.net.config import parse_config
 from bellrack.net.handoff_receiver import HandoffReceiver
 from bellrack.net.limits import Limits
@@ -258,7 +258,7 @@
 
 @async_test
 async def test_leg_that_ends_during_its_hand_off_is_not_counted_as_open(folder, monkeypatch):
-    monkeypatch.setattr(ring, "FLUSH_SECONDS", 0.0)
+    monkeypatch.setattr(connection, "FLUSH_SECONDS", 0.0)
     async with World(control=True) as world:
         line = lines.parse_request_line(b"OPEN 00000000000000a1 7f3a9c21e0b4d655 c=chat,t=acme,d=2000\r\n")
         words = {
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -1,4 +1,4 @@
-"""Ring buffers, lines, HTTP responses, lists and log lines, without a socket."""
+"""Receive buffers, lines, HTTP responses, lists and log lines, without a socket."""
 
 import logging
 
@@ -8,28 +8,28 @@
 
 from bellrack import model
 from bellrack.net import lines, log
-from bellrack.net.ring import Ring
+from bellrack.net.receive_buffer import ReceiveBuffer
 
 
 @settings(derandomize=True)
 @given(st.lists(st.binary(min_size=1, max_size=9) | st.sampled_from([b"\r\n", b"a\r\nb\r\n"]), max_size=60))
-def test_ring_returns_what_was_put_in(pieces):
-    ring, expected = Ring(16), bytearray()
+def test_receive_buffer_returns_what_was_put_in(pieces):
+    buffer, expected = ReceiveBuffer(16), bytearray()
     for piece in pieces:
         while piece:
-            space = ring.writable_space()
-            assert len(space) > 0 or ring.full
+            space = buffer.writable_space()
+            assert len(space) > 0 or buffer.full
             part = piece[: len(space)]
             space[: len(part)] = part
-            ring.commit(len(part))
+            buffer.commit(len(part))
             expected += part
             piece = piece[len(part) :]
-            while (line := ring.take_line()) is not None:
+            while (line := buffer.take_line()) is not None:
                 assert line.endswith(b"\n") and expected.startswith(line) and b"\n" not in line[:-1]
                 del expected[: len(line)]
-            assert b"\n" not in expected and ring.length == len(expected)
-            if ring.full:
-                assert ring.take(ring.length) == bytes(expected)
+            assert b"\n" not in expected and buffer.length == len(expected)
+            if buffer.full:
+                assert buffer.take(buffer.length) == bytes(expected)
                 expected.clear()
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -539,7 +539,7 @@
             connection.transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
             )
-        # Stops as soon as one side is blocked: a full ring would hide the end.
+        # Stops as soon as one side is blocked: a full buffer would hide the end.
         while not (client.blocked or client.paired.blocked):
             pair[1 - side].writer.write((b"x" * 1000 + b"\r\n") * 3)
             await asyncio.sleep(0.001)
