A connection's share of a turn: lines go on together, notices at most 16 a turn

Causes: (1) a connection forwarded all lines of its buffer in one go, each handled by itself: 45,137 function calls for 8 KB of empty lines. (2) The same for LOAD lines of a server.

Change: whole lines go on together, at a cost by bytes; only pieces with BYE, MOVE or LOAD in them are parsed, 16 lines a turn, then the other connections come first; an end waits for the lines before it. A connection with over 8 unanswered lines is not timed until it has none.

In test_net.py an endpoint is told the same line times one by one; its assertions are as they were.

--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -20,7 +20,6 @@
 from bellrack.net.pairing import ServerEnd
 
 MOVE_ORDERED = "moved"  # logged as the reason if the decisions ordered the move
-MAX_TIMED_LINES = 64  # unanswered lines of a client whose send times are kept
 # Between checks whether a late first line may still come. The connection must be closed 3 s after it was
 # opened, 0.25 s after FIRST_LINE_SECONDS.
 FIRST_LINE_RECHECK_SECONDS = 0.2
@@ -176,11 +175,12 @@
         self.write_final(lines.busy_line(self.node.settings.max_open_wait))
         self.finish(reason, how)
 
-    def on_line(self, line: bytes) -> None:
-        # The oldest time shows how long the server has been silent, so later ones may be left out.
-        if len(self.paired.unanswered) < MAX_TIMED_LINES:
-            self.paired.unanswered.append(self.node.now)
-        self.node.resumed.window.on_client_line()
+    def take_forwardable(self) -> bytes:
+        forwarded = self.received.take_lines()
+        if forwarded:
+            self.paired.on_lines_sent(forwarded.count(b"\n"))
+            self.node.resumed.window.on_client_line()
+        return forwarded
 
     def reject_malformed(self, code: str) -> None:
         """Answers SYNTAX, closes the connection and ends the request; `code` is the reason that is logged."""
--- a/bellrack/net/connection.py
+++ b/bellrack/net/connection.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from bellrack.net.connection_state import Event, State, next_state
-from bellrack.net.receive_buffer import RECEIVE_BUFFER_BYTES, ReceiveBuffer
+from bellrack.net.receive_buffer import SCRATCH, ReceiveBuffer
 
 WRITE_BUFFER_BYTES = 16384  # with more unsent bytes in a transport, its paired connection pauses reading
 FLUSH_SECONDS = 0.5  # how long the last lines of a closed side wait while the other side accepts no data
@@ -26,7 +26,6 @@
 TCP_USER_TIMEOUT_MS = 15000  # the kernel drops a connection whose data is not acknowledged for so long
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0: close() sends a reset
 CONNECTION_NUMBERS = itertools.count(1)  # numbers the connections of this process in order of creation
-DISCARD_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))  # for data that is read after our close
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -101,7 +100,7 @@
             self.node.limits.count_descriptors(1 if on else -1)
 
     def get_buffer(self, hint: int) -> memoryview:
-        return DISCARD_BUFFER if self.closed else self.received.writable_space()
+        return SCRATCH if self.closed else self.received.writable_space()
 
     def buffer_updated(self, count: int) -> None:
         if self.closed:
@@ -174,24 +173,27 @@
         raise NotImplementedError
 
     def forward_lines(self) -> None:
-        """Forwards whole lines to the paired connection, unchanged, until that is blocked."""
-        out = []
-        while not self.paired.blocked and (line := self.received.take_line()):
-            out.append(line)
-            self.on_line(line)
-        if out:
-            self.node.counters[self.forwarded_counter] += len(out)
-            self.paired.write(b"".join(out))
-
-    def on_line(self, line: bytes) -> None:
-        """Called for each line that is forwarded."""
+        """Forwards whole lines to the paired connection, unchanged, unless that is blocked.
+
+        They go together, whatever their number, so what a connection costs in a turn goes by its bytes."""
+        if self.paired.blocked:
+            return
+        if forwarded := self.take_forwardable():
+            self.node.counters[self.forwarded_counter] += forwarded.count(b"\n")
+            self.paired.write(forwarded)
+
+    def take_forwardable(self) -> bytes:
+        """Removes and returns the whole lines that are forwarded in this turn."""
+        raise NotImplementedError
 
     def has_ended(self) -> bool:
         """Whether the remote end has closed and its last lines are forwarded, or have waited FLUSH_SECONDS.
 
         Without that limit a peer that accepts no data would keep both connections open."""
-        if not self.remote_end or not (self.paired and self.paired.blocked):
+        if not self.remote_end or not self.paired:
             return bool(self.remote_end)
+        if not self.paired.blocked:
+            return not self.received.has_line  # the rest of them are forwarded in the next turns
         if not self.flush_deadline:
             self.flush_deadline = self.node.now + FLUSH_SECONDS
             self.node.after(FLUSH_SECONDS, self.wake)
@@ -213,6 +215,7 @@
             return
         self.close_how = how
         self.on_event(Event.CLOSE)
+        self.received.clear()
         self.node.log_end(self, reason, fields)
         if self.state is State.CLOSING:
             self.close_transport()
--- a/bellrack/net/handoff_receiver.py
+++ b/bellrack/net/handoff_receiver.py
@@ -26,7 +26,7 @@
     MessageError,
     ResumptionPart,
 )
-from bellrack.net.servers import ANNOUNCED_END_SECONDS, Endpoint, ServerConnection
+from bellrack.net.servers import ANNOUNCED_END_SECONDS, MAX_UNPIPELINED_LINES, Endpoint, ServerConnection
 
 MESSAGES_PER_READ = 16  # so that the other connections do not have to pause
 NOT_TAKEN_OVER = "not-taken-over"  # logged as the reason
@@ -147,6 +147,7 @@
         connection = ServerConnection(node, leg, client, node.now, established=True)
         connection.handed_over_to_us = True
         connection.unanswered.extend(when + clock_offset for when in part.unanswered)
+        connection.pipelined = len(part.unanswered) > MAX_UNPIPELINED_LINES
         client.answered = True
         put_back(connection, part.unread)
         connection.paired, client.paired = client, connection
--- a/bellrack/net/server_watch.py
+++ b/bellrack/net/server_watch.py
@@ -37,7 +37,7 @@
                 self.time_messages(server)
                 self.end_silent(server.host_record)
             else:
-                server.host_record.line_times.clear()
+                server.host_record.shortest_line_time = None
 
     def forget_unused(self, server: Server) -> None:
         """Drops the record of a server that has been gone for long. Otherwise the records would grow with
--- a/bellrack/net/servers.py
+++ b/bellrack/net/servers.py
@@ -30,6 +30,10 @@
 # From a server's last line (BYE, MOVE) until we close if the server has not; the client's connection must
 # close within 1 s.
 ANNOUNCED_END_SECONDS = 0.5
+MAX_UNPIPELINED_LINES = 8  # unanswered lines of a client that does not wait for answers, but sends few
+MAX_TIMED_LINES = 64  # unanswered lines of a client whose send times are kept
+NOTICE_WORDS = (b"BYE", b"MOVE", b"LOAD")  # a server's lines that may mean something to us hold one of these
+NOTICES_PER_TURN = 16  # lines of one server connection that are parsed one by one in a turn
 
 
 class Endpoint:
@@ -39,23 +43,27 @@
         self.name, self.address = name, address
         self.start: Start | None = None  # the last start that was listed
         self.connections: dict[ServerConnection, None] = {}  # established
-        self.line_times: list[float] = []  # seconds to each answer since the last check
+        self.shortest_line_time: float | None = None  # seconds to an answer, the least since the last check
         self.was_late = False  # whether the last check found its lines late
         self.last_used = 0.0  # when it was last listed or had an open leg
         self.delay_reported_at = 0.0  # when the server itself last reported how long messages take
 
+    def on_line_time(self, seconds: float) -> None:
+        """An answer to a line took so long."""
+        if self.shortest_line_time is None or seconds < self.shortest_line_time:
+            self.shortest_line_time = seconds
+
     def take_line_time(self, now: float) -> float:
         """Seconds that a line takes at present; forgets the answers that were timed so far.
 
         This is the least time of the answers since the last check, or, without answers, the least age of an
         unanswered line. The least, since a pause of this process lengthens the times of all lines that it
         reads afterwards and would otherwise be taken for a delay of the server."""
-        line_times, self.line_times = self.line_times, []
-        return min(
-            line_times
-            or [now - connection.unanswered[0] for connection in self.connections if connection.unanswered],
-            default=0.0,
-        )
+        shortest, self.shortest_line_time = self.shortest_line_time, None
+        if shortest is not None:
+            return shortest
+        waiting = (one for one in self.connections if one.unanswered and not one.pipelined)
+        return min((now - one.unanswered[0] for one in waiting), default=0.0)
 
 
 class OutgoingConnection(Connection):
@@ -152,6 +160,8 @@
         super().__init__(node)
         self.leg, self.client, self.deadline, self.resumed = leg, client, deadline, resumed
         self.unanswered: deque[float] = deque()  # when each unanswered line of the client was forwarded
+        # Whether lines wait behind the client's own: how long these take says nothing of the server.
+        self.pipelined = False
         self.request_sent = established
         self.announced_end = ""  # result announced by the server's last line: completed or cancelled
         self.ends_by = math.inf  # when both sides are ended if the server has announced its end and hangs
@@ -252,14 +262,41 @@
                 self.client.count_outcome("failed")  # the connection was never established
             self.end(kind or model.ERROR, f"answer-{kind or 'unknown'}")
 
-    def on_line(self, line: bytes) -> None:
-        kind, rest = lines.parse_server_line(line)
-        if kind in (model.COMPLETED, model.CANCELLED):
-            self.announce_end(kind, self.node.now + ANNOUNCED_END_SECONDS)
-        elif line.startswith(b"LOAD "):
-            self.node.on_load_line(self.leg, rest)
-        elif self.unanswered:
-            self.endpoint.line_times.append(self.node.now - self.unanswered.popleft())
+    def on_lines_sent(self, count: int) -> None:
+        """So many lines of the client are forwarded now. The oldest time shows how long the server has been
+        silent, so later ones may be left out."""
+        for _ in range(min(count, MAX_TIMED_LINES - len(self.unanswered))):
+            self.unanswered.append(self.node.now)
+        self.pipelined = self.pipelined or len(self.unanswered) > MAX_UNPIPELINED_LINES
+
+    def take_forwardable(self) -> bytes:
+        if not self.received.contains_any(NOTICE_WORDS):
+            answers = self.received.take_lines()
+            self.on_answers(answers.count(b"\n"))
+            return answers
+        taken, load = [], None
+        while len(taken) < NOTICES_PER_TURN and (line := self.received.take_line()):
+            taken.append(line)
+            kind, rest = lines.parse_server_line(line)
+            if kind in (model.COMPLETED, model.CANCELLED):
+                self.announce_end(kind, self.node.now + ANNOUNCED_END_SECONDS)
+            elif line.startswith(b"LOAD "):
+                load = rest  # of several that came together the last one holds
+            else:
+                self.on_answers(1)
+        if load is not None:
+            self.node.on_load_line(self.leg, load)
+        if len(taken) == NOTICES_PER_TURN:
+            self.wake()  # the other connections come first
+        return b"".join(taken)
+
+    def on_answers(self, count: int) -> None:
+        """The server has sent so many lines, each an answer to one of the client's."""
+        for _ in range(min(count, len(self.unanswered))):
+            sent = self.unanswered.popleft()
+            if not self.pipelined:
+                self.endpoint.on_line_time(self.node.now - sent)
+        self.pipelined = self.pipelined and bool(self.unanswered)
 
     def announce_end(self, kind: str, ends_by: float) -> None:
         """The server has sent its last line, which means the result `kind`.
--- a/tests/play_pressure.py
+++ b/tests/play_pressure.py
@@ -12,6 +12,7 @@
 """
 
 import argparse
+import collections
 import contextlib
 import json
 import multiprocessing
@@ -29,11 +30,13 @@
 
 WIDE_FIELDS = ",".join(f"{chr(97 + n % 26)}{n}=" for n in range(750))[:3900].rpartition(",")[0]
 CHUNK = b"\r\n" * 4096
+SERVERS = 200  # all at one address; those of clients that flood look late, the others do not
 PROBE_INTERVAL_SECONDS = 0.05  # between two measurements of what other clients wait
 
 
 def serve(listener: socket.socket) -> None:
-    """Answer `UP` to each first line and echo the rest; a key of `5` swallows it, `6` sends LOAD lines."""
+    """Answer `UP` to each first line and echo the rest; a key of `5` answers each piece with one empty line,
+    however many lines it has, `6` sends LOAD lines."""
     selector = selectors.DefaultSelector()
     selector.register(listener, selectors.EVENT_READ)
     flooded, swallowed = set(), set()
@@ -67,9 +70,9 @@
                         flooded.add(sock)
                     elif kind == b"5":
                         swallowed.add(sock)
-            elif sock not in flooded and sock not in swallowed:
+            elif sock not in flooded:
                 with contextlib.suppress(OSError):
-                    sock.send(data)
+                    sock.send(b"\r\n" if sock in swallowed else data)
 
 
 def discover(listener: socket.socket, line: bytes) -> None:
@@ -147,27 +150,36 @@
 
 def measure(address: tuple[str, int], seconds: float) -> None:
     """Print how long other clients wait meanwhile."""
-    ups, echoes, end, number = [], [], time.monotonic() + seconds, 1 << 60
-    with connect(address, request(number, "1", 20000)) as standing:
-        standing.recv(100)
-        while time.monotonic() < end:
-            number += 1
-            began = time.monotonic()
-            with connect(address, request(number, "1", 20000)) as sock:
-                sock.recv(100)
+    ups, echoes, others = [], [], collections.Counter()
+    end, number, standing = time.monotonic() + seconds, 1 << 60, None
+    while time.monotonic() < end:
+        number += 1
+        began = time.monotonic()
+        sock = connect(address, request(number, "1", 20000))
+        if (answer := sock.recv(100)) == b"UP 1\r\n":
             ups.append(time.monotonic() - began)
+        else:
+            others[answer] += 1
+        if standing is None and answer == b"UP 1\r\n":
+            standing = sock
+        else:
+            sock.close()
+        if standing:
             began = time.monotonic()
             standing.sendall(b"line\r\n")
-            if standing.recv(100) != b"line\r\n":
-                print("  a standing client was moved or cut off")
-                break
-            echoes.append(time.monotonic() - began)
-            time.sleep(PROBE_INTERVAL_SECONDS)
+            if (answer := standing.recv(100)) == b"line\r\n":
+                echoes.append(time.monotonic() - began)
+            else:
+                others[answer] += 1
+                standing = None
+        time.sleep(PROBE_INTERVAL_SECONDS)
     for name, waits in (("UP", ups), ("echo", echoes)):
-        print(
-            f"  {name}: {len(waits)} times, median {1000 * statistics.median(waits):.0f} ms,"
-            f" worst {1000 * max(waits):.0f} ms"
-        )
+        if waits:
+            print(
+                f"  {name}: {len(waits)} times, median {1000 * statistics.median(waits):.0f} ms,"
+                f" worst {1000 * max(waits):.0f} ms"
+            )
+    print(f"  other answers: {dict(others)}")
 
 
 def main() -> None:
@@ -180,7 +192,7 @@
     servers, discovery = (socket.create_server(("127.0.0.1", 0), backlog=1024) for _ in range(2))
     place = "{}:{}".format(*servers.getsockname())
     entry = {"hostPort": place, "zone": "a", "cell": 0, "machineType": "m", "lifecycle": "in_service"}
-    rows = [entry | {"instanceId": f"s-{n}", "weight": 100.0, "startedAtMs": 0} for n in range(4)]
+    rows = [entry | {"instanceId": f"s-{n}", "weight": 10.0, "startedAtMs": 0} for n in range(SERVERS)]
     line = json.dumps({"generation": 1, "reset": True, "instances": rows}).encode() + b"\n"
     started = [
         multiprocessing.Process(target=serve, args=(servers,), daemon=True),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -244,9 +244,11 @@
 
 def test_a_pause_of_this_process_is_not_a_delay_of_the_server():
     endpoint = servers.Endpoint("s-0", ("127.0.0.1", 1))
-    endpoint.line_times = [0.002, 0.8, 0.9]
+    for seconds in (0.8, 0.002, 0.9):
+        endpoint.on_line_time(seconds)
     assert endpoint.take_line_time(100.0) == 0.002
-    endpoint.line_times = [0.8, 0.9]
+    for seconds in (0.8, 0.9):
+        endpoint.on_line_time(seconds)
     assert endpoint.take_line_time(101.0) == 0.8
     assert endpoint.take_line_time(102.0) == 0.0
 
