Admin address: empty lines before a request count, four callers are accepted a turn

Cause: empty lines before the request line were dropped one by one and never counted, and 16 connections were accepted in a turn, whose events come before those of clients. Change: they count towards the size of the head (431), are dropped at once, and four operators are accepted a turn.

test_empty_lines_before_an_operators_request_are_bounded was red before (no answer in 5 s).

--- a/bellrack/net/http.py
+++ b/bellrack/net/http.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import re
+
 MAX_HEAD_BYTES = 4096  # the request line and the header fields
 MAX_BODY_BYTES = 1024  # a server's id, the only content, is far shorter
 REASON_PHRASES = {
@@ -18,6 +20,7 @@
     431: "Request Header Fields Too Large",
     503: "Service Unavailable",
 }
+EMPTY_LINES = re.compile(rb"(?:\r\n)*")
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -37,6 +40,7 @@
         self.method = self.path = ""
         self.body = b""
         self.length = 0
+        self.empty_bytes = 0  # of empty lines before the request line
         self.awaits_continue = False  # the client sends the body only after `100 Continue`
         self.done = False
 
@@ -51,8 +55,12 @@
             self.body, self.done = bytes(self.rest[: self.length]), True
 
     def _parse_head(self) -> None:
-        while self.rest.startswith(b"\r\n"):
-            del self.rest[:2]  # empty lines may precede the request line (RFC 9112, 2.2)
+        # Empty lines may precede the request line (RFC 9112, 2.2). They count towards the size of the head.
+        empty = EMPTY_LINES.match(self.rest).end()
+        del self.rest[:empty]
+        self.empty_bytes += empty
+        if self.empty_bytes > MAX_HEAD_BYTES:
+            raise HttpError(431)
         head_end = self.rest.find(b"\r\n\r\n")
         if head_end > MAX_HEAD_BYTES or head_end < 0 and len(self.rest) > MAX_HEAD_BYTES:
             raise HttpError(431)
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -13,6 +13,8 @@
 
 LISTEN_BACKLOG = 1024  # connections; clients beyond it in a burst wait until their SYN is sent again
 ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the event loop
+# The same of operators, whose requests are processed first: a rush of them must leave time for clients.
+ADMIN_ACCEPTS_PER_TURN = 4
 FINAL_ACCEPT_RETRIES = 10  # for connections still queued when the listener closes for good, 0.05 s apart
 ACCEPT_RETRY_SECONDS = 0.02  # delay of the next accept after one failed for lack of descriptors
 # Descriptors kept free, at most 3/8 of the limit: half to answer clients that are refused, half for control.
--- a/bellrack/net/listeners.py
+++ b/bellrack/net/listeners.py
@@ -30,8 +30,10 @@
         sock: socket.socket,
         may_accept: Callable[[], bool],
         new_connection: Callable[[], Any],
+        accepts_per_turn: int = limits.ACCEPTS_PER_TURN,
     ):
         self.node, self.may_accept, self.new_connection = node, may_accept, new_connection
+        self.accepts_per_turn = accepts_per_turn
         self.sockets = [sock]
         self.tasks: set[asyncio.Task] = set()  # accepted sockets that have no transport yet
         self.reading = False
@@ -45,8 +47,8 @@
             self.node.loop.add_reader(self.sockets[0].fileno(), self.accept)
 
     def accept(self) -> None:
-        """Accept waiting connections, at most ACCEPTS_PER_TURN in one turn of the event loop."""
-        for _ in range(limits.ACCEPTS_PER_TURN):
+        """Accept waiting connections, at most `accepts_per_turn` in one turn of the event loop."""
+        for _ in range(self.accepts_per_turn):
             if not self.may_accept():
                 self.pause()
                 return
@@ -122,7 +124,11 @@
             self.node.limits.count_descriptors(1)
             sock = socket.create_server(address, backlog=limits.MAX_ADMIN_CONNECTIONS)
             self.admin = Listener(
-                self.node, sock, lambda: not self.node.limits.exhausted(), lambda: AdminConnection(self.node)
+                self.node,
+                sock,
+                lambda: not self.node.limits.exhausted(),
+                lambda: AdminConnection(self.node),
+                limits.ADMIN_ACCEPTS_PER_TURN,
             )
 
     async def open(self, inherited: socket.socket | None) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -352,9 +352,13 @@
         """Returns the address of the admin listener."""
         return self.node.listeners.admin.sockets[0].getsockname()
 
+    async def dial_admin(self):
+        """Connects an operator to the admin listener."""
+        return Peer(*await asyncio.open_connection(*self.admin_address()))
+
     async def ask(self, path, body="", method=None):
         """Returns the status (0 for none) and the text that an operator gets."""
-        peer = Peer(*await asyncio.open_connection(*self.admin_address()))
+        peer = await self.dial_admin()
         method = method or ("POST" if body else "GET")
         peer.writer.write(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         return await self.http_response(peer)
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -112,3 +112,17 @@
             for _ in range(lines):
                 await client.line()
             assert (endpoint.take_line_time(now) > 0.5) == late
+
+
+@async_test
+async def test_empty_lines_before_an_operators_request_are_bounded():
+    """A caller of the admin address sent empty lines for 6 s, all of them handled before any client."""
+    async with World(servers=1, control=True) as world:
+        peer = await world.dial_admin()
+        peer.writer.write(b"\r\n" * 3000)
+        assert (await world.http_response(peer))[0] == 431
+        peer = await world.dial_admin()
+        peer.writer.write(b"\r\n\r")
+        await world.until(lambda: [one.request.empty_bytes for one in world.node.admin_connections] == [2])
+        peer.writer.write(b"\nGET /_vars HTTP/1.1\r\n\r\n")
+        assert (await world.http_response(peer))[0] == 200
