Request lines keep the fields that are read; heads of discovery are bounded

Cause: all fields of the line stayed parsed, 91 KB a connection. Change: a RequestLine holds its bytes and the seven fields that the balancer reads; each name is still checked to stand once. A head of discovery's response was parsed whole up to 4 MB, at many times its size; it may have 16 KB now. Of the other places with heads: an operator's is 4 KB and dropped once it is parsed, a half line 4 KB for 2.75 s at most.

tests/test_held_memory.py, the three new tests (four cases) were red before.

--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -24,9 +24,12 @@
     "ERR": model.ERROR,
     "BUSY": model.FULL,
 }
-MAX_DISCOVERY_BYTES = 1 << 22  # of one line, or the head, of a response of discovery
+MAX_DISCOVERY_BYTES = 1 << 22  # of one line of a response of discovery
+MAX_DISCOVERY_HEAD_BYTES = 1 << 14  # its fields are parsed all at once, at many times their size
 MAX_NUMBER_DIGITS = 16  # of a number on a request line
 MAX_LINE_BYTES = 4096  # of a line of clients and servers, its end included
+# PROTOCOL.md: class, tenant, wait, group, retry, came again, resumed at. Others only go on to the server.
+READ_FIELDS = frozenset(("c", "t", "d", "g", "r", "again", "at"))
 # A name and a value of printable characters without commas, the name without equals signs. Bytes from 0x80 on
 # are allowed, since names in other scripts come as UTF-8.
 PAIR = rb"[!-+\--<>-~\x80-\xff]+=[!-+\--~\x80-\xff]*"
@@ -40,7 +43,9 @@
 
 @dataclass
 class RequestLine:
-    """A request line (OPEN): its bytes, and the fields that were parsed from it."""
+    """A request line (OPEN): its bytes, and the fields of it that the balancer reads (READ_FIELDS).
+
+    It stays in memory for as long as its connection is open. A line may have hundreds of further fields."""
 
     line: bytes
     id: str
@@ -77,9 +82,10 @@
         name, key, pairs = (part.decode() for part in match.groups())
     except UnicodeDecodeError:
         raise LineError("not-utf-8") from None
-    values = dict(pair.split("=", 1) for pair in pairs.split(","))
-    if len(values) != pairs.count(",") + 1:
+    fields = [pair.split("=", 1) for pair in pairs.split(",")]
+    if len({field for field, _ in fields}) != len(fields):
         raise LineError("named-twice")
+    values = {field: value for field, value in fields if field in READ_FIELDS}
     return RequestLine(line, name, int(key, 16), values)
 
 
@@ -279,6 +285,8 @@
     def _parse_head(self) -> bool:
         """Parses the head; False if it is not complete."""
         at = self.rest.find(b"\r\n\r\n")
+        if at > MAX_DISCOVERY_HEAD_BYTES or at < 0 and len(self.rest) > MAX_DISCOVERY_HEAD_BYTES:
+            raise LineError("too-long")
         if at < 0:
             return False
         first, *fields = self._consume(at + 4)[:-4].decode("latin-1").split("\r\n")
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -1,13 +1,15 @@
 """What is over is held by nothing: timers, tables and buffers end with what they are for."""
 
 import gc
+import sys
+import tracemalloc
 import weakref
 
 import pytest
 from helpers import World, async_test
 from test_net import begin_run
 
-from bellrack.net import limits
+from bellrack.net import limits, lines
 from bellrack.net.clients import ClientConnection
 from bellrack.net.servers import ServerConnection
 
@@ -108,3 +110,40 @@
         await world.until(lambda: not world.node.clients)
         far = world.node.loop.time() + limits.MAX_WAIT_SECONDS / 2
         assert not [timer for timer in live if not timer.cancelled() and timer.when() > far]
+
+
+def test_request_line_with_very_many_fields_takes_no_more_memory_than_its_bytes():
+    """The fields of one line of 4,000 bytes took 91 KB for as long as its connection stood."""
+    wide = b",".join(b"x%x=" % number for number in range(700))
+    line = b"OPEN 1 2 c=chat,t=acme,d=2000,g=1,r=1,again=1,at=s-1," + wide + b"\r\n"
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        parsed = [lines.parse_request_line(line) for _ in range(20)]
+        held = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert parsed[0].line == line and set(parsed[0].values) == lines.READ_FIELDS
+    assert held < len(parsed) * len(line)
+
+
+@async_test
+async def test_line_that_was_forwarded_leaves_no_buffer_behind():
+    """Each standing connection kept two buffers of 8 KB once it had forwarded a line."""
+    async with World(servers=1) as world:
+        await begin_run(world)
+        client, server = await world.establish()
+        for from_peer, to_peer in ((client, server), (server, client)):
+            from_peer.say("x" * 3000)
+            assert await to_peer.line() == "x" * 3000
+        connection = next(one for one in world.node.clients if one.paired)
+        for one in (connection, connection.server_connection):
+            assert sys.getsizeof(one.received.data) < 200
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_head_of_a_response_of_discovery_is_bounded(ended):
+    """A head of 4 MB, of very many short fields, was parsed at once into some 200 MB."""
+    head = b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 4000
+    with pytest.raises(lines.LineError):
+        lines.HttpResponseReader().feed(head + b"\r\n" * ended)
