--- a/bellrack/lab/scale/roles/shutdown.py
+++ b/bellrack/lab/scale/roles/shutdown.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from bellrack.lab.scale import stubs
 from bellrack.lab.scale.roles.hosts import SocketlessNode
@@ -22,6 +23,13 @@
 RESTART_TRIES = 8
 
 
+@dataclass(frozen=True)
+class OpenRequest:
+    """A client whose request is open, as far as the state for a successor goes."""
+
+    request_id: str
+
+
 def shutdown(quick: bool) -> Iterator[Measurement]:
     """Measures a hot restart: the state that a process sends its successor, and the connections that it hands
     over."""
@@ -45,7 +53,8 @@
     snapshot_bytes = []
     for count in id_counts:
         with SocketlessNode() as node:
-            node.limits.open_ids = {f"c{n:08d}": None for n in range(count)}
+            names = (f"c{n:08d}" for n in range(count))
+            node.limits.open_ids = {lines.id_hash(name): OpenRequest(name) for name in names}
             snapshot_bytes.append(len(json.dumps(node.hot_restart.snapshot())))
     yield measurement(
         role,
--- a/bellrack/net/clients.py
+++ b/bellrack/net/clients.py
@@ -39,6 +39,7 @@
         self.pings = 0
         self.answered = False  # the final answer has been written
         self.answer_timer: asyncio.TimerHandle | None = None  # of the last possible answer to the request
+        self.taken_at = 0.0  # when its request was taken, on the machine's monotonic clock
         self.opened: float | None = None  # when the machine accepted the connection, on the node's clock
 
     @property
@@ -67,8 +68,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         super().connection_lost(error)
         self.node.clients.pop(self, None)
-        if self.call and self.node.limits.open_ids.get(self.request_line.id) is self:
-            self.node.limits.on_call_ended(self.request_line.id)
+        if self.call and self.node.limits.open_ids.get(self.request_line.id_hash) is self:
+            self.node.request_ids.on_ended(self.request_line.id_hash)
 
     def on_expired(self) -> None:
         """Closes a connection that has sent no whole first line in time.
--- a/bellrack/net/handoff_receiver.py
+++ b/bellrack/net/handoff_receiver.py
@@ -151,7 +151,7 @@
         client.answered = True
         put_back(connection, part.unread)
         connection.paired, client.paired = client, connection
-        node.limits.open_ids[request_line.id] = client
+        node.limits.open_ids[request_line.id_hash] = client
         connection.endpoint.connections[connection] = None
         node.resume_leg(leg)
         if end := part.announced_end:
--- a/bellrack/net/hot_restart.py
+++ b/bellrack/net/hot_restart.py
@@ -168,6 +168,8 @@
         if "news" in message:
             news = lines.parse_list(message["news"])
             node.server_list.apply_from_elsewhere(news, shared_state.news_version(message, news))
+        if "ids" in message:
+            node.request_ids.on_sibling_ids(message["ids"])
         if "list_age" in message:
             shared_state.adopt_part(shared_state.adopt_list_age, node, shared_state.Predecessor(message))
         if "out" in message or "back" in message:
--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from bellrack.net.recent_ids import RecentIds
+
 LISTEN_BACKLOG = 1024  # connections; clients beyond it in a burst wait until their SYN is sent again
 ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the event loop
 # The same of operators, whose requests are processed first: a rush of them must leave time for clients.
@@ -25,7 +27,6 @@
 SILENT_GRACE_SECONDS = 0.1  # a silent connection is kept for so long even if its descriptor is needed
 RESUMED_GRACE_SECONDS = 5.0  # the same while resumed connections are expected, some of which write late
 MAX_WAIT_SECONDS = 60.0  # the longest wait that a client may announce; its call is kept for as long
-MAX_RECENT_IDS = 1024  # ids of ended calls that are remembered
 # Free descriptors needed for an attempt: one is counted twice at the moment at which its connection comes up.
 DESCRIPTORS_PER_ATTEMPT = 2
 MAX_PROBES = 32  # in flight at once; further ones are skipped, and the decisions do without their result
@@ -57,8 +58,9 @@
         self.evictable: dict[Any, float] = {}
         # Connections with part of a first line, and the time of their last write; oldest first.
         self.partial_lines: dict[Any, float] = {}
-        self.open_ids: dict[str, Any] = {}  # clients by the id of their call, while its connection is open
-        self.recent_ids: dict[str, None] = {}  # of calls that have ended, oldest first
+        # Clients by the id hash of their request, while its connection is open.
+        self.open_ids: dict[int, Any] = {}
+        self.recent_ids = RecentIds(MAX_WAIT_SECONDS)  # of requests that have ended, or came to the sibling
         self.expects_resumed: Callable[[], bool] = bool  # whether silent connections may be resumed ones
 
     def set_limit(self, sockets: int) -> None:
@@ -79,17 +81,17 @@
             and not self.exhausted()
         )
 
-    def knows_id(self, request_id: str) -> bool:
-        """Whether the id belongs to an open or a recent call. Each connection has a new id; servers refuse a
-        duplicate with what looks like a failure of their own."""
-        return request_id in self.open_ids or request_id in self.recent_ids
-
-    def on_call_ended(self, request_id: str) -> None:
-        """Moves the id of an ended call to the recent ones."""
-        del self.open_ids[request_id]
-        self.recent_ids[request_id] = None
-        if len(self.recent_ids) > MAX_RECENT_IDS:
-            del self.recent_ids[next(iter(self.recent_ids))]
+    def knows_id(self, id_hash: int, now: float) -> bool:
+        """Whether the id belongs to an open or a recent request. Each connection has a new id; servers refuse
+        a duplicate with what looks like a failure of their own, or run it again.
+
+        `now`: seconds of the machine's monotonic clock."""
+        return id_hash in self.open_ids or self.recent_ids.knows(id_hash, now)
+
+    def on_call_ended(self, id_hash: int, now: float) -> None:
+        """Moves the id of an ended request to the recent ones. `now`: as for `knows_id`."""
+        del self.open_ids[id_hash]
+        self.recent_ids.add(id_hash, now)
 
     def reserve_reached(self, part: int = 1) -> bool:
         """Whether no more than the reserve, or than 1/`part` of it, is left."""
--- a/bellrack/net/lines.py
+++ b/bellrack/net/lines.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import json
 import math
@@ -52,6 +53,11 @@
     key: int
     values: dict[str, str]
 
+    @functools.cached_property
+    def id_hash(self) -> int:
+        """The hash of the id, the same at both processes of a hot restart."""
+        return id_hash(self.id)
+
     def number(self, name: str, base: int = 10) -> int | None:
         """Returns the value of `name` as a number; None if the line has no such name.
 
--- a/bellrack/net/node.py
+++ b/bellrack/net/node.py
@@ -25,6 +25,7 @@
 from bellrack.net.listeners import Listeners
 from bellrack.net.peer_socket import MAX_DATAGRAM_BYTES, PeerSocket
 from bellrack.net.readiness import Readiness
+from bellrack.net.request_ids import RequestIds
 from bellrack.net.resumed import ResumedConnections
 from bellrack.net.server_watch import ServerWatch
 from bellrack.net.servers import Endpoint, Probe, ServerConnection
@@ -61,6 +62,7 @@
         self.discovery = Discovery(self, config.discovery)
         self.server_list = server_list.ServerList(self)
         self.server_watch = ServerWatch(self)
+        self.request_ids = RequestIds(self)
         self.listeners = Listeners(self)
         self.hot_restart = HotRestart(self)
         Accounting.__init__(self, config.settings, config.seed, self.clock())
@@ -189,8 +191,7 @@
         if not resumes and wait > limits.MAX_WAIT_SECONDS:  # resumed connections ask to wait for an hour
             raise lines.LineError("bad-d")
         # A resumed connection keeps its id on a retry, so for it only open ids count as taken.
-        taken = request_line.id in self.limits.open_ids if resumes else self.limits.knows_id(request_line.id)
-        if taken:
+        if self.request_ids.is_taken(request_line.id_hash, resumes):
             raise lines.LineError("id-known")
         if resumes and not self.resumed.window.admits(self.now):
             raise lines.LineError("late-at")
@@ -208,7 +209,7 @@
         )
         self.counters["calls"] += 1
         call.host_record, client.call = client, call
-        self.limits.open_ids[request_line.id] = client
+        self.request_ids.on_taken(client)
         self.limits.untrack(client)
         client.expire_after(None)
         if resumes:
@@ -275,6 +276,7 @@
             self.watch()
         self.queue(self.server_watch.check)
         self.queue(self.discovery.check_watch)
+        self.queue(self.request_ids.start_sweeps)
         if self.config.peer_listen:
             self.peers = await transient.retry(lambda: PeerSocket.open(self))
         self.handle_signals()
--- a/bellrack/net/shared_state.py
+++ b/bellrack/net/shared_state.py
@@ -10,7 +10,7 @@
 | an operator's order to detach or attach a server | the latest, by the machine's monotonic clock |
 | the age of the list, and when servers last accepted a connection | of both, together (`ListAge.merge`); not where the two have different discovery addresses |
 | what is learned of a server, and when it started | the predecessor's, which has observed it for longer; none where its list has an earlier start of the server than ours |
-| ids of ended connections | those of both |
+| ids of requests | those of both; each tells the other at once which come (`request_ids.py`) |
 | the period in which resumed connections are admitted | the earlier start; an ordinary request has been seen if either process has seen one |
 
 Times are sent as seconds on the predecessor's clock; `HotRestart.clock_ahead` converts them to ours.
@@ -50,7 +50,9 @@
         "learned": node.export_learned(),
         "out": list(node.server_list.cordoned.values()),  # for older versions, which ignore "orders"
         "orders": [order.to_row() for order in orders],
-        "seen": [*node.limits.recent_ids, *node.limits.open_ids],
+        # For older releases, which remember ids as they are. They learn those of open requests alone.
+        "seen": [client.request_id for client in node.limits.open_ids.values()],
+        "recent_ids": node.request_ids.to_message(),
         "started": node.resumed.window.started,
         "anchor": node.anchor,
         "requested": node.resumed.window.requested,
@@ -188,7 +190,7 @@
 def adopt_requests(node: Any, predecessor: Predecessor) -> None:
     """Adopt recent ids and the period for resumed connections, which a hot restart does not extend."""
     state, window = predecessor.state, node.resumed.window
-    node.limits.recent_ids = dict.fromkeys(state.get("seen", ())) | node.limits.recent_ids
+    node.request_ids.adopt(state)
     window.requested = window.requested or state.get("requested") is True
     if "started" in state:
         window.started = min(window.started, float(state["started"]) + node.hot_restart.clock_ahead)
--- a/tests/play_mutants.py
+++ b/tests/play_mutants.py
@@ -228,8 +228,8 @@
     Mutant(
         "the id of an ended call is refused",
         "net/node.py",
-        "request_line.id in self.limits.open_ids if resumes else self.limits.knows_id(request_line.id)",
-        "self.limits.knows_id(request_line.id)",
+        "self.request_ids.is_taken(request_line.id_hash, resumes)",
+        "self.request_ids.is_taken(request_line.id_hash, False)",
     ),
     Mutant(
         "a client line does not end the holding back of moves",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,6 +1,7 @@
 """Tests of the fits, of the measurements of each role, and of the arithmetic in docs/CAPACITY.md."""
 
 import asyncio
+import base64
 import json
 import math
 import re
@@ -11,8 +12,8 @@
 
 from bellrack.lab.scale import roles, stubs
 from bellrack.lab.scale.fit import fit_line, fit_power
-from bellrack.lab.scale.roles import aggregator, decisions, hosts, inputs, placements
-from bellrack.net import lines
+from bellrack.lab.scale.roles import aggregator, decisions, hosts, inputs, placements, shutdown
+from bellrack.net import lines, recent_ids
 from bellrack.net.node import Node
 from bellrack.peers import aggregation
 
@@ -160,8 +161,10 @@
 def test_hot_restart_snapshot_grows_with_the_ids_of_open_calls():
     with hosts.SocketlessNode() as node:
         empty_bytes = len(json.dumps(node.hot_restart.snapshot()))
-        node.limits.open_ids = {"c00000001": None}
-        assert len(json.dumps(node.hot_restart.snapshot())) == empty_bytes + len('"c00000001"')
+        node.limits.open_ids = {lines.id_hash("c00000001"): shutdown.OpenRequest("c00000001")}
+        record_bytes = len(base64.b64encode(bytes(recent_ids.RECORD_BYTES)))
+        snapshot = json.dumps(node.hot_restart.snapshot())
+        assert len(snapshot) == empty_bytes + len('"c00000001"') + record_bytes
     assert isinstance(node, Node)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -393,9 +393,9 @@
         client.end("fin")
         await world.until(lambda: not world.node.limits.open_ids)
         assert await (await world.call(number=1)).line() == "SYNTAX"
-        monkeypatch.setattr(limits, "MAX_RECENT_IDS", 1)
-        (await world.establish())[0].end("fin")
-        await world.until(lambda: not world.node.limits.open_ids)
+        ids = world.node.request_ids
+        later = ids.now() + world.node.limits.recent_ids.retention + 2
+        monkeypatch.setattr(ids, "now", lambda: later)
         await world.establish(number=1)
 
 
