A restarted count of discovery holds over a watch that is opened anew

Cause: the time at which a count of versions began went only with lists of the watch that had brought the whole list; changes of a watch opened after it, and its first empty line, were compared with a predecessor's higher numbers of the old count and turned down.

--- a/bellrack/net/discovery_request.py
+++ b/bellrack/net/discovery_request.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 from bellrack import discovery_retry
@@ -29,7 +28,6 @@
         self.response, self.body, self.request_sent = lines.HttpResponseReader(), b"", False
         self.started_at = self.last_received = self.request_sent_at = node.now
         self.objects, self.received_line = lines.JsonObjectReader(), False
-        self.whole_list_requested_at = -math.inf  # once this request has brought a whole list
         self.open(address, discovery_retry.CONNECT_TIMEOUT_SECONDS)
         if not watch:
             # Discovery.check_watch looks after watches.
@@ -99,12 +97,10 @@
             if listing := self.objects.feed(line + end):
                 listing = lines.parse_list(listing)
                 discovery.on_line(self, has_listing=True)
-                if listing.whole:
-                    self.whole_list_requested_at = self.request_sent_at
                 self.node.server_list.on_list(
                     listing,
                     at_current_address=self is not discovery.previous,
-                    requested_at=self.whole_list_requested_at,
+                    requested_at=self.request_sent_at,
                 )
             elif self.objects.whole and not self.received_line:
                 discovery.on_line(self, has_listing=False)
--- a/bellrack/net/server_list.py
+++ b/bellrack/net/server_list.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Container, Iterable, Iterator
+from dataclasses import replace
 from typing import Any
 
 from bellrack import model
@@ -56,13 +57,16 @@
         """Applies a list, or changes of one, from discovery.
 
         `fetched`: it is the response to a request for a single list. `at_current_address`: it comes from
-        discovery's current address, not from the previous one. `requested_at`: when the whole list was
-        requested that it is, or on which it builds; -inf if that was requested earlier on another watch."""
-        discovery, anchor = self.node.discovery, self.node.anchor
-        address = discovery.address if at_current_address else discovery.previous.address
-        version = EntryVersion(
-            lines.format_address(address), listing.version, requested_at - anchor, self.node.now - anchor
-        )
+        discovery's current address, not from the previous one. `requested_at`: when it was requested; -inf if
+        unknown."""
+        discovery = self.node.discovery
+        source = discovery.address if at_current_address else discovery.previous.address
+        address, watched = lines.format_address(source), self.versions.watched
+        if listing.whole:
+            count_began_at = requested_at - self.node.anchor
+        else:
+            count_began_at = watched.requested_at if watched.address == address else -math.inf
+        version = EntryVersion(address, listing.version, count_began_at, self.node.now - self.node.anchor)
         if fetched and not supersedes(version, self.versions.watched):
             return  # a watch has delivered a newer version since the request
         if at_current_address:
@@ -101,7 +105,7 @@
         if self.version:
             address = lines.format_address(self.node.discovery.address)
             read_at = self.node.now - self.node.anchor
-            self.versions.on_watch(EntryVersion(address, self.version, read_at=read_at))
+            self.versions.on_watch(replace(self.versions.watched, address=address, read_at=read_at))
         self.node.readiness.on_list(bool(self.node.servers))
         self.node.readiness_changed.set()
         self.node.balancer.on_servers_listed([])
--- a/tests/test_list_sources.py
+++ b/tests/test_list_sources.py
@@ -198,6 +198,12 @@
     shared_state.adopt(successor, snapshot)
     assert successor.servers[lines.id_hash("s-0")].state == model.DRAINING
     assert successor.server_list.versions.complete.number == 2
+    # What its watch tells after that is of the same count, also once it was opened anew.
+    successor.server_list.on_unchanged()
+    successor.now += 1
+    back = {"generation": 3, "reset": False, "instances": [deployment.entry(0, "in_service")]}
+    successor.server_list.on_list(lines.parse_list(back), requested_at=successor.now)
+    assert successor.servers[lines.id_hash("s-0")].state == model.READY
 
 
 def test_versions_compare_by_number_within_an_address_and_by_time_across_addresses():
