--- a/tests/test_list_sources.py
+++ b/tests/test_list_sources.py
@@ -11,6 +11,7 @@
 from helpers import raw_settings
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from test_shared_state import Channel
 
 from bellrack import model
 from bellrack.net import lines, server_list, shared_state
@@ -25,18 +26,6 @@
 LIFECYCLES = {"in_service": model.READY, "terminating": model.DRAINING}
 
 
-class Channel:
-    """One direction between two processes. Messages arrive in order, some time later."""
-
-    handoff_sender = None
-
-    def __init__(self):
-        self.messages = []
-
-    def send(self, **words):
-        self.messages.append(json.loads(json.dumps(words)))
-
-
 class Deployment:
     """Processes that follow one another without sockets, and a discovery service with two addresses."""
 
