Ids are remembered for five minutes at least; a sibling that hangs is given up at 8 MB

(2) Messages to a sibling process that reads nothing were kept without a bound, and each request adds one now.

The connection to a sibling ends at 8 MB unsent, as at its end.

--- a/bellrack/net/limits.py
+++ b/bellrack/net/limits.py
@@ -60,7 +60,7 @@
         self.partial_lines: dict[Any, float] = {}
         # Clients by the id hash of their request, while its connection is open.
         self.open_ids: dict[int, Any] = {}
-        self.recent_ids = RecentIds(MAX_WAIT_SECONDS)  # of requests that have ended, or came to the sibling
+        self.recent_ids = RecentIds()  # of requests that have ended, or came to the sibling
         self.expects_resumed: Callable[[], bool] = bool  # whether silent connections may be resumed ones
 
     def set_limit(self, sockets: int) -> None:
--- a/bellrack/net/recent_ids.py
+++ b/bellrack/net/recent_ids.py
@@ -2,8 +2,8 @@
 
 Each connection has a new id (PROTOCOL.md, "Clients to balancers"). A request that comes again under its id
 must not run again, whatever became of its client. A copy makes sense only while its client waits for an
-answer, so an id is remembered for the longest wait that a client may announce and the longest delay of a
-retry, counted from the end of its request.
+answer, so an id has to be remembered for the longest wait that a client may announce and the longest delay of
+a retry, counted from the end of its request. Where there is room it is remembered for longer.
 
 An id takes RECORD_BYTES, and the most that are held is BUCKETS * RECORDS_PER_BUCKET. Beyond that the oldest
 of a bucket is dropped first, whatever its age. No table is rebuilt: the cost of an id does not grow in steps.
@@ -22,6 +22,7 @@
 RECORD = struct.Struct(">6sH")  # the part of the hash that the bucket does not tell, and a time
 RECORD_BYTES = RECORD.size
 TICKS = 1 << 16  # times are whole seconds modulo this; the longest retention must be far shorter
+MIN_RETENTION_SECONDS = 300.0  # also where no client waits for so long; it costs little
 MAX_RETENTION_SECONDS = 3600.0
 SWEEP_INTERVAL_SECONDS = 1.0
 BUCKETS_PER_SWEEP = 64  # all buckets are swept within about a minute
@@ -32,7 +33,7 @@
 
     Times are seconds of the machine's monotonic clock, which both processes of a hot restart share."""
 
-    def __init__(self, retention: float):
+    def __init__(self, retention: float = MIN_RETENTION_SECONDS):
         """`retention`: seconds for which an id is remembered, at least."""
         self.buckets = [bytearray() for _ in range(BUCKETS)]
         self.retention = retention
@@ -46,7 +47,7 @@
 
     @retention.setter
     def retention(self, seconds: float) -> None:
-        self._retention = min(seconds, MAX_RETENTION_SECONDS)
+        self._retention = min(max(seconds, MIN_RETENTION_SECONDS), MAX_RETENTION_SECONDS)
 
     def add(self, id_hash: int, now: float) -> None:
         """Remembers an id from now on; one that is known is remembered anew."""
--- a/bellrack/net/sibling.py
+++ b/bellrack/net/sibling.py
@@ -27,6 +27,8 @@
 BUSY_MESSAGE = b'{"busy": true}\n'  # to a process that connects while there is a sibling already
 MAX_MESSAGE_BYTES = 1 << 24  # of one message: 3,200 servers take 1.5 MB
 MAX_WAITING_SUCCESSORS = 4  # processes that may exchange orders with the serving one at the same time
+# A sibling that reads nothing while so much waits for it counts as ended. Each request adds some 80 bytes.
+MAX_UNSENT_BYTES = 1 << 23
 VERSION = 1  # of the state that is passed with the listening socket; unknown keys are ignored
 READ_BYTES = 65536  # per receive call
 
@@ -188,6 +190,9 @@
             self.unsent += line
         elif not self.transport.is_closing():
             self.transport.write(line)
+            if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                log.event("handover", given_up="sibling", unsent=self.transport.get_write_buffer_size())
+                self.transport.abort()
 
     def close(self) -> None:
         if self.transport:
