--- a/tests/play_pressure.py
+++ b/tests/play_pressure.py
@@ -1,6 +1,7 @@
 """What single clients cost the others, played by hand: `python tests/play_pressure.py PLAY`.
 
     turnover   callers with ever new ids, keys and groups, each served and gone at once; `--wait` is `d` in ms
+    standing   standing clients that have sent a line and had it back
     wide       standing clients whose request lines have very many short fields
     slow       clients that wrote such a line in slow pieces, without its end
     flood      standing clients that send empty lines at full speed
@@ -30,6 +31,7 @@
 
 WIDE_FIELDS = ",".join(f"{chr(97 + n % 26)}{n}=" for n in range(750))[:3900].rpartition(",")[0]
 CHUNK = b"\r\n" * 4096
+IDLE_PLAYS = ("standing", "wide", "slow")  # in which clients are quiet once they are connected
 SERVERS = 200  # all at one address; those of clients that flood look late, the others do not
 PROBE_INTERVAL_SECONDS = 0.05  # between two measurements of what other clients wait
 
@@ -184,7 +186,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser()
-    parser.add_argument("play", choices=["turnover", "wide", "slow", "flood", "loads", "admin"])
+    parser.add_argument("play", choices=["turnover", "standing", "wide", "slow", "flood", "loads", "admin"])
     parser.add_argument("--clients", type=int, default=4)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--wait", type=int, default=60000)
@@ -223,14 +225,17 @@
 def play(words: argparse.Namespace, balancer: BalancerProcess, address: tuple[str, int]) -> None:
     print(f"idle: {memory(balancer):.0f} MB")
     clients = []
-    if words.play in ("wide", "slow"):
+    if words.play in IDLE_PLAYS:
         for number in range(words.clients):
-            whole = request(number, "1", 20000, "," + WIDE_FIELDS)
-            if words.play == "wide":
-                clients.append(connect(address, whole))
-                clients[-1].recv(100)
-            else:
+            whole = request(number, "1", 20000, "" if words.play == "standing" else "," + WIDE_FIELDS)
+            if words.play == "slow":
                 clients.append(connect(address, whole[: len(whole) // 2]))
+                continue
+            clients.append(connect(address, whole))
+            clients[-1].recv(100)
+            if words.play == "standing":
+                clients[-1].sendall(b"line\r\n")
+                clients[-1].recv(100)
     else:
         target = {"turnover": turn_over, "flood": flood, "loads": stand, "admin": send_empty_lines}
         where = address
@@ -246,7 +251,7 @@
             )
             clients[-1].start()
         time.sleep(1.0)
-    measure(address, min(words.seconds - 1.5, 10.0) if words.play not in ("wide", "slow") else 2.0)
+    measure(address, 2.0 if words.play in IDLE_PLAYS else min(words.seconds - 1.5, 10.0))
     print(f"at the end: {memory(balancer):.0f} MB")
     for client in clients:
         client.join() if hasattr(client, "join") else client.close()
