Soak: a line cut off by the end is no earlier line that came late

Trace: the server got `M 1` 2 ms after the client wrote it (2144.127) and answered; it ended by itself at 2151.394 while `M 19` was on its way under the fault of short writes, read `M 1` of that at 2151.398 and noted a line of that text. The last time of a text counted. Change: the first time counts, as no client writes a line twice; the limit is as it was. The new test in test_soak.py was red before.

--- a/bellrack/lab/soak/line_rules.py
+++ b/bellrack/lab/soak/line_rules.py
@@ -34,8 +34,14 @@
         return min(self.outcome.closed_at or math.inf, self.outcome.ended_at or math.inf)
 
     def times(self, name: str) -> dict[str, float]:
-        """Return when the server wrote an event of this name for each line."""
-        return {event["text"]: event["t"] for event in self.events if event["ev"] == name}
+        """Return when the server wrote an event of this name for each line, the first where there are more.
+
+        A connection may end within a line, and its first bytes may be those of an earlier line."""
+        times: dict[str, float] = {}
+        for event in self.events:
+            if event["ev"] == name:
+                times[event["text"]] = min(event["t"], times.get(event["text"], math.inf))
+        return times
 
     def ended_by_server_or_balancer(self) -> tuple[float, str]:
         """Return when and by which event its server's side ended or was announced to end; else infinity."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -111,6 +111,13 @@
     assert broken_rules([outcome(lines=lines, closed_at=11.6)], events) == []  # the client had closed
 
 
+def test_line_that_is_cut_off_by_the_end_does_not_count_as_an_earlier_line_that_came_late():
+    """Seed 9509: `M 19` was cut to `M 1` by the end of the server, 7 s after `M 1` had come."""
+    events = [line_event("line", 10.5), line_event("echo", 10.5), line_event("line", 17.8)]
+    lines = {"M 1": LineTimes(10.5, 10.6)}
+    assert broken_rules([outcome(lines=lines, closed_at=18.0)], events) == []
+
+
 @pytest.mark.parametrize("event", ["bye", "server_end", "balancer_end"])
 @pytest.mark.parametrize("waited, rules", [(1.1, []), (1.2, ["left_waiting"])])
 def test_reports_a_client_that_is_left_waiting_after_its_servers_side_has_ended(event, waited, rules):
