--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -431,7 +431,7 @@
     assert predecessor and predecessor.state == {"version": 1}
     host = mock.Mock(**{"limits.descriptors": 0})
     connection = sibling.Sibling(host, unread=predecessor.unread)
-    connection.connection_made(mock.Mock(is_closing=lambda: False))
+    connection.connection_made(mock.Mock(is_closing=lambda: False, get_write_buffer_size=lambda: 0))
     connection.data_received(b'sed": 3}\n')
     assert [call.args[1] for call in host.queue.call_args_list] == [{"held": 7}, {"passed": 3}]
     for sock in (predecessor.sock, predecessor.listening_socket, predecessor.handoff_socket):
