--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -146,7 +146,7 @@
 
 @pytest.mark.parametrize("ended", [True, False])
 def test_head_of_a_response_of_discovery_is_bounded(ended):
-    """A head of 4 MB, of very many short fields, was parsed at once into some 200 MB."""
+    """A head of 4 MB, of very many short fields, was parsed at once into 55 MB."""
     head = b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 4000
     with pytest.raises(lines.LineError):
         lines.HttpResponseReader().feed(head + b"\r\n" * ended)
